Workspace of small libraries, model and platform

Cause: an empty repository. Change: libraries with import contracts, the pure acceptance of tickets and verdicts, the log adapter, and the tools of make test. Conclusion: 6 tests pass; nothing measured yet.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# The two commands a newcomer needs are `make demo` and `make test`.
+VENV := .venv
+BIN := $(VENV)/bin
+LIBS := model platform mesh moves calls daemon cli standins bench
+EDITABLE := $(foreach lib,$(LIBS),-e libs/$(lib))
+SOURCES := $(foreach lib,$(LIBS),libs/$(lib)/src)
+STAMP := $(VENV)/.installed
+
+.PHONY: setup format lint types contracts unit test demo
+
+setup: $(STAMP)
+
+$(STAMP): constraints.txt requirements-dev.txt $(wildcard libs/*/pyproject.toml)
+	python3.11 -m venv $(VENV)
+	$(BIN)/python -m pip install --quiet --constraint constraints.txt uv
+	$(BIN)/uv pip install --quiet --python $(BIN)/python \
+	  --constraint constraints.txt --build-constraints constraints.txt \
+	  --requirement requirements-dev.txt $(EDITABLE)
+	touch $(STAMP)
+
+format: setup
+	$(BIN)/ruff format libs
+
+lint: setup
+	$(BIN)/ruff format --check libs
+	$(BIN)/flake8 libs
+
+types: setup
+	$(BIN)/mypy $(SOURCES)
+
+contracts: setup
+	$(BIN)/lint-imports --no-cache
+
+unit: setup
+	$(BIN)/python -m pytest
+
+test: lint types contracts unit
+
+demo: setup
+	$(BIN)/verbenamill-bench demo
--- /dev/null
+++ b/libs/bench/src/verbenamill_bench/__init__.py
@@ -0,0 +1,1 @@
+"""verbenamill-bench: demo, load and experiment tool."""
--- /dev/null
+++ b/libs/calls/src/verbenamill_calls/__init__.py
@@ -0,0 +1,1 @@
+"""Routing, admission, retries and deduplication of calls."""
--- /dev/null
+++ b/libs/cli/src/verbenamill_cli/__init__.py
@@ -0,0 +1,1 @@
+"""verbenamill, the operators' command line."""
--- /dev/null
+++ b/libs/daemon/src/verbenamill_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""verbenamilld, the process beside each upstream."""
--- /dev/null
+++ b/libs/mesh/src/verbenamill_mesh/__init__.py
@@ -0,0 +1,1 @@
+"""Membership and dissemination between daemons."""
--- /dev/null
+++ b/libs/model/src/verbenamill_model/__init__.py
@@ -0,0 +1,67 @@
+"""Identifiers, tickets, snapshots and the pure acceptance of configuration."""
+
+from verbenamill_model.accept import (
+    Answer,
+    Changed,
+    Entry,
+    Repeated,
+    accept,
+    fold,
+)
+from verbenamill_model.checks import find_faults
+from verbenamill_model.codec import (
+    as_plain,
+    decode_record,
+    decode_state,
+    digest_state,
+    encode_record,
+    encode_state,
+    read_ticket,
+)
+from verbenamill_model.state import (
+    AuditEntry,
+    Move,
+    Refusal,
+    ServiceState,
+    Snapshot,
+    State,
+    Verdict,
+)
+from verbenamill_model.tickets import (
+    Record,
+    Route,
+    Service,
+    Ticket,
+    TicketRecord,
+    VerdictRecord,
+)
+
+__all__ = (
+    'Answer',
+    'AuditEntry',
+    'Changed',
+    'Entry',
+    'Move',
+    'Record',
+    'Refusal',
+    'Repeated',
+    'Route',
+    'Service',
+    'ServiceState',
+    'Snapshot',
+    'State',
+    'Ticket',
+    'TicketRecord',
+    'Verdict',
+    'VerdictRecord',
+    'accept',
+    'as_plain',
+    'decode_record',
+    'decode_state',
+    'digest_state',
+    'encode_record',
+    'encode_state',
+    'find_faults',
+    'fold',
+    'read_ticket',
+)
--- /dev/null
+++ b/libs/model/tests/test_accept.py
@@ -0,0 +1,141 @@
+"""Acceptance of tickets and verdicts, record by record."""
+
+from datetime import UTC, datetime, timedelta
+
+import pytest
+
+from verbenamill_model import (
+    Changed,
+    Entry,
+    Refusal,
+    Repeated,
+    Route,
+    Service,
+    State,
+    Ticket,
+    TicketRecord,
+    VerdictRecord,
+    accept,
+    encode_record,
+)
+from verbenamill_model.typing import VerdictKind
+
+START = datetime(2026, 12, 2, tzinfo=UTC)
+
+
+def entry(state, record, *, after=timedelta(0)):
+    return Entry(
+        offset=state.offset + 1,
+        at=START + after,
+        body=encode_record(record),
+    )
+
+
+def publish(state, **ticket):
+    record = TicketRecord(ticket=Ticket(author='ann', **ticket))
+    return accept(state, entry(state, record))
+
+
+@pytest.fixture
+def installed():
+    state, answer = publish(
+        State(),
+        number=1,
+        services=(Service(name='entries', version='v1'),),
+        routes=(Route(name='entries', prefix='/entries', service='entries'),),
+    )
+    assert isinstance(answer, Changed)
+    return state
+
+
+@pytest.fixture
+def moving(installed):
+    wanted = Service(
+        name='entries',
+        version='v2',
+        deadline=START + timedelta(minutes=1),
+    )
+    state, answer = publish(installed, number=2, services=(wanted,))
+    assert isinstance(answer, Changed)
+    return state
+
+
+def test_same_ticket_twice_changes_nothing(installed):
+    """An operator whose answer was lost publishes again.
+
+    The second copy must not be refused, since the change is in force, and
+    must not make a new snapshot.
+    """
+    again, answer = publish(
+        installed,
+        number=1,
+        services=(Service(name='entries', version='v1'),),
+        routes=(Route(name='entries', prefix='/entries', service='entries'),),
+    )
+    assert isinstance(answer, Repeated)
+    assert again.snapshot == installed.snapshot
+
+
+def test_same_number_other_content_is_refused(installed):
+    """Two operators race and both take number 1; the first one counts."""
+    after, answer = publish(
+        installed,
+        number=1,
+        services=(Service(name='catalog', version='v1'),),
+    )
+    assert isinstance(answer, Refusal)
+    assert 'other content' in answer.reason
+    assert after.snapshot == installed.snapshot
+
+
+def test_stale_number_is_refused(moving):
+    after, answer = publish(
+        moving,
+        number=1,
+        remove_services=('entries',),
+    )
+    assert isinstance(answer, Refusal)
+    assert after.snapshot == moving.snapshot
+
+
+def test_removing_a_service_under_a_route_is_refused(installed):
+    after, answer = publish(installed, number=3, remove_services=('entries',))
+    assert isinstance(answer, Refusal)
+    assert 'points at service entries' in answer.reason
+    assert after.snapshot == installed.snapshot
+
+
+def test_first_verdict_counts(moving):
+    """Two deciders settle the same move; the lower offset wins.
+
+    The later one, from a decider that woke from a pause, must not take the
+    finished move back.
+    """
+    move = moving.snapshot.services['entries'].move
+    assert move is not None
+    done = VerdictRecord(
+        move=move.id,
+        service='entries',
+        kind=VerdictKind.DONE,
+        decided_by='vm-1',
+    )
+    state, answer = accept(moving, entry(moving, done))
+    assert isinstance(answer, Changed)
+    late = VerdictRecord(
+        move=move.id,
+        service='entries',
+        kind=VerdictKind.TAKEN_BACK,
+        decided_by='vm-2',
+    )
+    state, answer = accept(state, entry(state, late))
+    assert isinstance(answer, Repeated)
+    assert state.snapshot.services['entries'].version == 'v2'
+    assert [verdict.kind for verdict in state.verdicts] == [VerdictKind.DONE]
+
+
+def test_broken_record_is_refused_and_counted(installed):
+    broken = Entry(offset=installed.offset + 1, at=START, body=b'{"no":1')
+    state, answer = accept(installed, broken)
+    assert isinstance(answer, Refusal)
+    assert state.snapshot == installed.snapshot
+    assert state.offset == broken.offset
--- /dev/null
+++ b/libs/moves/src/verbenamill_moves/__init__.py
@@ -0,0 +1,1 @@
+"""Evidence, stages and verdicts of moves between upstream versions."""
--- /dev/null
+++ b/libs/standins/src/verbenamill_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the log, upstreams and callers."""
