Calls from a caller over at most one hop to an upstream

Cause: the whole path needs a data plane, and at-most-once, admission and retries shape it from the start. Change: an HTTP/1.1 server on trio and httptools; routes, versions by share, the choice among owners; slots with a bounded queue; ids of calls that may not be repeated, kept by the owner and asked for over a new connection; retry budget, hedges, deadlines; refusals that say not-run, unknown or failed.

--- /dev/null
+++ b/libs/calls/src/verbenamill_calls/body.py
@@ -0,0 +1,240 @@
+"""Bodies: kept when small, streamed with flow control when large."""
+
+from enum import Enum, unique
+
+import trio
+from msgspec import Struct
+
+from verbenamill_calls.connection import HttpConnection, Source
+from verbenamill_calls.messages import (
+    LAST_CHUNK,
+    Broken,
+    End,
+    Event,
+    Framing,
+    encode_chunk,
+)
+
+
+@unique
+class Relayed(Enum):
+    """How the relay of a body ended."""
+
+    WHOLE = 'whole'
+    SOURCE_BROKEN = 'source-broken'
+    SINK_BROKEN = 'sink-broken'
+
+
+class Limits(Struct, frozen=True):
+    """Bounds on the relay of a message.
+
+    :param until: end of it, in trio's time, in seconds.
+    :param silence: longest wait for the next bytes, in seconds.
+    """
+
+    until: float
+    silence: float
+
+
+class Body:
+    """Body of a request.
+
+    :param prefix: what was read so far.
+    :param rest: where the rest comes from; ``None`` when nothing is left.
+    """
+
+    def __init__(
+        self,
+        prefix: bytes,
+        framing: Framing,
+        rest: Source | None,
+    ) -> None:
+        self.framing = framing
+        self._prefix = prefix
+        self._rest = rest
+        self._is_started = False
+        self._is_relayed = False
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether it can be sent once more."""
+        return self._rest is None or not self._is_started
+
+    @property
+    def is_read(self) -> bool:
+        """Whether nothing of it is left on its connection."""
+        return self._rest is None or self._is_relayed
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether all of it is in memory."""
+        return self._rest is None
+
+    def fingerprint(self) -> bytes:
+        """What tells it from another body: all of it, or its length."""
+        if self._rest is None:
+            return self._prefix
+        return b'%a' % self.framing.length
+
+    async def send(
+        self,
+        head: bytes,
+        sink: HttpConnection,
+        limits: Limits,
+    ) -> Relayed:
+        """Send a head and the body behind it."""
+        assert self.is_repeatable
+        if self._rest is None:
+            sent = await _send(sink, head + self._encode_prefix(), limits)
+            return Relayed.WHOLE if sent else Relayed.SINK_BROKEN
+        self._is_started = True
+        relayed = await relay(
+            head,
+            self._rest,
+            sink,
+            self.framing,
+            limits=limits,
+            prefix=self._prefix,
+        )
+        self._is_relayed = relayed is Relayed.WHOLE
+        return relayed
+
+    def _encode_prefix(self) -> bytes:
+        if self.framing.length is not None:
+            assert len(self._prefix) == self.framing.length
+            return self._prefix
+        if not self._prefix:
+            return LAST_CHUNK
+        return encode_chunk(self._prefix) + LAST_CHUNK
+
+
+async def read_body(
+    source: HttpConnection,
+    framing: Framing,
+    *,
+    limit: int,
+    most: int,
+    limits: Limits,
+) -> Body | Broken:
+    """Read a request's body, as far as it may be kept in memory.
+
+    :param limit: bytes kept in memory; the rest is left to be streamed.
+    :param most: bytes of the whole body that are allowed.
+    """
+    if framing.length is not None and framing.length > limit:
+        return Body(b'', framing, source)
+    parts: list[bytes] = []
+    size = 0
+    while size <= limit:
+        event = source.ready()
+        if event is None:
+            left = limits.until - trio.current_time()
+            event = await receive(source, max(min(limits.silence, left), 0))
+        if isinstance(event, bytes):
+            parts.append(event)
+            size += len(event)
+            continue
+        if event is End.END:
+            return Body(b''.join(parts), framing, None)
+        assert isinstance(event, Broken)
+        return event
+    rest = _LimitedSource(source, most - size)
+    return Body(b''.join(parts), framing, rest)
+
+
+class _LimitedSource:
+    """Ends a body that grows too long, since no length told it before."""
+
+    def __init__(self, source: Source, left: int) -> None:
+        self._source = source
+        self._left = left
+
+    def ready(self) -> Event | None:
+        event = self._source.ready()
+        return None if event is None else self._count(event)
+
+    async def receive(self) -> Event:
+        return self._count(await self._source.receive())
+
+    def _count(self, event: Event) -> Event:
+        if isinstance(event, bytes):
+            self._left -= len(event)
+        if self._left < 0:
+            return Broken('the body is too long')
+        return event
+
+
+async def receive(source: Source, silence: float) -> Event:
+    """Next event, or :class:`Broken` after too long a silence."""
+    event = None
+    with trio.move_on_after(silence):
+        event = await source.receive()
+    if event is None:
+        return Broken(f'nothing came for {silence:.3f} s')
+    return event
+
+
+async def _send(sink: HttpConnection, data: bytes, limits: Limits) -> bool:
+    sent = False
+    with trio.move_on_at(limits.until):
+        sent = await sink.send(data)
+    return sent
+
+
+async def relay(
+    head: bytes,
+    source: Source,
+    sink: HttpConnection,
+    framing: Framing | None,
+    *,
+    limits: Limits,
+    prefix: bytes = b'',
+) -> Relayed:
+    """Pass a message on, and check that it is whole.
+
+    Memory is bounded by one read: nothing more is read before the sink has
+    taken what came. A body that ends early leaves the sink's message
+    visibly unfinished, since neither its length nor its last chunk came.
+    """
+    relayed = 0
+    pending = [head]
+    if prefix:
+        pending.append(_frame(prefix, framing))
+        relayed = len(prefix)
+    while True:
+        event = source.ready()
+        if event is None:
+            if pending and not await _send(sink, b''.join(pending), limits):
+                return Relayed.SINK_BROKEN
+            pending.clear()
+            left = limits.until - trio.current_time()
+            event = await receive(source, max(min(limits.silence, left), 0))
+        if isinstance(event, bytes):
+            relayed += len(event)
+            pending.append(_frame(event, framing))
+            continue
+        if event is not End.END:
+            return Relayed.SOURCE_BROKEN
+        _end_body(pending, framing, relayed)
+        if pending and not await _send(sink, b''.join(pending), limits):
+            return Relayed.SINK_BROKEN
+        return Relayed.WHOLE
+
+
+def _end_body(
+    pending: list[bytes],
+    framing: Framing | None,
+    relayed: int,
+) -> None:
+    if framing is None:
+        return
+    if framing.length is None:
+        pending.append(LAST_CHUNK)
+    else:
+        assert relayed == framing.length, 'a short body was about to pass'
+
+
+def _frame(body: bytes, framing: Framing | None) -> bytes:
+    if framing is not None and framing.length is None:
+        return encode_chunk(body)
+    return body
--- /dev/null
+++ b/libs/calls/src/verbenamill_calls/parsing.py
@@ -0,0 +1,124 @@
+"""Events of HTTP messages, from the callbacks of httptools."""
+
+from collections import deque
+from http import HTTPStatus
+
+from httptools import HttpRequestParser, HttpResponseParser
+
+from verbenamill_calls.messages import (
+    FRAMING_HEADERS,
+    Broken,
+    End,
+    Event,
+    Header,
+    RequestHead,
+    ResponseHead,
+    read_framing,
+)
+
+_NO_BODY = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
+
+
+class _Collector:
+    """Turns the parser's callbacks into events.
+
+    Bytes behind a message wait as events of the next one, so pipelined
+    requests are served one after the other; a single read bounds them.
+    """
+
+    def __init__(self) -> None:
+        self.events: deque[Event] = deque()
+        self.headers: list[Header] = []
+        self.is_in_head = True
+        self.is_between = True
+
+    def on_message_begin(self) -> None:
+        self.headers = []
+        self.is_in_head = True
+        self.is_between = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        # Trailers come through here as well, after the head; they are
+        # dropped, since a recipient must not merge them unseen.
+        if self.is_in_head:
+            self.headers.append((name.lower(), value))
+
+    def on_body(self, body: bytes) -> None:
+        self.events.append(body)
+
+    def finish(self) -> None:
+        self.is_between = True
+        self.events.append(End.END)
+
+
+class RequestCollector(_Collector):
+    def __init__(self) -> None:
+        super().__init__()
+        self.parser = HttpRequestParser(self)
+        self._target = b''
+
+    def on_message_begin(self) -> None:
+        super().on_message_begin()
+        self._target = b''
+
+    def on_url(self, target: bytes) -> None:
+        self._target += target
+
+    def on_message_complete(self) -> None:
+        self.finish()
+
+    def on_headers_complete(self) -> None:
+        self.is_in_head = False
+        if self.parser.should_upgrade():
+            # The parser takes no body behind an upgrade, whatever its
+            # length says, so what follows cannot be told from a request.
+            fault = Broken('upgrade is refused', HTTPStatus.NOT_IMPLEMENTED)
+            self.events.append(fault)
+            return
+        head = RequestHead(
+            method=self.parser.get_method(),
+            target=self._target,
+            version=self.parser.get_http_version(),
+            headers=self.headers,
+            framing=read_framing(self.headers),
+            keep_alive=self.parser.should_keep_alive(),
+        )
+        self.events.append(head)
+
+
+class ResponseCollector(_Collector):
+    """One answer, with a parser of its own.
+
+    The parser cannot be told that an answer to HEAD has no body, so it must
+    not read on behind one.
+    """
+
+    def __init__(self, *, is_bodiless: bool) -> None:
+        super().__init__()
+        self.parser = HttpResponseParser(self)
+        self._is_bodiless = is_bodiless
+        self._is_interim = False
+
+    def on_headers_complete(self) -> None:
+        self.is_in_head = False
+        status = self.parser.get_status_code()
+        self._is_interim = status < HTTPStatus.OK
+        if self._is_interim:
+            return
+        names = {name for name, _ in self.headers}
+        is_bodiless = self._is_bodiless or status in _NO_BODY
+        head = ResponseHead(
+            status=status,
+            headers=self.headers,
+            framing=read_framing(self.headers),
+            keep_alive=self.parser.should_keep_alive() or self._is_bodiless,
+            is_framed=is_bodiless or not FRAMING_HEADERS.isdisjoint(names),
+            is_bodiless=is_bodiless,
+        )
+        self.events.append(head)
+        if self._is_bodiless:
+            self.finish()
+
+    def on_message_complete(self) -> None:
+        if not self._is_interim and not self._is_bodiless:
+            self.finish()
--- /dev/null
+++ b/libs/calls/src/verbenamill_calls/server.py
@@ -0,0 +1,225 @@
+"""Takes calls from callers and from other daemons, over one port."""
+
+from http import HTTPStatus
+
+import trio
+
+from verbenamill_calls.call import Fate, refuse
+from verbenamill_calls.caller_side import CallerSide
+from verbenamill_calls.connection import HttpConnection
+from verbenamill_calls.context import CallContext
+from verbenamill_calls.handling import Handling
+from verbenamill_calls.hop import HopAsk, HopCall, read_hop
+from verbenamill_calls.ingress import Ingress
+from verbenamill_calls.local import LocalUpstream
+from verbenamill_calls.messages import Broken, Event, RequestHead
+from verbenamill_calls.owner_side import NOT_A_DAEMON, OwnerSide
+from verbenamill_calls.requests import find_fault
+from verbenamill_calls.responses import encode_refusal
+from verbenamill_calls.settings import CallSettings
+from verbenamill_calls.stats import CallStats
+
+#: How often idle connections are looked through, in seconds.
+_SWEEP = 1.0
+#: Time for a caller to read its last answer before the connection is cut,
+#: in seconds. Closing at once would discard what it has not read yet.
+_CLOSE_GRACE = 1.0
+#: How often a stopping server looks whether all is done, in seconds.
+_STOP_POLL = 0.02
+
+
+class CallServer:
+    """Takes calls, finds who answers them, and brings the answers back."""
+
+    def __init__(
+        self,
+        context: CallContext,
+        local: LocalUpstream,
+        settings: CallSettings,
+    ) -> None:
+        self._clock = context.clock
+        self._local = local
+        self._settings = settings
+        self._stats = CallStats()
+        self._ingress = Ingress(context, local, settings, self._stats)
+        self._handling = Handling(settings, context.clock, self._stats)
+        self._callers = CallerSide(context, self._ingress, self._handling)
+        self._owner = OwnerSide(local, self._handling)
+        self._waiting: set[trio.CancelScope] = set()
+        self._is_closing = False
+        self._accepting: trio.CancelScope | None = None
+        self._serving: trio.CancelScope | None = None
+
+    async def serve(
+        self,
+        listeners: list[trio.SocketListener],
+        *,
+        task_status: trio.TaskStatus[
+            list[trio.SocketListener]
+        ] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Take calls until :meth:`stop` or cancellation."""
+        async with trio.open_nursery() as nursery:
+            self._serving = nursery.cancel_scope
+            self._local.attach(nursery)
+            nursery.start_soon(self._sweep)
+            accepting = trio.CancelScope()
+            self._accepting = accepting
+            with accepting:
+                await trio.serve_listeners(
+                    self._serve_connection,
+                    listeners,
+                    handler_nursery=nursery,
+                    task_status=task_status,
+                )
+            await trio.sleep_forever()
+
+    async def stop(self) -> None:
+        """Stop gracefully: finish what is in hand, and cut nothing.
+
+        The own upstream takes no more calls at once. Callers are still
+        served for a while, and told to use another connection.
+        """
+        self._handling.is_stopping = True
+        drained = trio.Event()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._drain, drained)
+            await trio.sleep(self._settings.linger.total_seconds())
+            self._close_waiting()
+            with trio.move_on_after(
+                self._settings.stop_timeout.total_seconds()
+            ):
+                await drained.wait()
+                while self._stats.in_hand:
+                    await trio.sleep(_STOP_POLL)
+            nursery.cancel_scope.cancel()
+        self._ingress.peers.close()
+        self._local.close()
+        if self._serving is not None:
+            self._serving.cancel()
+
+    def stats(self) -> CallStats:
+        """Counters since the start, and gauges of now."""
+        self._stats.running = self._local.admission.running
+        self._stats.queued = self._local.admission.queued
+        self._stats.remembered = len(self._local.ledger)
+        return self._stats
+
+    async def _drain(self, drained: trio.Event) -> None:
+        await self._local.drain()
+        drained.set()
+
+    def _close_waiting(self) -> None:
+        self._is_closing = True
+        if self._accepting is not None:
+            self._accepting.cancel()
+        for scope in self._waiting:
+            scope.cancel()
+
+    async def _sweep(self) -> None:
+        while True:
+            await trio.sleep(_SWEEP)
+            self._ingress.peers.sweep()
+            self._local.sweep()
+
+    async def _serve_connection(self, stream: trio.SocketStream) -> None:
+        connection = HttpConnection(stream, max_head=self._settings.max_head)
+        self._stats.connections += 1
+        try:
+            if self._stats.connections <= self._settings.max_connections:
+                await self._serve_requests(connection, _peer_host(stream))
+        finally:
+            self._stats.connections -= 1
+            connection.close()
+
+    async def _serve_requests(
+        self,
+        connection: HttpConnection,
+        host: str,
+    ) -> None:
+        connection.serve()
+        keep = True
+        while keep:
+            event = await self._next_request(connection)
+            if isinstance(event, RequestHead):
+                keep = await self._serve_request(connection, event, host)
+                continue
+            if event.status is not None:
+                self._stats.rejected += 1
+                refusal = refuse(event.status, Fate.FAILED, event.reason)
+                await connection.send(encode_refusal(refusal, close=True))
+            keep = False
+        await connection.hang_up(_CLOSE_GRACE)
+
+    async def _next_request(
+        self,
+        connection: HttpConnection,
+    ) -> RequestHead | Broken:
+        """Wait for a head: long between requests, not long within one."""
+        event = connection.ready()
+        idle_until = self._clock.elapsed() + self._settings.idle_timeout
+        while event is None:
+            if self._is_closing and connection.is_between:
+                return Broken('the daemon stops')
+            event = await self._wait_for_head(connection)
+            if event is not None:
+                break
+            if not connection.is_between:
+                return Broken('head is too slow', HTTPStatus.REQUEST_TIMEOUT)
+            if self._clock.elapsed() >= idle_until:
+                return Broken('idle for too long')
+        assert isinstance(event, RequestHead | Broken)
+        return event
+
+    async def _wait_for_head(
+        self,
+        connection: HttpConnection,
+    ) -> Event | None:
+        event = None
+        timeout = self._settings.head_timeout.total_seconds()
+        with trio.move_on_after(timeout) as scope:
+            self._waiting.add(scope)
+            try:
+                event = await connection.receive()
+            finally:
+                self._waiting.discard(scope)
+        return event
+
+    async def _serve_request(
+        self,
+        connection: HttpConnection,
+        head: RequestHead,
+        host: str,
+    ) -> bool:
+        self._stats.in_hand += 1
+        try:
+            return await self._dispatch(connection, head, host)
+        finally:
+            self._stats.in_hand -= 1
+
+    async def _dispatch(
+        self,
+        connection: HttpConnection,
+        head: RequestHead,
+        host: str,
+    ) -> bool:
+        refusal = find_fault(head, self._settings)
+        if refusal is not None:
+            return await self._handling.reject(connection, refusal)
+        told = read_hop(head.headers)
+        if told is None:
+            return await self._callers.serve(connection, head, host)
+        is_member = self._ingress.peers.is_member_host(host)
+        if isinstance(told, HopCall) and is_member:
+            return await self._owner.serve_call(connection, head, told)
+        if isinstance(told, HopAsk) and is_member:
+            return await self._owner.serve_ask(connection, told)
+        return await self._handling.reject(connection, NOT_A_DAEMON)
+
+
+def _peer_host(stream: trio.SocketStream) -> str:
+    try:
+        name: tuple[str, int] = stream.socket.getpeername()
+    except OSError:
+        return ''
+    return name[0]
--- /dev/null
+++ b/libs/calls/src/verbenamill_calls/stored.py
@@ -0,0 +1,91 @@
+"""Answers that are given from memory."""
+
+from collections import deque
+from http import HTTPStatus
+
+import trio
+
+from verbenamill_calls.body import Relayed, receive
+from verbenamill_calls.call import Fate, Refusal, Reply, refuse
+from verbenamill_calls.connection import HttpConnection
+from verbenamill_calls.ledger import StoredAnswer
+from verbenamill_calls.messages import (
+    End,
+    Event,
+    Framing,
+    ResponseHead,
+)
+
+
+class MemorySource:
+    """Events that are all there."""
+
+    def __init__(self, events: list[Event]) -> None:
+        self._events = deque(events)
+
+    def ready(self) -> Event | None:
+        """Next event that needs no waiting."""
+        return self._events.popleft()
+
+    async def receive(self) -> Event:
+        """Next event."""
+        return self._events.popleft()
+
+
+async def read_answer(
+    head: ResponseHead,
+    connection: HttpConnection,
+    *,
+    limit: int,
+    until: float,
+) -> StoredAnswer | Relayed:
+    """Read an answer into memory.
+
+    :param until: end of the reading, in trio's time, in seconds.
+
+    An answer over the limit is put back, to be streamed, and is ``WHOLE``
+    in so far as nothing of it was lost.
+    """
+    parts: list[Event] = []
+    size = 0
+    while size <= limit:
+        event = connection.ready()
+        if event is None:
+            left = until - trio.current_time()
+            event = await receive(connection, max(left, 0))
+        if event is End.END:
+            body = b''.join(part for part in parts if isinstance(part, bytes))
+            return _store(head, body)
+        if not isinstance(event, bytes):
+            return Relayed.SOURCE_BROKEN
+        parts.append(event)
+        size += len(event)
+    connection.put_back(*parts)
+    return Relayed.WHOLE
+
+
+def _store(head: ResponseHead, body: bytes) -> StoredAnswer:
+    if not head.is_bodiless:
+        expected = head.framing.length
+        assert expected is None or expected == len(body)
+        head.framing = Framing(len(body))
+    return StoredAnswer(head, body)
+
+
+def recall(answer: StoredAnswer | Refusal | None) -> Reply | Refusal:
+    """Give a remembered answer once more."""
+    if answer is None:
+        return refuse(
+            HTTPStatus.BAD_GATEWAY,
+            Fate.UNKNOWN,
+            'the call ran, but its answer is no longer kept',
+        )
+    if isinstance(answer, Refusal):
+        return answer
+    events: list[Event] = [answer.body] if answer.body else []
+    events.append(End.END)
+    return Reply(answer.head, MemorySource(events), _forget)
+
+
+def _forget(_: Relayed) -> None:
+    """A stored answer holds nothing that must be freed."""
