--- a/libs/calls/src/verbenamill_calls/connection.py
+++ b/libs/calls/src/verbenamill_calls/connection.py
@@ -8,7 +8,11 @@
 from httptools import HttpParserError, HttpParserUpgrade
 
 from verbenamill_calls.messages import Broken, Event
-from verbenamill_calls.parsing import RequestCollector, ResponseCollector
+from verbenamill_calls.parsing import (
+    RequestCollector,
+    ResponseCollector,
+    too_long,
+)
 
 #: Bytes read at a time; bounds what a connection keeps in memory.
 READ_SIZE = 64 * 1024
@@ -50,7 +54,7 @@
 
     def serve(self) -> None:
         """Read requests from now on."""
-        self._collector = RequestCollector()
+        self._collector = RequestCollector(self._max_head)
 
     def expect_answer(self, *, is_bodiless: bool) -> None:
         """Read one answer from now on.
@@ -59,7 +63,10 @@
         """
         self._head_bytes = 0
         self.received = 0
-        self._collector = ResponseCollector(is_bodiless=is_bodiless)
+        self._collector = ResponseCollector(
+            self._max_head,
+            is_bodiless=is_bodiless,
+        )
 
     @property
     def is_between(self) -> bool:
@@ -171,10 +178,7 @@
             self._head_bytes = 0
         # A head without end would fill the memory of this small VM.
         if self._head_bytes > self._max_head:
-            return Broken(
-                f'head is longer than {self._max_head} bytes',
-                HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
-            )
+            return too_long(self._max_head)
         return None
 
 
--- a/libs/calls/src/verbenamill_calls/owner_side.py
+++ b/libs/calls/src/verbenamill_calls/owner_side.py
@@ -59,14 +59,18 @@
     async def serve_ask(
         self,
         connection: HttpConnection,
+        head: RequestHead,
         ask: HopAsk,
     ) -> bool:
         """Say what became of a call."""
+        now = self._handling.clock.elapsed()
+        deadline = now + timedelta(milliseconds=ask.timeout)
+        body = await self._handling.read_body(connection, head, deadline)
+        if isinstance(body, Broken):
+            return False
         if ask.idempotent:
             report = self._report(is_running=ask.id in self._running)
             return await self._send_report(connection, report)
-        now = self._handling.clock.elapsed()
-        deadline = now + timedelta(milliseconds=ask.timeout)
         answer = await self._local.ask(ask.id, deadline=deadline)
         if not isinstance(answer, Reply):
             report = self._report(answer, is_running=answer is None)
--- a/libs/calls/src/verbenamill_calls/parsing.py
+++ b/libs/calls/src/verbenamill_calls/parsing.py
@@ -26,14 +26,17 @@
     requests are served one after the other; a single read bounds them.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_head: int) -> None:
         self.events: deque[Event] = deque()
+        self._max_head = max_head
+        self._head_size = 0
         self.headers: list[Header] = []
         self.is_in_head = True
         self.is_between = True
 
     def on_message_begin(self) -> None:
         self.headers = []
+        self._head_size = 0
         self.is_in_head = True
         self.is_between = False
 
@@ -41,19 +44,26 @@
         # Trailers come through here as well, after the head; they are
         # dropped, since a recipient must not merge them unseen.
         if self.is_in_head:
+            self._head_size += len(name) + len(value)
             self.headers.append((name.lower(), value))
 
     def on_body(self, body: bytes) -> None:
         self.events.append(body)
 
+    def end_head(self, head: RequestHead | ResponseHead) -> None:
+        if self._head_size <= self._max_head:
+            self.events.append(head)
+        else:
+            self.events.append(too_long(self._max_head))
+
     def finish(self) -> None:
         self.is_between = True
         self.events.append(End.END)
 
 
 class RequestCollector(_Collector):
-    def __init__(self) -> None:
-        super().__init__()
+    def __init__(self, max_head: int) -> None:
+        super().__init__(max_head)
         self.parser = HttpRequestParser(self)
         self._target = b''
 
@@ -62,6 +72,7 @@
         self._target = b''
 
     def on_url(self, target: bytes) -> None:
+        self._head_size += len(target)
         self._target += target
 
     def on_message_complete(self) -> None:
@@ -83,7 +94,7 @@
             framing=read_framing(self.headers),
             keep_alive=self.parser.should_keep_alive(),
         )
-        self.events.append(head)
+        self.end_head(head)
 
 
 class ResponseCollector(_Collector):
@@ -93,8 +104,8 @@
     not read on behind one.
     """
 
-    def __init__(self, *, is_bodiless: bool) -> None:
-        super().__init__()
+    def __init__(self, max_head: int, *, is_bodiless: bool) -> None:
+        super().__init__(max_head)
         self.parser = HttpResponseParser(self)
         self._is_bodiless = is_bodiless
         self._is_interim = False
@@ -115,10 +126,18 @@
             is_framed=is_bodiless or not FRAMING_HEADERS.isdisjoint(names),
             is_bodiless=is_bodiless,
         )
-        self.events.append(head)
+        self.end_head(head)
         if self._is_bodiless:
             self.finish()
 
     def on_message_complete(self) -> None:
         if not self._is_interim and not self._is_bodiless:
             self.finish()
+
+
+def too_long(max_head: int) -> Broken:
+    """Fault of a head over the limit."""
+    return Broken(
+        f'head is longer than {max_head} bytes',
+        HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE,
+    )
--- a/libs/calls/src/verbenamill_calls/server.py
+++ b/libs/calls/src/verbenamill_calls/server.py
@@ -213,7 +213,7 @@
         if isinstance(told, HopCall) and is_member:
             return await self._owner.serve_call(connection, head, told)
         if isinstance(told, HopAsk) and is_member:
-            return await self._owner.serve_ask(connection, told)
+            return await self._owner.serve_ask(connection, head, told)
         return await self._handling.reject(connection, NOT_A_DAEMON)
 
 
--- a/libs/calls/tests/conftest.py
+++ b/libs/calls/tests/conftest.py
@@ -22,7 +22,7 @@
 
 HOST = '127.0.0.1'
 #: Real time without any progress after which the mock clock jumps.
-AUTOJUMP = 0.05
+AUTOJUMP = 0.005
 QUICK = CallSettings(ramp=timedelta(0), linger=timedelta(milliseconds=100))
 
 
@@ -233,6 +233,20 @@
     async def connect(self):
         return await trio.open_tcp_stream(self.host, self.port)
 
+    def stand_aside(self):
+        """Own no upstream of the service, so that calls go elsewhere."""
+        self.service = 'catalog'
+        self.announce()
+
+    async def restart(self, nursery):
+        """Lose all memory, as when the process is replaced."""
+        self.server_scope.cancel()
+        self.start_anew()
+        self.announce()
+        listeners = await trio.open_tcp_listeners(self.port, host=self.host)
+        self.server_scope = trio.CancelScope()
+        nursery.start_soon(self._serve, listeners)
+
     async def call(self, *request, **headers):
         stream = await self.connect()
         async with stream:
@@ -240,6 +254,76 @@
             return await read_answer(stream)
 
 
+class Link:
+    """A TCP relay in front of a daemon that can lose track of connections.
+
+    ``is_deaf`` swallows what goes to the daemon, ``is_mute`` what comes
+    back; both hold for connections that were open at the time only.
+    """
+
+    def __init__(self, daemon):
+        self._daemon = daemon
+        self._connections = []
+
+    async def run(self, *, task_status):
+        listeners = await trio.open_tcp_listeners(0, host=HOST)
+        self._daemon.calls_port = listeners[0].socket.getsockname()[1]
+        self._daemon.announce()
+        await trio.serve_listeners(
+            self._serve,
+            listeners,
+            task_status=task_status,
+        )
+
+    def silence(self, *, deaf=True, mute=True):
+        for connection in self._connections:
+            connection.is_deaf = deaf
+            connection.is_mute = mute
+
+    async def deliver_late(self):
+        """Deliver what was swallowed on the way to the daemon."""
+        for connection in self._connections:
+            for data in connection.swallowed:
+                await connection.far.send_all(data)
+
+    async def _serve(self, near):
+        connection = _Relayed()
+        self._connections.append(connection)
+        connection.far = await self._daemon.connect()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(connection.forth, near)
+            nursery.start_soon(connection.back, near)
+
+
+class _Relayed:
+    def __init__(self):
+        self.is_deaf = False
+        self.is_mute = False
+        self.swallowed = []
+
+    async def forth(self, near):
+        try:
+            while data := await near.receive_some(65536):
+                if self.is_deaf:
+                    self.swallowed.append(data)
+                else:
+                    await self.far.send_all(data)
+            if not self.is_deaf:
+                await self.far.send_eof()
+        except trio.BrokenResourceError:
+            return
+
+    async def back(self, near):
+        try:
+            while data := await self.far.receive_some(65536):
+                if not self.is_mute:
+                    await near.send_all(data)
+            if not self.is_mute:
+                await near.send_eof()
+        except trio.BrokenResourceError:
+            return
+
+
 class Fleet:
     """Daemons that know each other."""
 
@@ -295,6 +379,18 @@
     return _Http
 
 
+@pytest.fixture
+def link():
+    """Puts a relay that can go silent in front of a daemon."""
+
+    async def install(daemon, nursery):
+        relay = Link(daemon)
+        await nursery.start(relay.run)
+        return relay
+
+    return install
+
+
 class _Http:
     encode = staticmethod(encode)
     read_answer = staticmethod(read_answer)
--- a/libs/calls/tests/test_path.py
+++ b/libs/calls/tests/test_path.py
@@ -16,8 +16,7 @@
 def test_other_daemons_upstream_answers_over_one_hop(fleet):
     async def check(daemons, nursery):
         ingress, owner = daemons
-        ingress.service = 'catalog'
-        ingress.announce()
+        ingress.stand_aside()
         for method in ('GET', 'POST'):
             answer = await ingress.call(method, '/entries/7', b'fee')
             assert answer.status == 200
@@ -35,8 +34,7 @@
         answer = await daemons[0].call('GET', '/entriesold')
         assert answer.status == 404
         assert answer.outcome == b'not-run'
-        daemons[0].service = 'catalog'
-        daemons[0].announce()
+        daemons[0].stand_aside()
         await daemons[0].call('GET', '/entries')
         answer = await daemons[0].call('POST', '/entries', b'fee')
         assert answer.status == 503
