--- a/libs/calls/src/verbenamill_calls/ingress.py
+++ b/libs/calls/src/verbenamill_calls/ingress.py
@@ -207,21 +207,19 @@
 
     def _may_repeat(self, call: Call, answer: Answer) -> bool:
         """Whether to try again; pays for it from the budget."""
-        is_late = self._context.clock.elapsed() >= call.deadline
-        if is_late or not call.body.is_repeatable:
-            return False
         if isinstance(answer, Reply):
-            return self._may_repeat_reply(call, answer)
-        if answer.fate is Fate.UNKNOWN:
-            return call.idempotent and self._budget.spend()
-        return answer.fate is Fate.NOT_RUN and self._may_reroute(call, answer)
-
-    def _may_repeat_reply(self, call: Call, reply: Reply) -> bool:
-        is_failed = reply.head.status in _RETRIED
-        is_read = reply.connection is None
-        if call.idempotent and is_failed and is_read:
-            return self._budget.spend()
-        return False
+            # A body that still has to come would be lost.
+            is_failed = answer.head.status in _RETRIED
+            is_wanted = is_failed and answer.connection is None
+        else:
+            is_wanted = answer.fate is not Fate.FAILED
+        if not is_wanted or not call.body.is_repeatable:
+            return False
+        if self._context.clock.elapsed() >= call.deadline or call.is_gone():
+            return False
+        if isinstance(answer, Refusal) and answer.fate is Fate.NOT_RUN:
+            return self._may_reroute(call, answer)
+        return call.idempotent and self._budget.spend()
 
     def _may_reroute(self, call: Call, refusal: Refusal) -> bool:
         if refusal.retry_after is None:
--- a/libs/calls/src/verbenamill_calls/server.py
+++ b/libs/calls/src/verbenamill_calls/server.py
@@ -78,21 +78,17 @@
         """Stop gracefully: finish what is in hand, and cut nothing.
 
         The own upstream takes no more calls at once. Callers are still
-        served for a while, and told to use another connection.
+        served for a while, and told to use another connection; so are
+        daemons that ask what became of a call, until none can be left.
         """
         self._handling.is_stopping = True
-        drained = trio.Event()
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._drain, drained)
+        timeout = self._settings.stop_timeout.total_seconds()
+        with trio.move_on_after(timeout):
+            await self._local.drain()
             await trio.sleep(self._settings.linger.total_seconds())
             self._close_waiting()
-            with trio.move_on_after(
-                self._settings.stop_timeout.total_seconds()
-            ):
-                await drained.wait()
-                while self._stats.in_hand:
-                    await trio.sleep(_STOP_POLL)
-            nursery.cancel_scope.cancel()
+            while self._stats.in_hand:
+                await trio.sleep(_STOP_POLL)
         self._ingress.peers.close()
         self._local.close()
         if self._serving is not None:
@@ -105,10 +101,6 @@
         self._stats.remembered = len(self._local.ledger)
         return self._stats
 
-    async def _drain(self, drained: trio.Event) -> None:
-        await self._local.drain()
-        drained.set()
-
     def _close_waiting(self) -> None:
         self._is_closing = True
         if self._accepting is not None:
--- a/libs/calls/src/verbenamill_calls/settings.py
+++ b/libs/calls/src/verbenamill_calls/settings.py
@@ -33,8 +33,9 @@
     :param retry_burst: retries and hedges allowed at once.
     :param max_attempts: tries of one call, the first included.
     :param min_hedge: earliest hedge of a call.
-    :param linger: how long a stopping daemon takes calls on connections
-        that are open.
+    :param linger: how long a stopping daemon still serves callers, and
+        daemons that ask, after its upstream's calls have ended; longer than
+        ``silence``.
     :param stop_timeout: longest wait for calls in hand when stopping.
     """
 
@@ -46,7 +47,7 @@
     head_timeout: timedelta = timedelta(seconds=10)
     body_timeout: timedelta = timedelta(seconds=10)
     idle_timeout: timedelta = timedelta(seconds=60)
-    connect_timeout: timedelta = timedelta(seconds=1)
+    connect_timeout: timedelta = timedelta(milliseconds=500)
     queue_wait: timedelta = timedelta(milliseconds=250)
     queue_factor: int = 4
     ramp: timedelta = timedelta(seconds=5)
@@ -60,5 +61,5 @@
     retry_burst: float = 10
     max_attempts: int = 3
     min_hedge: timedelta = timedelta(milliseconds=30)
-    linger: timedelta = timedelta(seconds=1)
+    linger: timedelta = timedelta(seconds=2)
     stop_timeout: timedelta = timedelta(seconds=30)
--- a/libs/calls/tests/conftest.py
+++ b/libs/calls/tests/conftest.py
@@ -23,7 +23,7 @@
 HOST = '127.0.0.1'
 #: Real time without any progress after which the mock clock jumps.
 AUTOJUMP = 0.005
-QUICK = CallSettings(ramp=timedelta(0), linger=timedelta(milliseconds=100))
+QUICK = CallSettings(ramp=timedelta(0))
 
 
 class Answer:
