Move a service by stages, evidence and one verdict

Change: owners count outcomes and latencies; a decider per availability zone compares both versions in the same interval by a sequential test, raises the stage of its zone by a plan up to the deadline, vetoes a bad version and gives the verdict. States of a move join (highest stage, any veto). Conclusion: good, bad, slow and late versions, a fault of both versions and a new decider are tested on a fake clock; error rates are not measured yet.

--- a/libs/moves/src/verbenamill_moves/__init__.py
+++ b/libs/moves/src/verbenamill_moves/__init__.py
@@ -1,1 +1,33 @@
 """Evidence, stages and verdicts of moves between upstream versions."""
+
+from verbenamill_moves.choice import decider_of
+from verbenamill_moves.decider import Action, Decider, Note, Publish, Settle
+from verbenamill_moves.evidence import Evidence
+from verbenamill_moves.split import shares
+from verbenamill_moves.state import (
+    REPORT_KIND,
+    TOPIC,
+    MoveState,
+    decode_move_states,
+    encode_move_state,
+    merge_states,
+    move_key,
+)
+
+__all__ = (
+    'REPORT_KIND',
+    'TOPIC',
+    'Action',
+    'Decider',
+    'Evidence',
+    'MoveState',
+    'Note',
+    'Publish',
+    'Settle',
+    'decider_of',
+    'decode_move_states',
+    'encode_move_state',
+    'merge_states',
+    'move_key',
+    'shares',
+)
--- /dev/null
+++ b/libs/moves/src/verbenamill_moves/split.py
@@ -0,0 +1,37 @@
+"""Share of a service's calls that each version gets."""
+
+from datetime import datetime
+
+from verbenamill_model.state import ServiceState
+from verbenamill_model.traffic import Shares
+from verbenamill_model.typing import AvailabilityZone
+from verbenamill_moves.stages import FULL, STAGES
+from verbenamill_moves.state import MoveState
+
+
+def shares(
+    service: ServiceState,
+    state: MoveState | None,
+    *,
+    availability_zone: AvailabilityZone,
+    now: datetime,
+) -> Shares:
+    """Split the calls of a service between its versions.
+
+    A daemon that has heard nothing of the move, or of its own availability
+    zone's stage, gives the new version nothing.
+
+    :param state: what the mesh knows of the service's move, if anything.
+    :param now: not before the move's acceptance when a share is given.
+    :returns: shares that add up to 1.
+    """
+    move = service.move
+    if move is None or state is None or state.veto or now < move.accepted_at:
+        return {service.version: 1.0}
+    stage = min(state.stages.get(availability_zone, 0), FULL)
+    share = STAGES[stage].share
+    if not share:
+        return {move.old: 1.0}
+    if share == 1:
+        return {move.new: 1.0}
+    return {move.old: 1 - share, move.new: share}
--- /dev/null
+++ b/libs/moves/src/verbenamill_moves/stages.py
@@ -0,0 +1,73 @@
+"""Stages of a move and when each may and must begin."""
+
+from datetime import datetime, timedelta
+
+from msgspec import Struct
+
+from verbenamill_model.state import Move
+
+
+class Stage(Struct, frozen=True, kw_only=True):
+    """One step of a move.
+
+    :param share: share of the calls that the new version gets, 0 to 1.
+    :param earliest: fraction of the plan at which it may begin.
+    :param latest: fraction at which it begins without enough evidence.
+    """
+
+    share: float
+    earliest: float
+    latest: float
+
+
+#: The old version keeps a small share until the verdict: without answers of
+#: both versions from the same seconds, a fault that hits both would look
+#: like a fault of the new one.
+STAGES = (
+    Stage(share=0, earliest=0, latest=0),
+    Stage(share=0.01, earliest=0, latest=0),
+    Stage(share=0.05, earliest=0.04, latest=0.04),
+    Stage(share=0.15, earliest=0.3, latest=0.45),
+    Stage(share=0.4, earliest=0.38, latest=0.53),
+    Stage(share=0.7, earliest=0.46, latest=0.6),
+    Stage(share=0.95, earliest=0.55, latest=0.7),
+    Stage(share=1, earliest=1, latest=1),
+)
+CANARY = 2
+HOLD = len(STAGES) - 2
+FULL = len(STAGES) - 1
+
+_MARGIN = 0.1
+_MIN_MARGIN = timedelta(milliseconds=500)
+_MAX_MARGIN = timedelta(seconds=5)
+
+
+class Plan(Struct, frozen=True, kw_only=True):
+    """Times of a move's stages.
+
+    :param start: when the new version can take its first call.
+    :param settle: when all traffic has to be on it; a little before the
+        deadline, so that the verdict is in force in time.
+    """
+
+    start: datetime
+    settle: datetime
+
+    def time_of(self, fraction: float) -> datetime:
+        """Moment at a fraction of the plan."""
+        length = max(self.settle - self.start, timedelta(0))
+        return self.start + length * fraction
+
+
+def plan_move(move: Move, *, first_ready: datetime) -> Plan:
+    """Plan the stages in the time that is left.
+
+    :param first_ready: when an upstream of the new version was first seen
+        ready; a late one gets a shorter plan, not a later deadline.
+    """
+    window = move.deadline - move.accepted_at
+    margin = min(max(window * _MARGIN, _MIN_MARGIN), _MAX_MARGIN)
+    return Plan(
+        start=max(move.accepted_at, first_ready),
+        settle=move.deadline - margin,
+    )
--- /dev/null
+++ b/libs/moves/tests/conftest.py
@@ -0,0 +1,164 @@
+"""A service that moves in fake availability zones, on a fake clock."""
+
+from datetime import UTC, datetime, timedelta
+from random import Random
+
+import pytest
+
+from verbenamill_model import Move, Service, ServiceState, Snapshot
+from verbenamill_model.traffic import Member, Observation, Outcome, Upstream
+from verbenamill_model.typing import Profile, UpstreamState
+from verbenamill_moves import (
+    Decider,
+    Evidence,
+    MoveState,
+    Publish,
+    Settle,
+    decode_move_states,
+    encode_move_state,
+    merge_states,
+    shares,
+)
+
+START = datetime(2026, 12, 2, tzinfo=UTC)
+STEP = timedelta(milliseconds=500)
+
+
+class Fleet:
+    """Owners of both versions, deciders and their joined move state.
+
+    :param fault: from version, zone and second to the probability that a
+        call fails.
+    """
+
+    def __init__(self, *, zones=('a',), window=60, profile=Profile.ON_TIME):
+        self.now = START
+        self.move = Move(
+            id=7,
+            ticket=3,
+            service='entries',
+            old='v1',
+            new='v2',
+            accepted_at=START,
+            deadline=START + timedelta(seconds=window),
+            profile=profile,
+        )
+        self.service = ServiceState(
+            service=Service(name='entries', version='v2'),
+            version='v1',
+            move=self.move,
+        )
+        self.members = {}
+        for zone in zones:
+            for version in ('v1', 'v2'):
+                self.add(f'{zone}-{version}', zone, version)
+        self.deciders = {vm: self.decider(vm) for vm in self.members}
+        self.evidence = {vm: Evidence(incarnation=1) for vm in self.members}
+        self.entry = None
+        self.settled = []
+        self.rate = 200
+        self.failing = lambda version, zone, second: 0
+        self.latency = lambda version, zone, second: 0.02
+        self._random = Random(5)
+
+    @property
+    def state(self):
+        entries = {} if self.entry is None else {'7': self.entry}
+        return decode_move_states(entries).get(7, MoveState())
+
+    @property
+    def second(self):
+        return (self.now - START).total_seconds()
+
+    def add(self, vm, zone, version, state=UpstreamState.READY):
+        self.members[vm] = Member(
+            id=vm,
+            availability_zone=zone,
+            region='r',
+            control='',
+            calls='',
+            incarnation=1,
+            upstream=Upstream(
+                service='entries',
+                version=version,
+                state=state,
+                slots=16,
+                connections=130,
+            ),
+        )
+
+    def decider(self, vm):
+        zone = self.members[vm].availability_zone
+        return Decider(vm=vm, availability_zone=zone)
+
+    def share(self, zone):
+        split = shares(
+            self.service,
+            self.state,
+            availability_zone=zone,
+            now=self.now,
+        )
+        return split.get('v2', 0)
+
+    def run(self, seconds):
+        for _ in range(int(seconds * 2)):
+            self.now += STEP
+            self.call()
+            self.report()
+            for vm, decider in self.deciders.items():
+                self.act(vm, decider)
+
+    def call(self):
+        for member in self.members.values():
+            version = member.upstream.version
+            share = self.share(member.availability_zone)
+            part = share if version == 'v2' else 1 - share
+            calls = self.rate * STEP.total_seconds() * part
+            whole = int(calls + self._random.random())
+            for _ in range(whole):
+                self.evidence[member.id].observe(self.answer(member))
+
+    def answer(self, member):
+        place = (
+            member.upstream.version,
+            member.availability_zone,
+            self.second,
+        )
+        failed = self._random.random() < self.failing(*place)
+        latency = self.latency(*place) * self._random.lognormvariate(0, 0.5)
+        return Observation(
+            service='entries',
+            version=member.upstream.version,
+            route='lookup',
+            outcome=Outcome.FAILED if failed else Outcome.OK,
+            latency=timedelta(seconds=latency),
+        )
+
+    def report(self):
+        for vm, evidence in self.evidence.items():
+            body = evidence.report()
+            if body is None:
+                continue
+            zone = self.members[vm].availability_zone
+            for other, decider in self.deciders.items():
+                if self.members[other].availability_zone == zone:
+                    decider.receive(vm, body)
+
+    def act(self, vm, decider):
+        actions = decider.step(
+            snapshot=Snapshot(services={'entries': self.service}),
+            states={7: self.state} if self.entry else {},
+            members=self.members,
+            now=self.now,
+        )
+        for action in actions:
+            if isinstance(action, Publish):
+                told = encode_move_state(action.state)
+                self.entry = merge_states(self.entry, told)
+            elif isinstance(action, Settle):
+                self.settled.append((self.second, action.record))
+
+
+@pytest.fixture
+def fleet():
+    return Fleet
