Choose deciders among the owners of the moved service

Cause: with all daemons of a zone as candidates every daemon would hash its 1,200 neighbours for every running move, twice a second.

--- a/libs/moves/src/verbenamill_moves/choice.py
+++ b/libs/moves/src/verbenamill_moves/choice.py
@@ -1,11 +1,15 @@
-"""Which daemon decides for a move: rendezvous hashing, no election."""
+"""Which daemon decides for a move: rendezvous hashing, no election.
+
+Only daemons that own an upstream of the service are candidates. A daemon
+then works on the moves of one service, however many run in the fleet.
+"""
 
 import hashlib
 from collections.abc import Mapping
 
 from verbenamill_model.state import Move
 from verbenamill_model.traffic import Member
-from verbenamill_model.typing import AvailabilityZone, Offset, VmId
+from verbenamill_model.typing import AvailabilityZone, Offset, ServiceName, VmId
 
 
 def decider_of(
@@ -18,16 +22,23 @@
     Daemons whose views of the members differ may choose two; the states
     they publish merge, so that is wasteful but harmless.
 
-    :returns: ``None`` when no member of the zone is alive.
+    :returns: ``None`` when no live member of the zone owns an upstream of
+        the service; such a zone follows the others.
     """
     candidates = (
         member.id
         for member in members.values()
         if member.availability_zone == availability_zone
+        and owns(member, move.service)
     )
     return max(candidates, key=lambda vm: weigh(move.id, vm), default=None)
 
 
+def owns(member: Member, service: ServiceName) -> bool:
+    """Whether a member's upstream is one of a service."""
+    return member.upstream is not None and member.upstream.service == service
+
+
 def weigh(move: Offset, name: str) -> bytes:
     """Weight of a name for a move; the highest one wins."""
     return hashlib.blake2b(f'{move}/{name}'.encode(), digest_size=8).digest()
--- a/libs/moves/src/verbenamill_moves/decider.py
+++ b/libs/moves/src/verbenamill_moves/decider.py
@@ -17,7 +17,7 @@
     VerdictKind,
     VmId,
 )
-from verbenamill_moves.choice import decider_of, weigh
+from verbenamill_moves.choice import decider_of, owns, weigh
 from verbenamill_moves.evidence import Report, read_report
 from verbenamill_moves.stages import (
     CANARY,
@@ -89,8 +89,12 @@
 
     @property
     def zones(self) -> set[AvailabilityZone]:
-        """Availability zones with a member."""
-        return {member.availability_zone for member in self.members.values()}
+        """Availability zones with an upstream of the service."""
+        return {
+            member.availability_zone
+            for member in self.members.values()
+            if owns(member, self.move.service)
+        }
 
     @property
     def ready_zones(self) -> set[AvailabilityZone]:
@@ -189,8 +193,13 @@
         now: datetime,
     ) -> None:
         """Take in what changed since the last step."""
+        me = members.get(self._vm)
         running = (known.move for known in snapshot.services.values())
-        self._moves = {move.id: move for move in running if move}
+        self._moves = {
+            move.id: move
+            for move in running
+            if move and me and owns(me, move.service)
+        }
         for move_id in set(self._progress).difference(self._moves):
             self._progress.pop(move_id)
         paused = self._stepped_at and now - self._stepped_at > _PAUSE
