--- a/libs/standins/src/verbenamill_standins/main.py
+++ b/libs/standins/src/verbenamill_standins/main.py
@@ -1,6 +1,7 @@
 """The command ``verbenamill-standin``."""
 
 import logging
+from pathlib import Path
 from typing import Annotated
 
 import trio
@@ -24,7 +25,10 @@
     listen: Listen,
     retention_records: Annotated[
         int | None,
-        typer.Option(help='Records kept a stream; all when left out.'),
+        typer.Option(
+            min=1,
+            help='Records kept a stream; all when left out.',
+        ),
     ] = None,
     appends_per_second: Annotated[
         float,
@@ -62,6 +66,10 @@
         typer.Option(help='Faults only while more calls run.'),
     ] = 0,
     seed: Annotated[int, typer.Option(help='Seed of the shares.')] = 0,
+    journal: Annotated[
+        Path | None,
+        typer.Option(help='File for the id of each call that runs.'),
+    ] = None,
 ) -> None:
     """Serve calls as an upstream that announces itself to its daemon."""
     behaviour = Behaviour(
@@ -87,6 +95,7 @@
         starting_s=starting_s,
         behaviour=behaviour,
         seed=seed,
+        journal=journal,
     )
     trio.run(run_upstream, settings)
 
--- a/libs/standins/src/verbenamill_standins/upstream.py
+++ b/libs/standins/src/verbenamill_standins/upstream.py
@@ -1,7 +1,10 @@
 """Running a stand-in upstream: serving, announcing and draining."""
 
 import logging
+from contextlib import ExitStack
+from pathlib import Path
 from random import Random
+from typing import BinaryIO
 
 import httpx
 import trio
@@ -26,6 +29,7 @@
 
     :param listen: ``host:port`` where it serves calls.
     :param admin: base URL of its daemon's admin API; empty for none.
+    :param journal: file that gets the id of each call that runs.
     :param starting_s: time for which it announces itself as starting.
     """
 
@@ -38,6 +42,7 @@
     starting_s: float = 0
     behaviour: Behaviour = Behaviour()
     seed: int = 0
+    journal: Path | None = None
 
 
 class _Announcer:
@@ -71,11 +76,22 @@
 
 async def run_upstream(settings: UpstreamSettings) -> None:
     """Serve until SIGTERM, then drain and return."""
+    with ExitStack() as stack:
+        journal: BinaryIO | None = None
+        if settings.journal is not None:
+            journal = stack.enter_context(
+                settings.journal.open('ab', buffering=0),
+            )
+        await _run(settings, journal)
+
+
+async def _run(settings: UpstreamSettings, journal: BinaryIO | None) -> None:
     server = UpstreamServer(
         version=settings.version,
         slots=settings.slots,
         behaviour=settings.behaviour,
         random=Random(settings.seed),
+        journal=journal,
     )
     host, port = settings.listen.rsplit(':', 1)
     listeners = await trio.open_tcp_listeners(int(port), host=host, backlog=512)
--- a/libs/standins/src/verbenamill_standins/upstream_server.py
+++ b/libs/standins/src/verbenamill_standins/upstream_server.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from random import Random
+from typing import BinaryIO
 from urllib.parse import parse_qs, urlsplit
 
 import httptools
@@ -66,6 +67,8 @@
 
     :param version: told in the ``x-version`` header of each answer.
     :param slots: calls it works on at a time.
+    :param journal: unbuffered file that gets the id of each call before it
+        runs, so that a killed upstream's calls are still known.
     """
 
     def __init__(
@@ -75,11 +78,13 @@
         slots: int,
         behaviour: Behaviour,
         random: Random,
+        journal: BinaryIO | None = None,
     ) -> None:
         self._version = version
         self._slots = slots
         self._behaviour = behaviour
         self._random = random
+        self._journal = journal
         self._started = trio.current_time()
         self._counters = UpstreamCounters()
         self._executions: Counter[str] = Counter()
@@ -192,6 +197,8 @@
         call_id = asked.headers.get(REQUEST_ID, '')
         if call_id:
             self._executions[call_id] += 1
+            if self._journal is not None:
+                self._journal.write(f'{call_id}\n'.encode())
             counters.doubled += self._executions[call_id] == 2
 
     async def _work(
