Model: admin address of a member, faults of a ticket's form alone

The operators' tool asks every daemon for its status by the address that the members table tells, and validates a ticket without a log as far as that goes.

--- a/libs/model/src/verbenamill_model/__init__.py
+++ b/libs/model/src/verbenamill_model/__init__.py
@@ -8,7 +8,7 @@
     accept,
     fold,
 )
-from verbenamill_model.checks import find_faults
+from verbenamill_model.checks import find_faults, find_form_faults
 from verbenamill_model.codec import (
     as_plain,
     decode_record,
@@ -62,6 +62,7 @@
     'encode_record',
     'encode_state',
     'find_faults',
+    'find_form_faults',
     'fold',
     'read_ticket',
 )
--- a/libs/model/src/verbenamill_model/checks.py
+++ b/libs/model/src/verbenamill_model/checks.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Iterator
-from datetime import datetime, timedelta
+from datetime import UTC, datetime, timedelta
 
 from verbenamill_model.state import Snapshot
 from verbenamill_model.tickets import Route, Service, Ticket
@@ -44,6 +44,15 @@
     )
 
 
+def find_form_faults(ticket: Ticket) -> tuple[str, ...]:
+    """Reasons to refuse a ticket that hold for every snapshot."""
+    checks = (_check_form, _check_twice)
+    never = datetime.min.replace(tzinfo=UTC)
+    return tuple(
+        fault for check in checks for fault in check(Snapshot(), ticket, never)
+    )
+
+
 def _check_form(_: Snapshot, ticket: Ticket, at: datetime) -> Iterator[str]:
     if ticket.number < 1:
         yield f'number {ticket.number} is not positive; start at 1'
--- a/libs/model/src/verbenamill_model/traffic.py
+++ b/libs/model/src/verbenamill_model/traffic.py
@@ -35,6 +35,8 @@
 
     :param control: ``host:port`` of its links with other daemons.
     :param calls: ``host:port`` where it takes calls.
+    :param admin: ``host:port`` of its admin API, for the operators' tool;
+        empty when it is not told.
     :param incarnation: grows with each change that the member itself makes;
         the higher one wins.
     """
@@ -46,6 +48,7 @@
     calls: str
     incarnation: int
     upstream: Upstream | None = None
+    admin: str = ''
 
 
 @unique
