verbenamill: tickets, status, verdicts, moves, audit, settings check

The tool folds the log by the model's own pure function and needs no daemon for it, so its answers hold after every daemon was replaced.

--- /dev/null
+++ b/libs/cli/src/verbenamill_cli/checks.py
@@ -0,0 +1,32 @@
+"""``config check``: a settings file checked by the daemon's own code."""
+
+from pathlib import Path
+
+from returns.result import Result
+
+from verbenamill_cli.errors import CliError, ExitCode
+from verbenamill_cli.output import Report
+from verbenamill_platform.settings import Settings, load_settings
+
+
+def check_file(path: Path) -> Result[Report, CliError]:
+    """Check a settings file whole."""
+
+    def accept(settings: Settings) -> Report:
+        return Report(
+            data={'file': str(path), 'valid': True},
+            lines=(
+                f'{path}: good; {settings.vm.id} in '
+                f'{settings.vm.availability_zone}',
+            ),
+        )
+
+    def refuse(faults: tuple[str, ...]) -> CliError:
+        return CliError(
+            code=ExitCode.FAULTY,
+            message=f'{path}: {len(faults)} to correct',
+            action='correct them all; examples/ has an annotated file',
+            faults=faults,
+        )
+
+    return load_settings(path).map(accept).alt(refuse)
--- /dev/null
+++ b/libs/cli/src/verbenamill_cli/history.py
@@ -0,0 +1,243 @@
+"""The log folded by the command line, with what became of each record.
+
+The tool needs no daemon for this: it folds the same records by the same
+pure function, so that its answers hold after every daemon was replaced.
+"""
+
+import zlib
+from collections.abc import Iterator
+
+import msgspec
+from msgspec import Struct
+from returns.result import Failure, Result, Success
+
+from verbenamill_cli.errors import CliError, ExitCode
+from verbenamill_cli.patience import PatientLog, unavailable
+from verbenamill_model import (
+    Answer,
+    AuditEntry,
+    Entry,
+    Refusal,
+    State,
+    Verdict,
+    accept,
+    decode_state,
+)
+from verbenamill_model.typing import Offset
+from verbenamill_platform import LogError, LogFault, LogPage
+from verbenamill_platform.streams import CHECKPOINTS, CONFIG
+
+#: Checkpoints that are looked at, newest first, before giving up.
+MAX_CHECKPOINTS = 64
+#: Checkpoints of no use after which older ones are not looked at.
+LOOK_BACK = 4
+
+
+class Step(Struct, frozen=True, kw_only=True):
+    """One folded record and what became of it."""
+
+    entry: Entry
+    answer: Answer
+    audit: tuple[AuditEntry, ...]
+    verdicts: tuple[Verdict, ...]
+
+
+class History(Struct, kw_only=True):
+    """What the log still tells.
+
+    :param base: state that folding began from; empty unless the head of
+        the log has expired.
+    :param state: state after the last record.
+    """
+
+    base: State
+    state: State
+    steps: list[Step] = []
+
+    def take(self, entry: Entry) -> Step:
+        """Fold the record that follows."""
+        assert entry.offset == self.state.offset + 1, 'records follow on'
+        state, answer = accept(self.state, entry)
+        self.state = state
+        step = Step(
+            entry=entry,
+            answer=answer,
+            audit=tuple(
+                line for line in state.audit if line.offset == entry.offset
+            ),
+            verdicts=tuple(
+                verdict
+                for verdict in state.verdicts
+                if verdict.offset == entry.offset
+            ),
+        )
+        self.steps.append(step)
+        return step
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether it reaches back to the first record."""
+        return self.base.offset < 0
+
+    def audit(self) -> Iterator[AuditEntry]:
+        """Changes that took effect, oldest first."""
+        yield from self.base.audit
+        for step in self.steps:
+            yield from step.audit
+
+    def verdicts(self) -> Iterator[Verdict]:
+        """Verdicts, oldest first."""
+        yield from self.base.verdicts
+        for step in self.steps:
+            yield from step.verdicts
+
+    def refusals(self) -> Iterator[Refusal]:
+        """Refused records, oldest first."""
+        yield from self.base.refusals
+        for step in self.steps:
+            if isinstance(step.answer, Refusal):
+                yield step.answer
+
+
+async def read_history(
+    log: PatientLog,
+    *,
+    farthest: bool = False,
+) -> Result[History, CliError]:
+    """Fold the log up to its end.
+
+    :param farthest: begin at the oldest checkpoint that the log's tail
+        still follows, in place of the newest one.
+    """
+    match await log.read(CONFIG, Offset(0)):
+        case Success(page):
+            return await _fold(log, State(), page)
+        case Failure(LogError(fault=LogFault.EXPIRED) as expired):
+            return await _resume(log, expired, farthest=farthest)
+        case Failure(error):
+            return Failure(unavailable(error))
+    raise AssertionError('a result is a success or a failure')
+
+
+async def _resume(
+    log: PatientLog,
+    expired: LogError,
+    *,
+    farthest: bool,
+) -> Result[History, CliError]:
+    oldest = expired.oldest or Offset(0)
+    match await _find_base(log, oldest, farthest=farthest):
+        case Success(None):
+            return Failure(
+                CliError(
+                    code=ExitCode.UNAVAILABLE,
+                    message=(
+                        f'records before offset {oldest} have expired, and '
+                        'no checkpoint leads up to it'
+                    ),
+                    action=(
+                        'ask a daemon instead (verbenamill status); a '
+                        'running daemon writes a checkpoint again'
+                    ),
+                ),
+            )
+        case Success(State() as base):
+            start = Offset(base.offset + 1)
+            match await log.read(CONFIG, start):
+                case Success(page):
+                    return await _fold(log, base, page)
+                case Failure(error):
+                    return Failure(unavailable(error))
+        case Failure(error):
+            return Failure(unavailable(error))
+    raise AssertionError('a result is a success or a failure')
+
+
+async def _fold(
+    log: PatientLog,
+    base: State,
+    page: LogPage,
+) -> Result[History, CliError]:
+    history = History(base=base, state=base)
+    while True:
+        for entry in page.entries:
+            history.take(entry)
+        if history.state.offset + 1 >= page.end:
+            return Success(history)
+        following = Offset(history.state.offset + 1)
+        match await log.read(CONFIG, following):
+            case Success(page):
+                continue
+            case Failure(error):
+                return Failure(unavailable(error))
+
+
+async def _find_base(
+    log: PatientLog,
+    oldest: Offset,
+    *,
+    farthest: bool,
+) -> Result[State | None, LogError]:
+    """Checkpoint that the record ``oldest`` or a later one follows."""
+    match await _bounds(log, CHECKPOINTS):
+        case Success((first, end)):
+            lowest = max(first, end - MAX_CHECKPOINTS)
+        case Failure(error):
+            return Failure(error)
+    usable: list[State] = []
+    unusable = 0
+    for place in range(end - 1, lowest - 1, -1):
+        match await log.read(CHECKPOINTS, Offset(place), limit=1):
+            case Success(LogPage(entries=(entry, *_))):
+                state = read_checkpoint(entry.body)
+            case Success(_) | Failure(LogError(fault=LogFault.EXPIRED)):
+                break
+            case Failure(error):
+                return Failure(error)
+        if state is None or state.offset + 1 < oldest:
+            unusable += 1
+        else:
+            usable.append(state)
+        # A writer that woke from a pause leaves an old checkpoint above
+        # newer ones, so a single one that is of no use ends no search.
+        if unusable == LOOK_BACK or (usable and not farthest):
+            break
+    choose = min if farthest else max
+    return Success(choose(usable, key=_offset_of, default=None))
+
+
+def _offset_of(state: State) -> Offset:
+    return state.offset
+
+
+async def _bounds(
+    log: PatientLog,
+    stream: str,
+) -> Result[tuple[Offset, Offset], LogError]:
+    """First offset that a stream still has, and its end."""
+    start = Offset(0)
+    while True:
+        match await log.read(stream, start, limit=1):
+            case Success(page):
+                return Success((page.oldest, page.end))
+            case Failure(LogError(fault=LogFault.EXPIRED) as expired):
+                start = expired.oldest or start
+            case Failure(error):
+                return Failure(error)
+
+
+class _Checkpoint(Struct, frozen=True, array_like=True):
+    """A checkpoint as the daemons write it."""
+
+    offset: Offset
+    body: bytes
+
+
+def read_checkpoint(body: bytes) -> State | None:
+    """State of a checkpoint, or ``None`` when it cannot be read."""
+    try:
+        checkpoint = msgspec.msgpack.decode(body, type=_Checkpoint)
+        plain = zlib.decompress(checkpoint.body)
+    except (msgspec.MsgspecError, zlib.error):
+        return None
+    return decode_state(plain).value_or(None)
