Make states that started differently byte for byte equal

Cause: a state with any accepted ticket could not be encoded, since the digests are keyed by number and the ordered encoder takes text keys only. And a state restored from a checkpoint kept services and routes in another order than one folded from the log, which shows in the reasons of refusals and in the order of verdicts, so the digests of two readers would part.

--- a/libs/model/src/verbenamill_model/accept.py
+++ b/libs/model/src/verbenamill_model/accept.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from datetime import datetime
+from typing import TypeVar
 
 from msgspec import Struct
 from msgspec.structs import replace
@@ -65,6 +66,9 @@
 
 Answer = Changed | Repeated | Refusal
 
+_Name = TypeVar('_Name', bound=str)
+_Resource = TypeVar('_Resource')
+
 
 def accept(state: State, entry: Entry) -> tuple[State, Answer]:
     """Fold one record into a state.
@@ -243,7 +247,7 @@
             ticket.number,
             entry,
         )
-    return services
+    return _sort(services)
 
 
 def _next_service(
@@ -278,7 +282,16 @@
         for name, route in before.routes.items()
         if name not in ticket.remove_routes
     }
-    return kept | {route.name: route for route in ticket.routes}
+    return _sort(kept | {route.name: route for route in ticket.routes})
+
+
+def _sort(resources: dict[_Name, _Resource]) -> dict[_Name, _Resource]:
+    """Order by name, as a state that was read from a checkpoint is.
+
+    The order shows in the reason of a refusal and in the order of verdicts;
+    readers that started differently would part in these.
+    """
+    return dict(sorted(resources.items()))
 
 
 def _end_moves(
--- a/libs/model/src/verbenamill_model/codec.py
+++ b/libs/model/src/verbenamill_model/codec.py
@@ -37,8 +37,9 @@
 
 
 def encode_state(state: State) -> bytes:
-    """Encode a state for a checkpoint."""
-    return _json_encoder.encode(state)
+    """Encode a state for a checkpoint; equal states give equal bytes."""
+    # The encoder orders keys only when all of them are text already.
+    return _json_encoder.encode(as_plain(state))
 
 
 def decode_state(body: bytes) -> Result[State, str]:
