--- a/libs/mesh/src/verbenamill_mesh/__init__.py
+++ b/libs/mesh/src/verbenamill_mesh/__init__.py
@@ -1,1 +1,23 @@
-"""Membership and dissemination between daemons."""
+"""Membership, dissemination and configuration between daemons."""
+
+from verbenamill_mesh.configuration import Configuration, Head
+from verbenamill_mesh.mesh import Mesh
+from verbenamill_mesh.settings import MeshSettings
+from verbenamill_mesh.stats import MeshStats, Traffic
+from verbenamill_mesh.streams import CHECKPOINTS, CONFIG, GATEWAYS
+from verbenamill_mesh.transport import Link, PynngTransport, Transport
+
+__all__ = (
+    'CHECKPOINTS',
+    'CONFIG',
+    'GATEWAYS',
+    'Configuration',
+    'Head',
+    'Link',
+    'Mesh',
+    'MeshSettings',
+    'MeshStats',
+    'PynngTransport',
+    'Traffic',
+    'Transport',
+)
--- /dev/null
+++ b/libs/mesh/src/verbenamill_mesh/checkpoints.py
@@ -0,0 +1,179 @@
+"""Checkpoints of the state on a stream of the system's own.
+
+Records of ``config`` expire, so the state has to stand on the log before
+the oldest record that it needs is gone. A checkpoint says which offset it
+is of; two of them, or one that a paused writer appends late, do no harm,
+since a reader takes the one with the highest offset.
+"""
+
+import logging
+from collections.abc import Callable
+from datetime import datetime
+from random import Random
+
+import msgspec
+import trio
+from msgspec import Struct
+from returns.result import Failure, Success
+
+from verbenamill_mesh.configuration import Configuration
+from verbenamill_mesh.newest import read_newest
+from verbenamill_mesh.settings import MeshSettings
+from verbenamill_mesh.stats import MeshStats
+from verbenamill_mesh.streams import CHECKPOINTS
+from verbenamill_model import Entry
+from verbenamill_model.typing import Offset
+from verbenamill_platform import Clock, Log
+
+_logger = logging.getLogger(__name__)
+
+#: Newest records looked at; late ones of paused writers may be among them.
+LOOK_BACK = 4
+#: Looks per checkpoint interval at whether one is due.
+LOOKS = 6
+#: New records for which one is written before the interval is over.
+MIN_RECORDS = 16
+
+
+class CheckpointRecord(Struct, frozen=True, array_like=True):
+    """A checkpoint as it stands on the log."""
+
+    offset: Offset
+    body: bytes
+
+
+class _Written(Struct, frozen=True):
+    offset: Offset
+    at: datetime
+
+
+_decoder = msgspec.msgpack.Decoder(CheckpointRecord)
+
+
+class Checkpoints:
+    """Writes checkpoints when they are due, and reads them.
+
+    :param find_turn: how many others write before this daemon, or ``None``
+        when it does not write.
+    """
+
+    def __init__(
+        self,
+        *,
+        log: Log,
+        configuration: Configuration,
+        find_turn: Callable[[], int | None],
+        settings: MeshSettings,
+        clock: Clock,
+        random: Random,
+        stats: MeshStats,
+    ) -> None:
+        self._log = log
+        self._configuration = configuration
+        self._find_turn = find_turn
+        self._settings = settings
+        self._clock = clock
+        self._random = random
+        self._stats = stats
+        self._newest: _Written | None = None
+        self._oldest_record = Offset(0)
+
+    def note_oldest(self, oldest: Offset) -> None:
+        """Take note of the first offset that the log still has."""
+        self._oldest_record = oldest
+
+    async def run(self) -> None:
+        """Write checkpoints until cancelled."""
+        pause = self._settings.checkpoint_interval.total_seconds() / LOOKS
+        while True:
+            await trio.sleep(pause * self._random.uniform(0.5, 1.5))
+            if self._is_due():
+                await self._write_if_due()
+
+    async def restore(self) -> bool:
+        """Start from the newest checkpoint on the log.
+
+        :returns: whether the configuration moved on.
+        """
+        before = self._configuration.state.offset
+        for record in reversed(await self._read()):
+            outcome = self._configuration.restore(record.body)
+            if isinstance(outcome, Success):
+                break
+            _logger.error('M302 checkpoint refused: %s', outcome.failure())
+        return self._configuration.state.offset > before
+
+    async def _write_if_due(self) -> None:
+        # Another writer, or an append of this one whose answer was lost,
+        # may have been there already; so look before writing.
+        await self._read()
+        if not self._is_due():
+            return
+        record = CheckpointRecord(
+            offset=self._configuration.state.offset,
+            body=self._configuration.checkpoint(),
+        )
+        self._stats.count_log(CHECKPOINTS)
+        outcome = await self._log.append(
+            CHECKPOINTS,
+            msgspec.msgpack.encode(record),
+        )
+        match outcome:
+            case Success(_):
+                self._newest = _Written(record.offset, self._clock.now())
+            case Failure(error):
+                _logger.warning('M303 checkpoint not written: %s', error)
+
+    def _is_due(self) -> bool:
+        turn = self._find_turn()
+        offset = self._configuration.state.offset
+        if turn is None or offset < 0:
+            return False
+        if self._newest is None:
+            return True
+        patience = 1 + turn / 4
+        age = self._clock.now() - self._newest.at
+        if age > patience * self._settings.checkpoint_interval:
+            # Also when nothing changed: checkpoints expire as well.
+            return True
+        return self._is_expiring(offset, patience)
+
+    def _is_expiring(self, offset: Offset, patience: float) -> bool:
+        """Whether the records after the newest checkpoint expire soon.
+
+        Half of what the log keeps is left then, whatever its retention is.
+        """
+        assert self._newest is not None, 'asked before any was read'
+        new_records = offset - self._newest.offset
+        middle = (self._oldest_record + offset) / 2
+        return (
+            new_records >= patience * MIN_RECORDS
+            and self._newest.offset < middle
+        )
+
+    async def _read(self) -> list[CheckpointRecord]:
+        """Read the newest checkpoints, the best one last."""
+        self._stats.count_log(CHECKPOINTS)
+        outcome = await read_newest(self._log, CHECKPOINTS, LOOK_BACK)
+        if isinstance(outcome, Failure):
+            return []
+        entries = outcome.unwrap()
+        read = [(_decode(entry), entry.at) for entry in entries]
+        readable = [(record, at) for record, at in read if record is not None]
+        readable.sort(key=_offset_of)
+        if readable:
+            best, written_at = readable[-1]
+            self._newest = _Written(best.offset, written_at)
+        return [record for record, _ in readable]
+
+
+def _offset_of(found: tuple[CheckpointRecord, datetime]) -> Offset:
+    return found[0].offset
+
+
+def _decode(entry: Entry) -> CheckpointRecord | None:
+    try:
+        return _decoder.decode(entry.body)
+    except msgspec.MsgspecError:
+        _logger.exception('M304 record %d is no checkpoint', entry.offset)
+        return None
--- /dev/null
+++ b/libs/mesh/src/verbenamill_mesh/configuration.py
@@ -0,0 +1,181 @@
+"""One proxy's configuration: the state folded from the log so far."""
+
+from collections import deque
+from itertools import islice
+from zlib import compress, decompressobj
+from zlib import error as ZlibError
+
+import trio
+from msgspec import Struct
+from returns.result import Failure, Result, Success
+
+from verbenamill_model import (
+    Entry,
+    Snapshot,
+    State,
+    decode_state,
+    digest_state,
+    encode_state,
+    fold,
+)
+from verbenamill_model.accept import assert_consistent
+from verbenamill_model.typing import Offset
+
+#: Records kept for peers that lag a little; others get a checkpoint.
+MAX_KEPT = 1024
+#: Bytes of records kept, since one record may take 256 KB.
+MAX_KEPT_BYTES = 4 * 1024 * 1024
+#: Longest checkpoint after decompression.
+MAX_STATE_BYTES = 64 * 1024 * 1024
+
+
+class Head(Struct, frozen=True, kw_only=True):
+    """Where a configuration stands.
+
+    :param digest: of the state at that offset; equal everywhere.
+    """
+
+    offset: Offset
+    digest: str
+
+
+class Configuration:
+    """The state of one proxy; swapped whole, and it only grows.
+
+    :param kept: records kept for peers that lag.
+    """
+
+    def __init__(self, *, kept: int = MAX_KEPT) -> None:
+        self._state = State()
+        self._kept = kept
+        self._entries: deque[Entry] = deque()
+        self._entry_bytes = 0
+        self._changed = trio.Event()
+        self._head: Head | None = None
+
+    @property
+    def state(self) -> State:
+        """The state after the last record."""
+        return self._state
+
+    @property
+    def snapshot(self) -> Snapshot:
+        """What the proxy runs."""
+        return self._state.snapshot
+
+    def head(self) -> Head:
+        """Offset and digest, by which two daemons compare their states."""
+        if self._head is None or self._head.offset != self._state.offset:
+            self._head = Head(
+                offset=self._state.offset,
+                digest=digest_state(self._state),
+            )
+        return self._head
+
+    def take(self, entries: tuple[Entry, ...]) -> bool:
+        """Fold the records that follow the state; known ones are passed.
+
+        :returns: ``False`` when a record is missing before one of them;
+            what stands before the gap is folded all the same.
+        """
+        following = self._find_following(entries)
+        if following:
+            self._swap(fold(self._state, following).unwrap())
+            self._keep(following)
+        return all(entry.offset <= self._state.offset for entry in entries)
+
+    def tail(self, after: Offset, limit: int) -> tuple[Entry, ...] | None:
+        """Records that follow an offset, or ``None`` when it is too old."""
+        if after >= self._state.offset:
+            return ()
+        if not self._entries or self._entries[0].offset > after + 1:
+            return None
+        first = after + 1 - self._entries[0].offset
+        return tuple(islice(self._entries, first, first + limit))
+
+    def checkpoint(self) -> bytes:
+        """The whole state, compressed, for :meth:`restore`."""
+        return compress(encode_state(self._state))
+
+    def restore(self, body: bytes) -> Result[State, str]:
+        """Start from a checkpoint.
+
+        One that is older than the state, as a paused writer leaves behind,
+        is passed over and the state stays.
+
+        :returns: the state in force, or why the checkpoint is of no use.
+        """
+        return _decompress(body).bind(decode_state).bind(self._adopt)
+
+    async def wait_beyond(self, offset: Offset) -> None:
+        """Wait until the state is beyond an offset."""
+        while self._state.offset <= offset:
+            await self._changed.wait()
+
+    def _find_following(
+        self,
+        entries: tuple[Entry, ...],
+    ) -> tuple[Entry, ...]:
+        following: list[Entry] = []
+        wanted = self._state.offset + 1
+        for entry in sorted(entries, key=_offset_of):
+            if entry.offset == wanted:
+                following.append(entry)
+                wanted += 1
+        return tuple(following)
+
+    def _adopt(self, state: State) -> Result[State, str]:
+        if state.offset <= self._state.offset:
+            return Success(self._state)
+        if state.snapshot.version < self._state.snapshot.version:
+            return Failure(
+                f'checkpoint at {state.offset} has version '
+                f'{state.snapshot.version}, older than '
+                f'{self._state.snapshot.version}',
+            )
+        services = state.snapshot.services
+        for route in state.snapshot.routes.values():
+            if route.service not in services:
+                return Failure(f'route {route.name} of the checkpoint dangles')
+        self._swap(state)
+        self._entries.clear()
+        self._entry_bytes = 0
+        return Success(state)
+
+    def _swap(self, state: State) -> None:
+        # The last guard before a proxy would run an older version, whatever
+        # let it come this far: callers would see a finished move undone.
+        assert state.offset > self._state.offset, 'a state never goes back'
+        assert state.snapshot.version >= self._state.snapshot.version, (
+            'a proxy never goes back to an older version'
+        )
+        assert_consistent(state.snapshot)
+        self._state = state
+        changed = self._changed
+        self._changed = trio.Event()
+        changed.set()
+
+    def _keep(self, entries: tuple[Entry, ...]) -> None:
+        for entry in entries:
+            self._entries.append(entry)
+            self._entry_bytes += len(entry.body)
+        while self._entries and (
+            len(self._entries) > self._kept
+            or self._entry_bytes > MAX_KEPT_BYTES
+        ):
+            self._entry_bytes -= len(self._entries.popleft().body)
+
+
+def _offset_of(entry: Entry) -> Offset:
+    return entry.offset
+
+
+def _decompress(body: bytes) -> Result[bytes, str]:
+    inflater = decompressobj()
+    try:
+        plain = inflater.decompress(body, MAX_STATE_BYTES)
+    except ZlibError as error:
+        return Failure(f'checkpoint cannot be decompressed: {error}')
+    if not inflater.eof:
+        return Failure('checkpoint is cut short or too long')
+    return Success(plain)
--- /dev/null
+++ b/libs/mesh/src/verbenamill_mesh/members.py
@@ -0,0 +1,249 @@
+"""The table of members: who is alive, suspect, dead or has left."""
+
+from collections.abc import Callable
+from enum import IntEnum, unique
+
+import msgspec
+from msgspec import Struct
+from msgspec.structs import replace
+
+from verbenamill_mesh.ring import rank
+from verbenamill_mesh.store import Store, Update
+from verbenamill_model.traffic import Member
+from verbenamill_model.typing import AvailabilityZone, VmId
+
+TOPIC = 'members'
+#: Readers of an availability zone: one, and one in its stead.
+READERS = 2
+
+
+@unique
+class Status(IntEnum):
+    """What is known of a member; the higher one wins within a run."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+    LEFT = 3
+
+
+class Record(Struct, frozen=True, array_like=True):
+    """A member and what is known of it.
+
+    :param incarnation: only the member itself raises it, to refute what
+        others say of it.
+    """
+
+    incarnation: int
+    status: Status
+    member: Member
+
+    @property
+    def is_alive(self) -> bool:
+        """Whether it counts as alive; a suspect does until it is dead."""
+        return self.status <= Status.SUSPECT
+
+    @property
+    def precedence(self) -> tuple[int, int]:
+        """Order in which records of one member replace each other."""
+        return self.incarnation, self.status
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Record)
+
+
+def merge_records(old: bytes | None, new: bytes) -> bytes:
+    """Keep the record that comes later; ties go by content."""
+    if old is None:
+        return new
+    held = _decoder.decode(old)
+    told = _decoder.decode(new)
+    later = max((held.precedence, old), (told.precedence, new))
+    return later[1]
+
+
+def is_counted(value: bytes) -> bool:
+    """Leave tombstones out of the digests, so that they can expire.
+
+    They expire at different times on different daemons, and a digest over
+    them would differ for as long, though nothing needs mending.
+    """
+    return _decoder.decode(value).is_alive
+
+
+class Members:
+    """Members by id, kept in the store's topic ``members``.
+
+    :param on_own_doubt: called with an incarnation to pass, when others
+        hold something about this daemon that it did not say.
+    """
+
+    def __init__(
+        self,
+        own: Member,
+        store: Store,
+        *,
+        on_own_doubt: Callable[[int], None],
+    ) -> None:
+        self._own = own
+        self._has_left = False
+        self._store = store
+        self._on_own_doubt = on_own_doubt
+        self._records: dict[VmId, Record] = {}
+        self._tombstones: dict[VmId, Record] = {}
+        self._zones: dict[AvailabilityZone, dict[VmId, Member]] = {}
+        self._alive: dict[VmId, Member] | None = None
+        self._ranked: dict[AvailabilityZone, tuple[VmId, ...]] = {}
+        store.add_topic(TOPIC, merge_records, is_counted=is_counted)
+        self.say()
+
+    @property
+    def own(self) -> Member:
+        """This daemon as others see it."""
+        return self._own
+
+    @property
+    def has_left(self) -> bool:
+        """Whether this daemon has told others that it leaves."""
+        return self._has_left
+
+    def say(
+        self,
+        *,
+        own: Member | None = None,
+        above: int = -1,
+        leaves: bool = False,
+    ) -> Update:
+        """State a change of this daemon under a higher incarnation.
+
+        :param above: an incarnation that others hold.
+        :returns: the update to spread.
+        """
+        incarnation = max(self._own.incarnation, above) + 1
+        self._own = replace(own or self._own, incarnation=incarnation)
+        self._has_left = self._has_left or leaves
+        status = Status.LEFT if self._has_left else Status.ALIVE
+        record = Record(incarnation, status, self._own)
+        update = _as_update(record)
+        assert self._take(update, record), 'a higher incarnation wins'
+        return update
+
+    def learn(self, update: Update) -> bool:
+        """Merge what is told of a member.
+
+        :returns: whether it changed the table.
+        """
+        told = _decoder.decode(update.value)
+        member = told.member.id
+        held = self._records.get(member)
+        if held is None and not told.is_alive:
+            # A tombstone of someone unknown needs no spreading, and taking
+            # it would bring expired ones back for ever.
+            return False
+        if member == self._own.id and self._is_doubt(told):
+            self._on_own_doubt(told.incarnation)
+            return False
+        return self._take(update, told)
+
+    def alive(self) -> dict[VmId, Member]:
+        """Members that are alive; not to be altered, replaced on change."""
+        if self._alive is None:
+            self._alive = {}
+            for found in self._zones.values():
+                self._alive.update(found)
+        return self._alive
+
+    def in_zone(self, zone: AvailabilityZone) -> dict[VmId, Member]:
+        """Members of an availability zone that are alive."""
+        return self._zones.get(zone, {})
+
+    def zones(self) -> tuple[AvailabilityZone, ...]:
+        """Availability zones with members alive."""
+        return tuple(zone for zone, found in self._zones.items() if found)
+
+    def readers(self, zone: AvailabilityZone) -> tuple[VmId, ...]:
+        """Those who read the log for an availability zone, first one first.
+
+        They are also its gateways to the other availability zones.
+        """
+        if zone not in self._ranked:
+            ranked = rank(self.in_zone(zone), 'reader')
+            self._ranked[zone] = tuple(ranked[:READERS])
+        return self._ranked[zone]
+
+    def record(self, member: VmId) -> Record | None:
+        """What is known of a member."""
+        return self._records.get(member)
+
+    def tombstones(self) -> tuple[Record, ...]:
+        """Members that died or left, as long as they are remembered."""
+        return tuple(self._tombstones.values())
+
+    def is_tombstone(self, member: VmId) -> bool:
+        """Whether a member is known to have died or left."""
+        return member in self._tombstones
+
+    def judge(self, member: VmId, status: Status) -> Update | None:
+        """State that a member is suspect or dead.
+
+        :returns: the update to spread, if that is news.
+        """
+        held = self._records.get(member)
+        if held is None or held.status >= status:
+            return None
+        update = _as_update(replace(held, status=status))
+        return update if self.learn(update) else None
+
+    def doubt_of(self, member: VmId, incarnation: int) -> int:
+        """Incarnation that a member has to pass to be alive here, or -1."""
+        held = self._records.get(member)
+        if held is None:
+            return -1
+        if held.incarnation > incarnation or held.status > Status.ALIVE:
+            return held.incarnation
+        return -1
+
+    def forget(self, member: VmId) -> None:
+        """Remove a tombstone."""
+        record = self._records.pop(member)
+        assert not record.is_alive, 'only tombstones expire'
+        del self._tombstones[member]
+        self._store.forget(TOPIC, member)
+
+    def _take(self, update: Update, told: Record) -> bool:
+        if not self._store.merge(update):
+            return False
+        member = told.member.id
+        held = self._records.get(member)
+        assert held is None or told.precedence >= held.precedence, (
+            f'record of {member} went back'
+        )
+        self._records[member] = told
+        if held is not None:
+            self._displace(held.member)
+        self._place(told)
+        return True
+
+    def _is_doubt(self, told: Record) -> bool:
+        own = self._records.get(self._own.id)
+        return own is not None and told.precedence > own.precedence
+
+    def _displace(self, member: Member) -> None:
+        self._zones[member.availability_zone].pop(member.id, None)
+        self._ranked.pop(member.availability_zone, None)
+
+    def _place(self, record: Record) -> None:
+        zone = record.member.availability_zone
+        found = self._zones.setdefault(zone, {})
+        if record.is_alive:
+            found[record.member.id] = record.member
+            self._tombstones.pop(record.member.id, None)
+        else:
+            self._tombstones[record.member.id] = record
+        self._alive = None
+        self._ranked.pop(zone, None)
+
+
+def _as_update(record: Record) -> Update:
+    return Update(TOPIC, record.member.id, _encoder.encode(record))
--- /dev/null
+++ b/libs/mesh/src/verbenamill_mesh/mesh.py
@@ -0,0 +1,370 @@
+"""The mesh of daemons: one object that joins its parts."""
+
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+from random import Random
+
+import trio
+from msgspec.structs import replace
+from returns.result import Result, Success
+
+from verbenamill_mesh.answers import Answers
+from verbenamill_mesh.broadcast import Broadcaster
+from verbenamill_mesh.checkpoints import Checkpoints
+from verbenamill_mesh.configuration import Configuration
+from verbenamill_mesh.exchange import Exchange, Learning
+from verbenamill_mesh.gateways import AddressBook
+from verbenamill_mesh.links import Links
+from verbenamill_mesh.members import TOPIC, Members
+from verbenamill_mesh.messages import Met, Note
+from verbenamill_mesh.peers import Peers
+from verbenamill_mesh.probing import Prober
+from verbenamill_mesh.reader import LogReader
+from verbenamill_mesh.ring import rank
+from verbenamill_mesh.settings import MeshSettings
+from verbenamill_mesh.stats import MeshStats
+from verbenamill_mesh.store import Merge, Store, Update
+from verbenamill_mesh.transport import PynngTransport, Transport
+from verbenamill_model import Entry
+from verbenamill_model.traffic import Member, Upstream
+from verbenamill_model.typing import AvailabilityZone, VmId
+from verbenamill_platform import Clock, Log
+
+_logger = logging.getLogger(__name__)
+
+#: Longest that a daemon which leaves waits for others to hear of it.
+LEAVE_TIMEOUT = timedelta(seconds=2)
+#: Pause in which records that come together are offered together.
+OFFER_PAUSE = timedelta(milliseconds=50)
+
+
+class Mesh:
+    """Links with the other daemons, and what spreads over them.
+
+    :param member: this daemon; ``control`` is where it listens.
+    :param seeds: addresses of other daemons; only hints.
+    :param settings: periods and bounds, altered by tests and benches.
+    :param transport: how daemons reach each other; pynng unless given.
+    """
+
+    def __init__(
+        self,
+        *,
+        member: Member,
+        seeds: tuple[str, ...],
+        clock: Clock,
+        configuration: Configuration,
+        log: Log,
+        random: Random,
+        settings: MeshSettings | None = None,
+        transport: Transport | None = None,
+    ) -> None:
+        self._configuration = configuration
+        self._settings = settings or MeshSettings()
+        self._transport = transport or PynngTransport()
+        self._stats = MeshStats()
+        self._store = Store()
+        self._cut_zones: frozenset[AvailabilityZone] = frozenset()
+        self._handlers: dict[str, Callable[[VmId, bytes], None]] = {}
+        self._notes: list[tuple[VmId, Note]] = []
+        self._has_notes = trio.Event()
+        self._members = Members(
+            member,
+            self._store,
+            on_own_doubt=self._refute,
+        )
+        self._links = Links(
+            own=member.id,
+            availability_zone=member.availability_zone,
+            transport=self._transport,
+            settings=self._settings,
+            stats=self._stats,
+            is_cut=self._is_cut_address,
+        )
+        self._peers = Peers(self._members, self._links, random)
+        self._broadcaster = Broadcaster(
+            peers=self._peers,
+            settings=self._settings,
+            clock=clock,
+            on_newer=self._learn_updates,
+        )
+        self._exchange = Exchange(
+            store=self._store,
+            configuration=configuration,
+            links=self._links,
+            settings=self._settings,
+            stats=self._stats,
+            learning=Learning(
+                own=self._own,
+                updates=self._learn_updates,
+                entries=self._learn_entries,
+                doubt=self._refute,
+            ),
+        )
+        self._checkpoints = Checkpoints(
+            log=log,
+            configuration=configuration,
+            find_turn=self._find_turn,
+            settings=self._settings,
+            clock=clock,
+            random=random,
+            stats=self._stats,
+        )
+        self._addresses = AddressBook(
+            log=log,
+            members=self._members,
+            peers=self._peers,
+            meet=self._exchange.meet,
+            settings=self._settings,
+            random=random,
+            stats=self._stats,
+        )
+        self._reader = LogReader(
+            log=log,
+            configuration=configuration,
+            checkpoints=self._checkpoints,
+            peers=self._peers,
+            on_entries=self._spread_read,
+            settings=self._settings,
+            random=random,
+            stats=self._stats,
+        )
+        self._prober = Prober(
+            members=self._members,
+            peers=self._peers,
+            seeds=seeds,
+            meet=self._exchange.meet,
+            find_addresses=self._addresses.find_addresses,
+            spread=self._spread_judgement,
+            settings=self._settings,
+            clock=clock,
+            random=random,
+        )
+        self._answers = Answers(
+            members=self._members,
+            store=self._store,
+            configuration=configuration,
+            exchange=self._exchange,
+            broadcaster=self._broadcaster,
+            peers=self._peers,
+            links=self._links,
+            settings=self._settings,
+            clock=clock,
+            stats=self._stats,
+            learn=self._learn,
+            handlers=self._handlers,
+            is_cut=self._is_cut_zone,
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Whether the configuration is known to be caught up.
+
+        That is, once, with the log or with a peer that was ready itself.
+        """
+        return self._stats.ready
+
+    async def run(
+        self,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Take part in the mesh until cancelled.
+
+        :raises NNGException: when ``control`` of the member is no address
+            to listen at.
+        """
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._links.run)
+            await nursery.start(self._answers.run)
+            await nursery.start(
+                self._transport.serve,
+                self._members.own.control,
+                self._answers.answer,
+            )
+            nursery.start_soon(self._broadcaster.run)
+            nursery.start_soon(self._prober.run)
+            nursery.start_soon(self._reader.run)
+            nursery.start_soon(self._checkpoints.run)
+            nursery.start_soon(self._addresses.run)
+            nursery.start_soon(self._offer_news)
+            nursery.start_soon(self._send_notes)
+            task_status.started()
+
+    async def leave(self) -> None:
+        """Tell others that this daemon leaves, and wait for the first."""
+        update = self._members.say(leaves=True)
+        with trio.move_on_after(LEAVE_TIMEOUT.total_seconds()):
+            await self._broadcaster.deliver_everywhere((update,))
+
+    def members(self) -> dict[VmId, Member]:
+        """Members that are alive, this daemon included until it leaves.
+
+        :returns: a table that is replaced, not altered, when it changes;
+            do not alter it either.
+        """
+        return self._members.alive()
+
+    def announce(self, upstream: Upstream | None) -> None:
+        """State the upstream that this daemon owns."""
+        own = self._members.own
+        if own.upstream != upstream:
+            update = self._members.say(own=replace(own, upstream=upstream))
+            self._broadcaster.tell_all((update,))
+
+    def add_topic(self, name: str, merge: Merge) -> None:
+        """Add a topic, before :meth:`run`.
+
+        :param merge: commutative, associative and idempotent.
+        """
+        self._store.add_topic(name, merge)
+
+    def put(self, topic: str, key: str, value: bytes) -> None:
+        """Merge a value into a topic and spread it."""
+        if self._store.merge(Update(topic, key, value)):
+            merged = self._store.entries(topic)[key]
+            self._broadcaster.tell_all((Update(topic, key, merged),))
+
+    def entries(self, topic: str) -> dict[str, bytes]:
+        """Values of a topic by key."""
+        return dict(self._store.entries(topic))
+
+    def drop(self, topic: str, keep: Callable[[str], bool]) -> None:
+        """Forget the keys of a topic that are not to be kept, for good."""
+        self._store.drop(topic, keep)
+
+    def handle(
+        self,
+        kind: str,
+        handler: Callable[[VmId, bytes], None],
+    ) -> None:
+        """Set what takes messages of a kind, with their sender."""
+        self._handlers[kind] = handler
+
+    def send(self, to: VmId, kind: str, body: bytes) -> None:
+        """Send a message to one member; it may be lost."""
+        self._notes.append((to, Note(kind, body)))
+        self._has_notes.set()
+
+    def cut(self, zones: frozenset[AvailabilityZone]) -> None:
+        """Cut this daemon off from availability zones; a test switch."""
+        self._cut_zones = zones
+
+    def stats(self) -> MeshStats:
+        """Counters up to now."""
+        self._stats.members = len(self._members.alive())
+        self._stats.tombstones = len(self._members.tombstones())
+        self._stats.store_bytes = self._store.size()
+        return self._stats
+
+    def _own(self) -> Member:
+        return self._members.own
+
+    def _refute(self, incarnation: int) -> None:
+        """Answer what others hold of this daemon and is not so."""
+        own = self._members.own
+        if self._members.has_left and incarnation <= own.incarnation:
+            return
+        update = self._members.say(above=incarnation)
+        self._broadcaster.tell_calmly((update,))
+
+    def _spread_judgement(self, update: Update) -> None:
+        self._broadcaster.tell_calmly((update,))
+
+    def _learn_updates(self, updates: tuple[Update, ...]) -> None:
+        """Take values that came by an exchange."""
+        self._broadcaster.tell_some(self._learn(updates))
+
+    def _learn(self, updates: tuple[Update, ...]) -> tuple[Update, ...]:
+        """Merge values; those that were news."""
+        return tuple(update for update in updates if self._merge(update))
+
+    def _merge(self, update: Update) -> bool:
+        if update.topic == TOPIC:
+            return self._members.learn(update)
+        return self._store.merge(update)
+
+    def _learn_entries(self, entries: tuple[Entry, ...]) -> None:
+        """Take records that this daemon fetched from another one."""
+        before = self._configuration.state.offset
+        if not self._configuration.take(entries):
+            self._stats.gaps += 1
+        news = tuple(entry for entry in entries if entry.offset > before)
+        self._stats.count_entries('pull', len(news))
+        if self._peers.is_reader and self.ready:
+            # The zone may be cut off from the log, and this is how the
+            # others learn at once what came from another zone.
+            self._broadcaster.tell_zone(news)
+
+    def _spread_read(self, entries: tuple[Entry, ...]) -> None:
+        """Push records that this daemon read from the log."""
+        self._stats.count_entries('log', len(entries))
+        if self.ready:
+            # While it catches up it pushes nothing: a whole zone that
+            # starts would get its history pushed, and fetches it anyway.
+            self._broadcaster.tell_zone(entries)
+
+    def _find_turn(self) -> int | None:
+        """How many other zones write checkpoints before this daemon."""
+        if not self._peers.is_primary or not self.ready:
+            return None
+        own = self._members.own.availability_zone
+        zones = {own, *self._members.zones()}
+        ranked = rank((VmId(zone) for zone in zones), 'checkpoint')
+        return ranked.index(VmId(own))
+
+    async def _offer_news(self) -> None:
+        """As the first reader, tell other zones how far this one is.
+
+        Their own readers have it by then, unless they cannot reach the log.
+        """
+        offset = self._configuration.state.offset
+        while True:
+            await self._configuration.wait_beyond(offset)
+            await trio.sleep(OFFER_PAUSE.total_seconds())
+            offset = self._configuration.state.offset
+            if self._peers.is_primary and self.ready:
+                async with trio.open_nursery() as nursery:
+                    for zone in self._peers.other_zones():
+                        nursery.start_soon(self._meet_zone, zone)
+
+    async def _meet_zone(self, zone: AvailabilityZone) -> None:
+        for gateway in self._peers.gateways(zone):
+            met = await self._meet_member(gateway)
+            if isinstance(met, Success):
+                return
+
+    async def _meet_member(self, member: VmId) -> Result[Met, str] | None:
+        record = self._members.record(member)
+        if record is None:
+            return None
+        return await self._exchange.meet(record.member.control)
+
+    async def _send_notes(self) -> None:
+        async with trio.open_nursery() as nursery:
+            while True:
+                await self._has_notes.wait()
+                self._has_notes = trio.Event()
+                notes = self._notes
+                self._notes = []
+                for to, note in notes:
+                    nursery.start_soon(self._send_note, to, note)
+
+    async def _send_note(self, to: VmId, note: Note) -> None:
+        if to == self._members.own.id:
+            self._answers.hand_over(to, note)
+        else:
+            await self._peers.ask(to, note)
+
+    def _is_cut_zone(self, zone: AvailabilityZone) -> bool:
+        return zone in self._cut_zones
+
+    def _is_cut_address(self, address: str) -> bool:
+        if not self._cut_zones:
+            return False
+        return any(
+            member.control == address
+            for zone in self._cut_zones
+            for member in self._members.in_zone(zone).values()
+        )
--- /dev/null
+++ b/libs/mesh/src/verbenamill_mesh/messages.py
@@ -0,0 +1,180 @@
+"""Requests and answers between daemons; the codec is msgspec's MessagePack.
+
+Fields are sent by place, so a new field goes last and has a default.
+"""
+
+import msgspec
+from msgspec import Struct
+
+from verbenamill_model import Entry
+from verbenamill_model.typing import AvailabilityZone, Offset, VmId
+from verbenamill_mesh.ring import Arc
+from verbenamill_mesh.store import Mark, Update
+
+#: A push to one daemon only.
+NOWHERE = Arc(0, 0)
+
+
+class Standing(Struct, frozen=True, array_like=True):
+    """What a daemon has: compared to find out who lacks something.
+
+    :param root: digest over members and topics.
+    :param ready: whether its configuration is known to be caught up.
+    """
+
+    offset: Offset
+    digest: str
+    root: bytes
+    ready: bool
+
+
+class Probe(Struct, frozen=True, array_like=True, tag='probe'):
+    """Are you there, and do we have the same?
+
+    :param address: where the sender listens.
+    :param incarnation: of the sender, so that it learns of a higher one.
+    """
+
+    address: str
+    incarnation: int
+    standing: Standing
+
+
+class ProbeFor(Struct, frozen=True, array_like=True, tag='probe-for'):
+    """Probe a third daemon that the sender cannot reach."""
+
+    address: str
+
+
+class Compare(Struct, frozen=True, array_like=True, tag='compare'):
+    """Digests of all buckets of the sender's store."""
+
+    buckets: bytes
+
+
+class Fetch(Struct, frozen=True, array_like=True, tag='fetch'):
+    """Ask for the values of keys."""
+
+    keys: tuple[bytes, ...]
+
+
+class Push(Struct, frozen=True, array_like=True, tag='push'):
+    """News for the receiver, and for those on its arc.
+
+    :param crossed: whether it came from another availability zone, so that
+        a gateway does not send it across again.
+    """
+
+    entries: tuple[Entry, ...] = ()
+    updates: tuple[Update, ...] = ()
+    arc: Arc = NOWHERE
+    crossed: bool = False
+
+
+class Pull(Struct, frozen=True, array_like=True, tag='pull'):
+    """Ask for the records that follow an offset."""
+
+    after: Offset
+
+
+class Note(Struct, frozen=True, array_like=True, tag='note'):
+    """A message of the application for the receiver alone."""
+
+    kind: str
+    body: bytes
+
+
+Request = Probe | ProbeFor | Compare | Fetch | Push | Pull | Note
+
+
+class Envelope(Struct, frozen=True, array_like=True):
+    """A request and who sends it."""
+
+    sender: VmId
+    availability_zone: AvailabilityZone
+    request: Request
+
+
+class Met(Struct, frozen=True, array_like=True, tag='met'):
+    """Answer to a probe.
+
+    :param doubt: incarnation that the sender has to pass, or -1: it counts
+        as suspect or dead here, or an earlier run of it used a higher one.
+    """
+
+    standing: Standing
+    doubt: int
+
+
+class Reached(Struct, frozen=True, array_like=True, tag='reached'):
+    """Whether a probe for another daemon was answered."""
+
+    reached: bool
+
+
+class Differences(Struct, frozen=True, array_like=True, tag='differences'):
+    """Buckets that differ, and the marks of the keys in them."""
+
+    buckets: tuple[int, ...]
+    marks: tuple[Mark, ...]
+
+
+class News(Struct, frozen=True, array_like=True, tag='news'):
+    """Values; after a push, those that are newer than what was pushed."""
+
+    updates: tuple[Update, ...] = ()
+
+
+class Tail(Struct, frozen=True, array_like=True, tag='tail'):
+    """Records that follow the offset asked for."""
+
+    entries: tuple[Entry, ...]
+
+
+class Checkpoint(Struct, frozen=True, array_like=True, tag='checkpoint'):
+    """A whole state, since the records asked for are no longer kept."""
+
+    body: bytes
+
+
+class Busy(Struct, frozen=True, array_like=True, tag='busy'):
+    """Too many transfers; ask the daemon at this address, if any."""
+
+    address: str
+
+
+class Done(Struct, frozen=True, array_like=True, tag='done'):
+    """The request was handled."""
+
+
+Reply = Met | Reached | Differences | News | Tail | Checkpoint | Busy | Done
+
+_encoder = msgspec.msgpack.Encoder()
+_envelope_decoder = msgspec.msgpack.Decoder(Envelope)
+_reply_decoder = msgspec.msgpack.Decoder(Reply)
+
+
+def encode(message: Envelope | Reply) -> bytes:
+    """Encode a request in its envelope, or a reply."""
+    return _encoder.encode(message)
+
+
+def decode_envelope(body: bytes) -> Envelope | None:
+    """Decode a request, or ``None`` when it cannot be read."""
+    try:
+        return _envelope_decoder.decode(body)
+    except msgspec.MsgspecError:
+        return None
+
+
+def decode_reply(body: bytes) -> Reply | None:
+    """Decode a reply, or ``None`` when it cannot be read."""
+    try:
+        return _reply_decoder.decode(body)
+    except msgspec.MsgspecError:
+        return None
+
+
+def kind_of(message: Request | Reply) -> str:
+    """Name under which traffic is counted."""
+    return str(message.__struct_config__.tag)
--- /dev/null
+++ b/libs/mesh/src/verbenamill_mesh/peers.py
@@ -0,0 +1,99 @@
+"""Which other daemons this one talks to, and for what."""
+
+from datetime import timedelta
+from random import Random
+
+from returns.result import Failure, Result
+
+from verbenamill_mesh.links import Links
+from verbenamill_mesh.members import Members
+from verbenamill_mesh.messages import Reply, Request
+from verbenamill_mesh.ring import neighbours
+from verbenamill_model.traffic import Member
+from verbenamill_model.typing import AvailabilityZone, VmId
+
+
+class Peers:
+    """The other daemons, by their part."""
+
+    def __init__(
+        self,
+        members: Members,
+        links: Links,
+        random: Random,
+    ) -> None:
+        self._members = members
+        self._links = links
+        self._random = random
+
+    @property
+    def own(self) -> Member:
+        """This daemon."""
+        return self._members.own
+
+    @property
+    def is_reader(self) -> bool:
+        """Whether this daemon reads the log for its availability zone."""
+        return self.own.id in self._own_readers()
+
+    @property
+    def is_primary(self) -> bool:
+        """Whether it is the first of the readers."""
+        return self._own_readers()[:1] == (self.own.id,)
+
+    async def ask(
+        self,
+        member: VmId,
+        request: Request,
+        *,
+        timeout: timedelta | None = None,
+    ) -> Result[Reply, str]:
+        """Send a request to a member."""
+        record = self._members.record(member)
+        if record is None:
+            return Failure(f'{member} is not known')
+        return await self._links.ask(
+            record.member.control,
+            request,
+            timeout=timeout,
+        )
+
+    def mates(self) -> tuple[VmId, ...]:
+        """Others in the own availability zone."""
+        zone = self._members.in_zone(self.own.availability_zone)
+        return tuple(member for member in zone if member != self.own.id)
+
+    def neighbours(self) -> tuple[VmId, ...]:
+        """The few in the own availability zone that this one probes."""
+        return neighbours(self.own.id, self.mates())
+
+    def choose_neighbours(self, count: int) -> list[VmId]:
+        """Some of the neighbours, by chance."""
+        known = self.neighbours()
+        return self._random.sample(known, min(count, len(known)))
+
+    def other_zones(self) -> tuple[AvailabilityZone, ...]:
+        """The other availability zones with members alive."""
+        own = self.own.availability_zone
+        return tuple(zone for zone in self._members.zones() if zone != own)
+
+    def gateways(self, zone: AvailabilityZone) -> tuple[VmId, ...]:
+        """Whom to ask in another availability zone, in this order.
+
+        The last is any member: an availability zone may have replaced its
+        readers while it was cut off, and only the others are still there.
+        """
+        readers = self._members.readers(zone)
+        anyone = self._random.choice(tuple(self._members.in_zone(zone)))
+        return tuple(dict.fromkeys((*readers, anyone)))
+
+    def any_address(self, besides: VmId) -> str:
+        """Address of some mate that may help one who was sent away."""
+        mates = [mate for mate in self.mates() if mate != besides]
+        if not mates:
+            return ''
+        record = self._members.record(self._random.choice(mates))
+        return record.member.control if record else ''
+
+    def _own_readers(self) -> tuple[VmId, ...]:
+        return self._members.readers(self.own.availability_zone)
--- /dev/null
+++ b/libs/mesh/src/verbenamill_mesh/reader.py
@@ -0,0 +1,144 @@
+"""Reading the log for an availability zone.
+
+Two daemons of the zone read. The first pushes what it reads at once; the
+second only what has not come to it within a short delay, so a first reader
+that is paused or cut off costs that delay and no more.
+"""
+
+import logging
+from collections.abc import Callable
+from datetime import timedelta
+from random import Random
+
+import trio
+from returns.result import Failure, Success
+
+from verbenamill_mesh.checkpoints import Checkpoints
+from verbenamill_mesh.configuration import Configuration
+from verbenamill_mesh.peers import Peers
+from verbenamill_mesh.settings import MeshSettings
+from verbenamill_mesh.stats import MeshStats
+from verbenamill_mesh.streams import CONFIG
+from verbenamill_model import Entry
+from verbenamill_model.typing import Offset
+from verbenamill_platform import Log, LogError, LogFault, LogPage, full_jitter
+
+_logger = logging.getLogger(__name__)
+
+#: Bounds of the waits between tries while the log fails.
+FIRST_WAIT = timedelta(milliseconds=200)
+LONGEST_WAIT = timedelta(seconds=5)
+#: Wait between looks at whether this daemon is a reader now.
+ROLE_WAIT = timedelta(milliseconds=500)
+
+
+class LogReader:
+    """Reads the stream ``config`` while this daemon is a reader.
+
+    :param on_entries: takes records that were news to this daemon.
+    """
+
+    def __init__(
+        self,
+        *,
+        log: Log,
+        configuration: Configuration,
+        checkpoints: Checkpoints,
+        peers: Peers,
+        on_entries: Callable[[tuple[Entry, ...]], None],
+        settings: MeshSettings,
+        random: Random,
+        stats: MeshStats,
+    ) -> None:
+        self._log = log
+        self._configuration = configuration
+        self._checkpoints = checkpoints
+        self._peers = peers
+        self._on_entries = on_entries
+        self._settings = settings
+        self._random = random
+        self._stats = stats
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        while True:
+            if self._peers.is_reader:
+                await self._read_while_well()
+            await trio.sleep(ROLE_WAIT.total_seconds())
+
+    async def _read_while_well(self) -> None:
+        """Read while this daemon is a reader, with waits after failures."""
+        waits = full_jitter(
+            self._random,
+            first=FIRST_WAIT,
+            longest=LONGEST_WAIT,
+        )
+        while self._peers.is_reader:
+            if await self._read_page():
+                waits = full_jitter(
+                    self._random,
+                    first=FIRST_WAIT,
+                    longest=LONGEST_WAIT,
+                )
+            else:
+                await trio.sleep(next(waits).total_seconds())
+
+    async def _read_page(self) -> bool:
+        """Read once; whether that went well."""
+        self._stats.count_log(CONFIG)
+        outcome = await self._log.read(
+            CONFIG,
+            Offset(self._configuration.state.offset + 1),
+            wait=self._settings.long_poll,
+        )
+        match outcome:
+            case Success(LogPage() as page):
+                return await self._take(page)
+            case Failure(LogError() as error):
+                return await self._handle_fault(error)
+        return False
+
+    async def _take(self, page: LogPage) -> bool:
+        self._checkpoints.note_oldest(page.oldest)
+        if page.entries and not self._peers.is_primary:
+            await trio.sleep(self._settings.second_delay.total_seconds())
+        offset = self._configuration.state.offset
+        news = tuple(entry for entry in page.entries if entry.offset > offset)
+        if not self._configuration.take(news):
+            # Records vanished, and none may be skipped: a proxy would run
+            # a state that no other reader of the log reaches.
+            self._stats.gaps += 1
+            _logger.error('M301 the log left out records after %d', offset)
+            return False
+        if news:
+            self._on_entries(news)
+        return self._compare_end(page)
+
+    def _compare_end(self, page: LogPage) -> bool:
+        offset = self._configuration.state.offset
+        if page.end <= offset and not page.entries:
+            _logger.error(
+                'M307 the log ends before %d, but %d was read from it',
+                page.end,
+                offset,
+            )
+            return False
+        if offset + 1 >= page.end:
+            self._stats.ready = True
+        return True
+
+    async def _handle_fault(self, error: LogError) -> bool:
+        if error.fault is not LogFault.EXPIRED:
+            _logger.info('M308 the log cannot be read: %s', error.detail)
+            return False
+        if await self._checkpoints.restore():
+            return True
+        # Neither a checkpoint nor the records: a peer may still have them.
+        # Until then this daemon serves what it has and is not ready.
+        self._stats.ready = False
+        _logger.error(
+            'M309 records after %d have expired and no checkpoint helps: %s',
+            self._configuration.state.offset,
+            error.detail,
+        )
+        return False
--- /dev/null
+++ b/libs/mesh/src/verbenamill_mesh/ring.py
@@ -0,0 +1,135 @@
+"""Places of daemons on a ring, and what follows from them.
+
+Each daemon computes these from its own table of members. Two tables that
+differ give two answers for a while; every use tolerates that.
+"""
+
+from collections.abc import Iterable, Sequence
+from functools import lru_cache
+from hashlib import blake2b
+
+from msgspec import Struct
+
+from verbenamill_model.typing import VmId
+
+#: Positions on the ring; below 2**63 so that any codec carries them.
+RING = 2**60
+
+
+class Arc(Struct, frozen=True, array_like=True):
+    """Part of the ring: ``length`` positions from ``start`` on."""
+
+    start: int
+    length: int
+
+    def has(self, position: int) -> bool:
+        """Whether a position lies on the arc."""
+        return (position - self.start) % RING < self.length
+
+    def without(self, position: int) -> 'tuple[Arc, ...]':
+        """The arc without one position on it."""
+        if not self.has(position):
+            return (self,)
+        before = (position - self.start) % RING
+        after = self.length - before - 1
+        parts = (Arc(self.start, before), Arc((position + 1) % RING, after))
+        return tuple(part for part in parts if part.length)
+
+
+#: All of it.
+WHOLE = Arc(0, RING)
+
+
+def position_of(member: VmId) -> int:
+    """Place of a member on the ring."""
+    return _hash_of('ring', member) % RING
+
+
+def rank(members: Iterable[VmId], purpose: str) -> list[VmId]:
+    """Members by rendezvous hash, the chosen one first.
+
+    Every daemon with the same members gets the same order with no election,
+    and one member that goes moves nobody else's turn.
+    """
+    return sorted(members, key=lambda member: _hash_of(purpose, member))
+
+
+def neighbours(own: VmId, members: Iterable[VmId]) -> tuple[VmId, ...]:
+    """Members at doubling distances on the ring, the nearest first.
+
+    There are about log2 of the members, they rarely change, and news that
+    each passes to one of them per period is everywhere in as many periods.
+    """
+    start = position_of(own)
+    others = _sort_from(start, (found for found in members if found != own))
+    if not others:
+        return ()
+    distances = [_distance(start, other) for other in others]
+    found: dict[VmId, None] = dict.fromkeys(others[:2])
+    step = RING // 2
+    while step > distances[0]:
+        for other, distance in zip(others, distances, strict=True):
+            if distance >= step:
+                found[other] = None
+                break
+        step //= 2
+    return tuple(found)
+
+
+class Branch(Struct, frozen=True):
+    """One child's part of a broadcast.
+
+    :param delegates: the child and those to try in its stead.
+    """
+
+    arc: Arc
+    delegates: tuple[VmId, ...]
+
+
+def split(
+    arc: Arc,
+    members: Iterable[VmId],
+    arity: int,
+) -> tuple[Branch, ...]:
+    """Divide an arc into at most ``arity`` branches that cover it.
+
+    The arcs, not lists of members, say who answers for whom: a member that
+    only the child knows of is still reached.
+    """
+    inside = _sort_from(
+        arc.start,
+        (found for found in members if arc.has(position_of(found))),
+    )
+    size = -(-len(inside) // arity) or 1
+    groups = [
+        inside[first : first + size] for first in range(0, len(inside), size)
+    ]
+    starts = [arc.start, *(position_of(group[0]) for group in groups[1:])]
+    ends = [*starts[1:], arc.start + arc.length]
+    return tuple(
+        Branch(
+            arc=Arc(start, _length(start, end, arc)),
+            delegates=tuple(group),
+        )
+        for start, end, group in zip(starts, ends, groups, strict=False)
+    )
+
+
+def _length(start: int, end: int, arc: Arc) -> int:
+    if start == arc.start and end == arc.start + arc.length:
+        return arc.length
+    return (end - start) % RING
+
+
+def _sort_from(start: int, members: Iterable[VmId]) -> Sequence[VmId]:
+    return sorted(members, key=lambda member: _distance(start, member))
+
+
+def _distance(start: int, member: VmId) -> int:
+    return (position_of(member) - start) % RING
+
+
+@lru_cache(maxsize=2**17)
+def _hash_of(purpose: str, member: str) -> int:
+    body = f'{purpose}|{member}'.encode()
+    return int.from_bytes(blake2b(body, digest_size=8).digest())
--- /dev/null
+++ b/libs/mesh/src/verbenamill_mesh/stats.py
@@ -0,0 +1,71 @@
+"""Counters of the mesh, for operators and for the bench."""
+
+from msgspec import Struct
+
+
+class Traffic(Struct):
+    """Messages of one kind and their bytes, without TCP's own."""
+
+    messages: int = 0
+    size: int = 0
+
+
+class MeshStats(Struct, kw_only=True):
+    """What the mesh has done since the daemon started.
+
+    :param sent: requests and answers sent, by kind.
+    :param received: requests and answers received, by kind.
+    :param log_requests: reads and appends at the log, by stream.
+    :param entries_first_from: records taken, by where each came from first:
+        ``log``, ``push`` or ``pull``.
+    :param links: open links to other daemons.
+    :param links_replaced: links closed since no answer came.
+    :param requests_dropped: requests given up since a peer's queue was full.
+    :param transfers: checkpoints, record pages and values served.
+    :param transfers_refused: those answered with an address to try.
+    :param gaps: pushes and pages that left out a record.
+    :param digest_clashes: peers with another state at the same offset.
+    :param members: members alive, own included.
+    :param tombstones: dead members remembered.
+    :param store_bytes: bytes of members and topics.
+    :param ready: whether the configuration is known to be caught up.
+    """
+
+    sent: dict[str, Traffic] = {}
+    received: dict[str, Traffic] = {}
+    log_requests: dict[str, int] = {}
+    entries_first_from: dict[str, int] = {}
+    links: int = 0
+    links_replaced: int = 0
+    requests_dropped: int = 0
+    transfers: int = 0
+    transfers_refused: int = 0
+    gaps: int = 0
+    digest_clashes: int = 0
+    members: int = 0
+    tombstones: int = 0
+    store_bytes: int = 0
+    ready: bool = False
+
+    def count_sent(self, kind: str, size: int) -> None:
+        """Count a message that went out."""
+        _count(self.sent, kind, size)
+
+    def count_received(self, kind: str, size: int) -> None:
+        """Count a message that came in."""
+        _count(self.received, kind, size)
+
+    def count_log(self, stream: str) -> None:
+        """Count a request to the log."""
+        self.log_requests[stream] = self.log_requests.get(stream, 0) + 1
+
+    def count_entries(self, origin: str, count: int) -> None:
+        """Count records by where they came from first."""
+        before = self.entries_first_from.get(origin, 0)
+        self.entries_first_from[origin] = before + count
+
+
+def _count(table: dict[str, Traffic], kind: str, size: int) -> None:
+    traffic = table.setdefault(kind, Traffic())
+    traffic.messages += 1
+    traffic.size += size
--- /dev/null
+++ b/libs/mesh/src/verbenamill_mesh/store.py
@@ -0,0 +1,224 @@
+"""A store of merged values with digests that find what differs.
+
+Two stores that hold the same have the same root. When roots differ, digests
+of buckets narrow the search to few keys, so the cost follows the difference
+and not the size of the store.
+"""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from hashlib import blake2b
+
+from msgspec import Struct
+
+BUCKETS = 256
+DIGEST_SIZE = 8
+#: Marks in one answer; more buckets follow in the next round.
+MAX_MARKS = 1024
+#: Keys remembered as dropped, so that a peer does not bring them back.
+MAX_DROPPED = 4096
+
+Merge = Callable[[bytes | None, bytes], bytes]
+
+
+class Update(Struct, frozen=True, array_like=True):
+    """One value of a topic."""
+
+    topic: str
+    key: str
+    value: bytes
+
+
+class Mark(Struct, frozen=True, array_like=True):
+    """A key and its value by their hashes."""
+
+    key: bytes
+    value: bytes
+
+
+def count_all(value: bytes) -> bool:
+    """Count every value in the digests."""
+    return True
+
+
+class _Topic(Struct):
+    merge: Merge
+    is_counted: Callable[[bytes], bool]
+    entries: dict[str, bytes]
+
+
+class Store:
+    """Values of several topics, merged by each topic's function."""
+
+    def __init__(self) -> None:
+        self._topics: dict[str, _Topic] = {}
+        self._marks: list[dict[bytes, bytes]] = [{} for _ in range(BUCKETS)]
+        self._digests = [0 for _ in range(BUCKETS)]
+        self._names: dict[bytes, tuple[str, str]] = {}
+        self._dropped: OrderedDict[bytes, None] = OrderedDict()
+        self._root: bytes | None = None
+
+    def add_topic(
+        self,
+        name: str,
+        merge: Merge,
+        *,
+        is_counted: Callable[[bytes], bool] = count_all,
+    ) -> None:
+        """Add a topic.
+
+        :param merge: commutative, associative and idempotent; equal values
+            have equal bytes.
+        :param is_counted: whether a value takes part in the digests. One
+            that does not is still told to peers that hold an older one.
+        """
+        assert name not in self._topics, f'topic {name} is there already'
+        self._topics[name] = _Topic(merge, is_counted, {})
+
+    def entries(self, topic: str) -> dict[str, bytes]:
+        """Values of a topic by key."""
+        return self._topics[topic].entries
+
+    def merge(self, update: Update) -> bool:
+        """Merge a value.
+
+        :returns: whether it changed what the store holds.
+        """
+        topic = self._topics.get(update.topic)
+        key = _key_of(update.topic, update.key)
+        if topic is None or key in self._dropped:
+            return False
+        held = topic.entries.get(update.key)
+        merged = topic.merge(held, update.value)
+        if merged == held:
+            return False
+        topic.entries[update.key] = merged
+        self._names[key] = (update.topic, update.key)
+        counted = topic.is_counted(merged)
+        self._mark(key, _hash_of(merged) if counted else None)
+        return True
+
+    def find_newer(self, update: Update) -> Update | None:
+        """What the store holds, when it differs from an update."""
+        topic = self._topics.get(update.topic)
+        if topic is None:
+            return None
+        held = topic.entries.get(update.key)
+        if held is None or held == update.value:
+            return None
+        return Update(update.topic, update.key, held)
+
+    def forget(self, topic: str, key: str) -> None:
+        """Remove a value; a peer that has it may bring it back."""
+        self._topics[topic].entries.pop(key, None)
+        hashed = _key_of(topic, key)
+        self._names.pop(hashed, None)
+        self._mark(hashed, None)
+
+    def drop(self, topic: str, keep: Callable[[str], bool]) -> None:
+        """Remove values for good; late copies of them are ignored."""
+        ended = [key for key in self._topics[topic].entries if not keep(key)]
+        for key in ended:
+            self.forget(topic, key)
+            self._dropped[_key_of(topic, key)] = None
+        while len(self._dropped) > MAX_DROPPED:
+            self._dropped.popitem(last=False)
+
+    def root(self) -> bytes:
+        """Digest over everything that is counted."""
+        if self._root is None:
+            self._root = _hash_of(self.buckets())
+        return self._root
+
+    def buckets(self) -> bytes:
+        """Digests of all buckets, one after the other."""
+        return b''.join(
+            digest.to_bytes(DIGEST_SIZE) for digest in self._digests
+        )
+
+    def differ(self, buckets: bytes) -> tuple[tuple[int, ...], list[Mark]]:
+        """Buckets that differ from a peer's, with the marks in them.
+
+        :returns: at least one bucket when any differs, and no further ones
+            beyond ``MAX_MARKS`` marks.
+        """
+        differing: list[int] = []
+        marks: list[Mark] = []
+        for bucket, digest in enumerate(self._digests):
+            place = bucket * DIGEST_SIZE
+            theirs = buckets[place : place + DIGEST_SIZE]
+            if digest.to_bytes(DIGEST_SIZE) == theirs:
+                continue
+            held = self._marks[bucket]
+            if differing and len(marks) + len(held) > MAX_MARKS:
+                break
+            differing.append(bucket)
+            marks.extend(Mark(key, mark) for key, mark in held.items())
+        return tuple(differing), marks
+
+    def plan(
+        self,
+        buckets: tuple[int, ...],
+        marks: tuple[Mark, ...],
+    ) -> tuple[list[bytes], list[Update]]:
+        """Work out an exchange from a peer's marks.
+
+        :returns: keys whose values to fetch, and values the peer lacks.
+        """
+        theirs = {mark.key: mark.value for mark in marks}
+        wanted = [
+            key
+            for key, mark in theirs.items()
+            if key not in self._dropped and self._mark_of(key) != mark
+        ]
+        lacking = [
+            key
+            for bucket in buckets
+            if bucket < BUCKETS
+            for key in self._marks[bucket]
+            if key not in theirs
+        ]
+        return wanted, self.look_up(tuple(lacking))
+
+    def look_up(self, keys: tuple[bytes, ...]) -> list[Update]:
+        """Values of keys, as far as the store has them."""
+        found = (self._names.get(key) for key in keys)
+        return [
+            Update(name[0], name[1], self._topics[name[0]].entries[name[1]])
+            for name in found
+            if name is not None
+        ]
+
+    def size(self) -> int:
+        """Bytes of all keys and values."""
+        return sum(
+            len(key) + len(value)
+            for topic in self._topics.values()
+            for key, value in topic.entries.items()
+        )
+
+    def _mark_of(self, key: bytes) -> bytes | None:
+        return self._marks[key[0]].get(key)
+
+    def _mark(self, key: bytes, value: bytes | None) -> None:
+        bucket = key[0]
+        marks = self._marks[bucket]
+        before = marks.pop(key, None)
+        self._root = None
+        if before is not None:
+            self._digests[bucket] ^= _join(key, before)
+        if value is not None:
+            marks[key] = value
+            self._digests[bucket] ^= _join(key, value)
+
+
+def _key_of(topic: str, key: str) -> bytes:
+    return _hash_of(f'{topic}|{key}'.encode())
+
+
+def _join(key: bytes, value: bytes) -> int:
+    return int.from_bytes(_hash_of(key + value))
+
+
+def _hash_of(body: bytes) -> bytes:
+    return blake2b(body, digest_size=DIGEST_SIZE).digest()
--- /dev/null
+++ b/libs/mesh/src/verbenamill_mesh/transport.py
@@ -0,0 +1,118 @@
+"""Requests and answers over pynng, behind a narrow interface.
+
+Tests put a transport in memory in its place, so that time can be theirs.
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import trio
+from pynng import Context, NNGException, Rep0, Req0
+from returns.result import Failure, Result, Success
+
+#: Requests that one daemon answers at a time.
+MAX_ANSWERING = 16
+#: Longest message; a compressed checkpoint is far below it.
+MAX_MESSAGE = 16 * 1024 * 1024
+
+#: Answers a request; ``None`` leaves it without an answer.
+Answering = Callable[[bytes], Awaitable[bytes | None]]
+
+
+class Link(Protocol):
+    """A connection to one other daemon; one request at a time."""
+
+    async def request(self, body: bytes) -> Result[bytes, str]:
+        """Send a request and wait for its answer, for ever if need be."""
+
+    def close(self) -> None:
+        """Close the connection."""
+
+
+class Transport(Protocol):
+    """How daemons reach each other."""
+
+    async def serve(
+        self,
+        address: str,
+        answering: Answering,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Answer requests until cancelled."""
+
+    def dial(self, address: str) -> Link:
+        """Begin a connection; it need not be up yet."""
+
+
+class PynngLink:
+    """A link over a ``Req0`` socket."""
+
+    def __init__(self, address: str) -> None:
+        self._socket = Req0(recv_max_size=MAX_MESSAGE)
+        try:
+            # A dial that blocks would hold up the whole loop while the
+            # peer's machine is off; this one goes on in the background.
+            self._socket.dial(_url(address), block=False)
+        except NNGException:
+            # Requests on the link fail, and a later dial may succeed.
+            self._socket.close()
+
+    async def request(self, body: bytes) -> Result[bytes, str]:
+        """Send a request and wait for its answer."""
+        try:
+            await self._socket.asend(body)
+            return Success(await self._socket.arecv())
+        except NNGException as error:
+            return Failure(repr(error))
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._socket.close()
+
+
+class PynngTransport:
+    """Daemons that reach each other over pynng's request and reply."""
+
+    async def serve(
+        self,
+        address: str,
+        answering: Answering,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Answer requests until cancelled.
+
+        :raises NNGException: when the address cannot be bound.
+        """
+        with Rep0(recv_max_size=MAX_MESSAGE) as socket:
+            socket.listen(_url(address))
+            async with trio.open_nursery() as nursery:
+                for _ in range(MAX_ANSWERING):
+                    nursery.start_soon(_answer, socket, answering)
+                task_status.started()
+
+    def dial(self, address: str) -> Link:
+        """Begin a connection."""
+        return PynngLink(address)
+
+
+async def _answer(socket: Rep0, answering: Answering) -> None:
+    with socket.new_context() as context:
+        while True:
+            await _answer_one(context, answering)
+
+
+async def _answer_one(context: Context, answering: Answering) -> None:
+    try:
+        reply = await answering(await context.arecv())
+        if reply is not None:
+            await context.asend(reply)
+    except NNGException:
+        # The asker has gone, or sent what is no message; the next request
+        # is not concerned. Without a pause a broken socket would spin.
+        await trio.sleep(0.01)
+
+
+def _url(address: str) -> str:
+    return address if '://' in address else f'tcp://{address}'
