--- a/libs/bench/src/verbenamill_bench/calls_made.py
+++ b/libs/bench/src/verbenamill_bench/calls_made.py
@@ -14,8 +14,7 @@
 )
 
 #: Header in which a daemon says what is known of a call that it refused.
-FATE = 'verbenamill-fate'
-NOT_RUN = 'not-run'
+OUTCOME = 'verbenamill-outcome'
 
 
 @unique
@@ -64,6 +63,7 @@
     ending: Ending
     status: int = 0
     version: str = ''
+    upstream: str = ''
 
 
 def judge(call_id: str, plan: CallPlan, reply: Reply) -> Ending:
@@ -72,10 +72,9 @@
         return _FAULTS[reply.fault]
     message = reply.message
     assert message is not None, 'a reply has a message or a fault'
-    if message.headers.get(FATE) == NOT_RUN:
-        return Ending.NOT_RUN
-    if FATE in message.headers:
-        return Ending.UNKNOWN
+    outcome = message.headers.get(OUTCOME)
+    if outcome is not None:
+        return Ending(outcome)
     if message.status >= 300:
         return Ending.FAILED
     is_right = (
--- a/libs/bench/src/verbenamill_bench/load.py
+++ b/libs/bench/src/verbenamill_bench/load.py
@@ -11,7 +11,7 @@
 import trio
 
 from verbenamill_bench.calls_made import CallMade, CallPlan, judge
-from verbenamill_standins import REQUEST_ID, Caller
+from verbenamill_standins import REQUEST_ID, UPSTREAM, Caller
 
 
 class Load:
@@ -69,7 +69,7 @@
             body=plan.body,
             timeout=plan.timeout,
         )
-        message = reply.message
+        headers = {} if reply.message is None else reply.message.headers
         self.calls.append(
             CallMade(
                 id=call_id,
@@ -78,9 +78,8 @@
                 intended=due,
                 latency=trio.current_time() - due,
                 ending=judge(call_id, plan, reply),
-                status=0 if message is None else message.status,
-                version=''
-                if message is None
-                else message.headers.get('x-version', ''),
+                status=0 if reply.message is None else reply.message.status,
+                version=headers.get('x-version', ''),
+                upstream=headers.get(UPSTREAM, ''),
             ),
         )
--- a/libs/bench/tests/test_calls_made.py
+++ b/libs/bench/tests/test_calls_made.py
@@ -43,8 +43,8 @@
         (answer(**{**RIGHT, 'x_request_id': 'c-2'}), Ending.WRONG),
         (answer(**{**RIGHT, 'x_answer_digest': 'cut'}), Ending.WRONG),
         (answer(status=500, **RIGHT), Ending.FAILED),
-        (answer(status=503, verbenamill_fate='not-run'), Ending.NOT_RUN),
-        (answer(status=504, verbenamill_fate='unknown'), Ending.UNKNOWN),
+        (answer(status=503, verbenamill_outcome='not-run'), Ending.NOT_RUN),
+        (answer(status=504, verbenamill_outcome='unknown'), Ending.UNKNOWN),
         (Reply(fault=CallFault.BROKEN), Ending.BROKEN),
     ],
 )
--- a/libs/standins/src/verbenamill_standins/__init__.py
+++ b/libs/standins/src/verbenamill_standins/__init__.py
@@ -4,15 +4,22 @@
 from verbenamill_standins.caller import Caller, CallFault, Reply
 from verbenamill_standins.http_messages import Message, digest_body
 from verbenamill_standins.log_server import LogService, make_log_app
-from verbenamill_standins.upstream_server import REQUEST_ID, UpstreamServer
+from verbenamill_standins.relay import Relay
+from verbenamill_standins.upstream_server import (
+    REQUEST_ID,
+    UPSTREAM,
+    UpstreamServer,
+)
 
 __all__ = (
     'REQUEST_ID',
+    'UPSTREAM',
     'Behaviour',
     'CallFault',
     'Caller',
     'LogService',
     'Message',
+    'Relay',
     'Reply',
     'UpstreamServer',
     'digest_body',
--- a/libs/standins/src/verbenamill_standins/upstream.py
+++ b/libs/standins/src/verbenamill_standins/upstream.py
@@ -88,6 +88,7 @@
 async def _run(settings: UpstreamSettings, journal: BinaryIO | None) -> None:
     server = UpstreamServer(
         version=settings.version,
+        address=settings.listen,
         slots=settings.slots,
         behaviour=settings.behaviour,
         random=Random(settings.seed),
--- a/libs/standins/src/verbenamill_standins/upstream_server.py
+++ b/libs/standins/src/verbenamill_standins/upstream_server.py
@@ -20,6 +20,8 @@
 
 #: Header by which a caller names a call; echoed in the answer.
 REQUEST_ID = 'x-request-id'
+#: Header that tells which upstream answered.
+UPSTREAM = 'x-upstream'
 _JSON = {'content-type': 'application/json'}
 
 
@@ -66,6 +68,7 @@
     """Serves calls over HTTP/1.1 on trio.
 
     :param version: told in the ``x-version`` header of each answer.
+    :param address: told in its ``x-upstream`` header.
     :param slots: calls it works on at a time.
     :param journal: unbuffered file that gets the id of each call before it
         runs, so that a killed upstream's calls are still known.
@@ -75,12 +78,14 @@
         self,
         *,
         version: str,
+        address: str = '',
         slots: int,
         behaviour: Behaviour,
         random: Random,
         journal: BinaryIO | None = None,
     ) -> None:
         self._version = version
+        self._address = address
         self._slots = slots
         self._behaviour = behaviour
         self._random = random
@@ -230,6 +235,7 @@
         headers = {
             'x-version': self._version,
             REQUEST_ID: call_id,
+            UPSTREAM: self._address,
             'x-body-digest': asked.digest,
         }
         if plan.fails:
--- a/libs/standins/tests/test_upstream.py
+++ b/libs/standins/tests/test_upstream.py
@@ -7,10 +7,12 @@
 import pytest
 import trio
 
+from verbenamill_bench.ports import free_ports
 from verbenamill_standins import (
     Behaviour,
     Caller,
     CallFault,
+    Relay,
     UpstreamServer,
     digest_body,
 )
@@ -122,3 +124,31 @@
             assert sorted(statuses) == [200, 503]
 
     trio.run(main)
+
+
+def test_silenced_connection_answers_nothing_while_new_ones_work():
+    """Something between the two ends has lost track of a connection.
+
+    The caller's kept connection stays open and mute; a new one to the same
+    address works.
+    """
+
+    async def main():
+        async with serving() as (target, caller):
+            relay = Relay(target)
+            listen = next(free_ports(Random(7)))
+            async with trio.open_nursery() as nursery:
+                await nursery.start(relay.serve, listen)
+                first = await caller.call(listen, 'GET', '/x', headers={})
+                assert first.message.status == 200
+                relay.silence()
+                mute = await caller.call(
+                    listen, 'GET', '/x', headers={}, timeout=0.2
+                )
+                assert mute.fault is CallFault.TIMEOUT
+                fresh = await caller.call(listen, 'GET', '/x', headers={})
+                assert fresh.message.status == 200
+                await caller.aclose()
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
