Read a ticket file whole, with every fault at once

msgspec stops at the first fault and words it for programmers: 'Invalid ISO8601 duration' for "3s", and a deadline without an offset passed the reader. Files are now read field by field with the same fault type as settings, which moves into the model; read_ticket had no other user.

--- a/libs/cli/src/verbenamill_cli/tickets.py
+++ b/libs/cli/src/verbenamill_cli/tickets.py
@@ -40,10 +40,11 @@
             ),
         )
     return read_ticket(text).alt(
-        lambda reason: CliError(
+        lambda faults: CliError(
             code=ExitCode.FAULTY,
-            message=f'{path}: {reason}',
-            action='correct the file; examples/ has annotated tickets',
+            message=f'{path} is no ticket; {len(faults)} to correct',
+            action='correct them all; examples/ has annotated tickets',
+            faults=tuple(map(str, faults)),
         ),
     )
 
--- a/libs/model/src/verbenamill_model/__init__.py
+++ b/libs/model/src/verbenamill_model/__init__.py
@@ -16,8 +16,8 @@
     digest_state,
     encode_record,
     encode_state,
-    read_ticket,
 )
+from verbenamill_model.faults import Fault
 from verbenamill_model.state import (
     AuditEntry,
     Move,
@@ -27,6 +27,7 @@
     State,
     Verdict,
 )
+from verbenamill_model.ticket_file import read_ticket
 from verbenamill_model.tickets import (
     Record,
     Route,
@@ -41,6 +42,7 @@
     'AuditEntry',
     'Changed',
     'Entry',
+    'Fault',
     'Move',
     'Record',
     'Refusal',
--- a/libs/model/src/verbenamill_model/codec.py
+++ b/libs/model/src/verbenamill_model/codec.py
@@ -1,4 +1,4 @@
-"""Encoding of records, states and tickets; the codec is msgspec's."""
+"""Encoding of records and states; the codec is msgspec's."""
 
 import hashlib
 from datetime import datetime
@@ -60,14 +60,6 @@
     return hashlib.blake2b(body, digest_size=16).hexdigest()
 
 
-def read_ticket(text: str) -> Result[Ticket, str]:
-    """Read a ticket from TOML, or say what is wrong with it."""
-    try:
-        return Success(msgspec.toml.decode(text, type=Ticket))
-    except msgspec.MsgspecError as error:
-        return Failure(f'ticket cannot be read: {error}')
-
-
 def as_plain(value: Any) -> Any:
     """Turn messages into plain values for ``--json``."""
     return msgspec.to_builtins(value, str_keys=True)
--- a/libs/platform/src/verbenamill_platform/settings.py
+++ b/libs/platform/src/verbenamill_platform/settings.py
@@ -15,6 +15,7 @@
 from msgspec import Struct
 from returns.result import Failure, Result, Success
 
+from verbenamill_model.faults import Fault
 from verbenamill_model.typing import AvailabilityZone, Region, VmId
 from verbenamill_platform.addresses import Address, parse_address
 from verbenamill_platform.settings_fields import (
@@ -27,7 +28,7 @@
     as_duration,
     as_integer,
 )
-from verbenamill_platform.settings_reader import SettingsFault, read_sections
+from verbenamill_platform.settings_reader import read_sections
 
 
 @unique
@@ -169,7 +170,7 @@
 
 def check_settings(
     text: str,
-) -> Result[Settings, tuple[SettingsFault, ...]]:
+) -> Result[Settings, tuple[Fault, ...]]:
     """Check the text of a settings file whole.
 
     :returns: the settings, or every fault.
@@ -177,7 +178,7 @@
     try:
         document: Mapping[str, Any] = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
-        fault = SettingsFault(key='', expected=f'TOML: {error}')
+        fault = Fault(key='', expected=f'TOML: {error}')
         return Failure((fault,))
     sections, faults = read_sections(Settings, document)
     if faults:
@@ -208,10 +209,10 @@
     }
 
 
-def _find_shared_addresses(listen: ListenSettings) -> list[SettingsFault]:
+def _find_shared_addresses(listen: ListenSettings) -> list[Fault]:
     pairs = combinations(_addresses(listen, '').items(), 2)
     return [
-        SettingsFault(
+        Fault(
             key=f'listen.{name}',
             found=f'"{address}"',
             expected=f'a port that listen.{other} does not use',
@@ -221,11 +222,11 @@
     ]
 
 
-def _find_unreachable(listen: ListenSettings) -> list[SettingsFault]:
+def _find_unreachable(listen: ListenSettings) -> list[Fault]:
     """Addresses that the other daemons would be told but cannot use."""
     told = _addresses(listen, 'advertise_')
     missing = [
-        SettingsFault(
+        Fault(
             key=f'listen.advertise_{name}',
             expected=(
                 'the address that others reach, since '
@@ -236,7 +237,7 @@
         if address.is_wildcard and name not in told
     ]
     unusable = [
-        SettingsFault(
+        Fault(
             key=f'listen.advertise_{name}',
             found=f'"{address}"',
             expected='one IP number and a port above 0',
@@ -247,7 +248,7 @@
     return [*missing, *unusable]
 
 
-def _find_loopback(settings: Settings) -> list[SettingsFault]:
+def _find_loopback(settings: Settings) -> list[Fault]:
     """A daemon on loopback that is to join daemons on other machines."""
     told = parse_address(settings.listen.told_control)
     seeds = map(parse_address, settings.mesh.seeds)
@@ -255,7 +256,7 @@
     if remote is None or not told.is_loopback:
         return []
     return [
-        SettingsFault(
+        Fault(
             key='listen.control',
             found=f'"{told}"',
             expected=(
@@ -266,13 +267,13 @@
     ]
 
 
-def _find_contradictions(settings: Settings) -> list[SettingsFault]:
+def _find_contradictions(settings: Settings) -> list[Fault]:
     faults = []
     calls = settings.calls
     if calls.shutdown_timeout <= calls.queue_timeout:
         # Calls that wait for a slot would be cut by a graceful stop.
         faults.append(
-            SettingsFault(
+            Fault(
                 key='calls.shutdown_timeout',
                 found=f'{calls.shutdown_timeout.total_seconds():g}s',
                 expected=(
@@ -285,7 +286,7 @@
     if settings.test.switches and not admin.is_loopback:
         # Whoever reaches the admin address could cut the mesh apart.
         faults.append(
-            SettingsFault(
+            Fault(
                 key='test.switches',
                 found='true',
                 expected=(
--- a/libs/platform/src/verbenamill_platform/settings_fields.py
+++ b/libs/platform/src/verbenamill_platform/settings_fields.py
@@ -10,19 +10,13 @@
 
 from msgspec import Meta
 
+from verbenamill_model.durations import parse_duration
 from verbenamill_platform.addresses import parse_address
 
 #: Reads a value of the file; raises ValueError when it does not fit.
 Reader = Callable[[Any], Any]
 
 _NAME = re.compile('[A-Za-z0-9][A-Za-z0-9._-]{0,99}')
-_DURATION = re.compile(r'(\d+(?:\.\d+)?)(ms|s|m|h)')
-_UNITS = {
-    'ms': timedelta(milliseconds=1),
-    's': timedelta(seconds=1),
-    'm': timedelta(minutes=1),
-    'h': timedelta(hours=1),
-}
 
 
 def _setting(expected: str, read: Reader) -> Meta:
@@ -52,17 +46,6 @@
     return found
 
 
-def parse_duration(found: Any) -> timedelta:
-    """Read a number with a unit, such as ``250ms`` or ``3s``.
-
-    :raises ValueError: when it is none.
-    """
-    match = _DURATION.fullmatch(found) if isinstance(found, str) else None
-    if match is None:
-        raise ValueError
-    return float(match[1]) * _UNITS[match[2]]
-
-
 Name = _setting(
     'a name of up to 100 letters, digits, ".", "_" and "-", in quotes',
     _read_name,
--- a/libs/platform/tests/test_settings.py
+++ b/libs/platform/tests/test_settings.py
@@ -45,7 +45,7 @@
         + '[calls]\nqueue_timeout = 3\nqueue_length = "64"\n[lgo]\n',
     )
     assert faults == [
-        'lgo = a section: expected no such key; did you mean log?',
+        'lgo = a table: expected no such key; did you mean log?',
         'vm.reigon = "tx-central": expected no such key; did you mean region?',
         'vm.region: missing; expected a name of up to 100 letters, digits, '
         '".", "_" and "-", in quotes',
