Join the libraries into verbenamilld

Cause: each library stood alone. Change: wiring, admin API, metrics, graceful stop, verdicts and audit lines written to the log; limits of calls from the settings file.

--- /dev/null
+++ b/libs/daemon/src/verbenamill_daemon/daemon.py
@@ -0,0 +1,306 @@
+"""Joins the libraries into the one process beside an upstream."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from datetime import timedelta
+from random import Random
+from typing import Any
+
+import trio
+from msgspec.structs import asdict
+
+from verbenamill_calls import (
+    CallContext,
+    CallServer,
+    LocalUpstream,
+)
+from verbenamill_daemon.admin import (
+    AdminContext,
+    Status,
+    build_app,
+    serve_admin,
+)
+from verbenamill_daemon.events import Event
+from verbenamill_daemon.limits import read_limits
+from verbenamill_daemon.logs import log
+from verbenamill_daemon.metrics import build_registry
+from verbenamill_daemon.moving import Moving, is_running
+from verbenamill_daemon.settings import Settings
+from verbenamill_daemon.settling import AuditWriter, Settler
+from verbenamill_mesh import Configuration, Mesh
+from verbenamill_model import State
+from verbenamill_model.traffic import Member
+from verbenamill_model.typing import VmId
+from verbenamill_platform import Announcement, Clock, HttpLog
+
+#: How often the state of the own upstream is looked at.
+WATCH_PERIOD = timedelta(milliseconds=200)
+#: Time for the other daemons to hear that this one is leaving. They stop
+#: sending within 3 s at the latest; most hear of it at once.
+LEAVE_GRACE = timedelta(seconds=1)
+
+
+@dataclass
+class Daemon:
+    """The parts of one daemon, and the order in which they start and stop.
+
+    Made by :func:`build_daemon`.
+    """
+
+    settings: Settings
+    configuration: Configuration
+    mesh: Mesh
+    local: LocalUpstream
+    server: CallServer
+    moving: Moving
+    audit: AuditWriter
+    platform_log: HttpLog
+    me: Callable[[], Member]
+
+    async def run(self, stopping: trio.Event) -> None:
+        """Serve until told to stop, then stop without cutting a request.
+
+        :param stopping: set by the signal handler.
+        """
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._run_mesh)
+            await nursery.start(self._run_admin)
+            await nursery.start(self._run_calls)
+            nursery.start_soon(self.moving.run)
+            nursery.start_soon(self.audit.run)
+            nursery.start_soon(self._watch_upstream)
+            nursery.start_soon(self._watch_configuration)
+            log(Event.STARTED, id=self.me().id)
+            await stopping.wait()
+            log(Event.STOPPING, id=self.me().id)
+            await self._stop()
+            nursery.cancel_scope.cancel()
+        await self.platform_log.aclose()
+        log(Event.STOPPED, id=self.me().id)
+
+    def status(self) -> Status:
+        """What this daemon runs, for the operators."""
+        state = self.configuration.state
+        member = self.me()
+        return Status(
+            id=member.id,
+            availability_zone=member.availability_zone,
+            offset=state.offset,
+            version=state.snapshot.version,
+            digest=self.configuration.head().digest,
+            ready=self.mesh.ready,
+            members=len(self.mesh.members()),
+            moves=len(self.moving.running()),
+        )
+
+    async def _run_mesh(
+        self,
+        *,
+        task_status: trio.TaskStatus[None],
+    ) -> None:
+        await self.mesh.run(task_status=task_status)
+
+    async def _run_calls(
+        self,
+        *,
+        task_status: trio.TaskStatus[list[trio.SocketListener]],
+    ) -> None:
+        host, port = split_address(self.settings.listen.calls)
+        listeners = await trio.open_tcp_listeners(port, host=host)
+        await self.server.serve(listeners, task_status=task_status)
+
+    async def _run_admin(
+        self,
+        *,
+        task_status: trio.TaskStatus[None],
+    ) -> None:
+        allow_cut = self.settings.test.switches
+        context = AdminContext(
+            status=self.status,
+            state=lambda: self.configuration.state,
+            members=self.mesh.members,
+            moves=self._describe_moves,
+            calls=self.server.stats,
+            announce=self._announce,
+            registry=build_registry(
+                gauges=self._gauges,
+                counters=self._counters,
+            ),
+            cut=self.mesh.cut if allow_cut else None,
+        )
+        await serve_admin(
+            build_app(context),
+            self.settings.listen.admin,
+            task_status=task_status,
+        )
+
+    def _announce(self, announcement: Announcement) -> None:
+        self.local.announce(announcement)
+        self._tell_upstream()
+
+    def _tell_upstream(self) -> None:
+        upstream = self.local.upstream()
+        if upstream != self.me().upstream:
+            log(Event.UPSTREAM_CHANGED, upstream=repr(upstream))
+            self.mesh.announce(upstream)
+
+    async def _watch_upstream(self) -> None:
+        while True:
+            self._tell_upstream()
+            await trio.sleep(WATCH_PERIOD.total_seconds())
+
+    async def _watch_configuration(self) -> None:
+        before = self.configuration.state
+        while True:
+            await self.configuration.wait_beyond(before.offset)
+            after = self.configuration.state
+            _log_change(before, after)
+            before = after
+
+    async def _stop(self) -> None:
+        # Others go on choosing this daemon until they hear that it leaves;
+        # closed at once, its port would refuse their calls. So it tells
+        # them first and serves on until they have heard.
+        await self.mesh.leave()
+        await trio.sleep(LEAVE_GRACE.total_seconds())
+        await self.local.drain()
+        await self.server.stop()
+
+    def _describe_moves(self) -> list[Any]:
+        states = self.moving.states()
+        return [
+            {
+                'move': move,
+                'state': states.get(move.id),
+                'shares': self.moving.shares(move.service),
+            }
+            for move in self.moving.running()
+        ]
+
+    def _gauges(self) -> dict[str, float]:
+        status = self.status()
+        return {
+            'config_offset': status.offset,
+            'config_version': status.version,
+            'ready': float(status.ready),
+            'members': status.members,
+            'moves_running': status.moves,
+        }
+
+    def _counters(self) -> dict[str, float]:
+        return {
+            name: figure
+            for name, figure in _numbers(self.server.stats(), 'calls')
+        } | {
+            name: figure for name, figure in _numbers(self.mesh.stats(), 'mesh')
+        }
+
+
+def _log_change(before: State, after: State) -> None:
+    if after.snapshot.version > before.snapshot.version:
+        log(Event.CONFIGURATION_APPLIED, version=after.snapshot.version)
+    for refusal in after.refusals:
+        if refusal.offset > before.offset:
+            log(
+                Event.CONFIGURATION_REFUSED,
+                offset=refusal.offset,
+                reason=refusal.reason,
+            )
+    for verdict in after.verdicts:
+        if verdict.offset > before.offset:
+            log(
+                Event.MOVE_SETTLED,
+                move=verdict.move.id,
+                service=verdict.move.service,
+                text=f'{verdict.kind.value}: {verdict.reason}',
+            )
+
+
+def _numbers(stats: Any, prefix: str) -> list[tuple[str, float]]:
+    """Numeric fields of a Struct, also of one level of dicts in it."""
+    figures: list[tuple[str, float]] = []
+    for name, value in asdict(stats).items():
+        if isinstance(value, int | float):
+            figures.append((f'{prefix}_{name}', value))
+        elif isinstance(value, dict):
+            figures.extend(
+                (f'{prefix}_{name}_{key}'.replace('-', '_'), part)
+                for key, part in value.items()
+            )
+    return figures
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``host:port``; the settings have checked its form."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
+
+
+def build_daemon(
+    settings: Settings,
+    *,
+    clock: Clock,
+    random: Random,
+) -> Daemon:
+    """Make the parts of a daemon from its settings; nothing runs yet."""
+    member = Member(
+        id=settings.vm.id,
+        availability_zone=settings.vm.availability_zone,
+        region=settings.vm.region,
+        control=settings.listen.told_control,
+        calls=settings.listen.told_calls,
+        admin=settings.listen.told_admin,
+        # A restarted daemon has to win over what the others remember of it.
+        # It keeps nothing, so its incarnation comes from the wall clock.
+        incarnation=int(clock.now().timestamp() * 1000),
+    )
+    configuration = Configuration()
+    platform_log = HttpLog(settings.log.url)
+    mesh = Mesh(
+        member=member,
+        seeds=settings.mesh.seeds,
+        clock=clock,
+        configuration=configuration,
+        log=platform_log,
+        random=random,
+    )
+
+    def me() -> Member:
+        return mesh.members()[VmId(settings.vm.id)]
+
+    audit = AuditWriter(platform_log, random=random)
+    moving = Moving(
+        member=me,
+        mesh=mesh,
+        configuration=configuration,
+        settler=Settler(
+            platform_log,
+            running=lambda record: is_running(configuration, record),
+            read_to=lambda: configuration.state.offset,
+            random=random,
+        ),
+        audit=audit,
+        clock=clock,
+    )
+    context = CallContext(
+        member=me,
+        snapshot=lambda: configuration.snapshot,
+        members=mesh.members,
+        shares=moving.shares,
+        observe=moving.observe,
+        clock=clock,
+        random=random,
+    )
+    limits = read_limits(settings.calls)
+    local = LocalUpstream(context, limits)
+    return Daemon(
+        settings=settings,
+        configuration=configuration,
+        mesh=mesh,
+        local=local,
+        server=CallServer(context, local, limits),
+        moving=moving,
+        audit=audit,
+        platform_log=platform_log,
+        me=me,
+    )
--- /dev/null
+++ b/libs/daemon/src/verbenamill_daemon/main.py
@@ -0,0 +1,68 @@
+"""``verbenamilld``: starts the daemon from a settings file."""
+
+import signal
+from pathlib import Path
+from random import SystemRandom
+from typing import Annotated
+
+import trio
+import typer
+from returns.result import Failure, Success
+
+from verbenamill_daemon.daemon import Daemon, build_daemon
+from verbenamill_daemon.events import Event
+from verbenamill_daemon.logs import log, set_up_logs
+from verbenamill_daemon.settings import (
+    LoggingSettings,
+    Settings,
+    load_settings,
+)
+from verbenamill_platform import SystemClock
+
+BAD_SETTINGS = 2
+
+
+def run(
+    config: Annotated[
+        Path,
+        typer.Option(help='Settings file in TOML; see examples/.'),
+    ],
+) -> None:
+    """Run the daemon beside an upstream until SIGTERM or SIGINT."""
+    match load_settings(config):
+        case Success(settings):
+            _run(settings)
+        case Failure(faults):
+            set_up_logs(LoggingSettings())
+            for fault in faults:
+                log(Event.SETTINGS_FAULT, path=config, fault=fault)
+            raise typer.Exit(BAD_SETTINGS)
+
+
+def _run(settings: Settings) -> None:
+    set_up_logs(settings.logging)
+    daemon = build_daemon(
+        settings,
+        clock=SystemClock(),
+        random=SystemRandom(),
+    )
+    trio.run(_run_until_signal, daemon)
+
+
+async def _run_until_signal(daemon: Daemon) -> None:
+    stopping = trio.Event()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_watch_signals, stopping)
+        await daemon.run(stopping)
+        nursery.cancel_scope.cancel()
+
+
+async def _watch_signals(stopping: trio.Event) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as received:
+        async for _ in received:
+            stopping.set()
+
+
+def main() -> None:
+    """Entry point of ``verbenamilld``."""
+    typer.run(run)
--- /dev/null
+++ b/libs/daemon/src/verbenamill_daemon/moving.py
@@ -0,0 +1,193 @@
+"""The daemon's part in moves: evidence out, decisions in, steps taken."""
+
+from collections.abc import Callable
+from datetime import timedelta
+
+import trio
+
+from verbenamill_daemon.events import Event
+from verbenamill_daemon.logs import log
+from verbenamill_daemon.settling import AuditWriter, Settler
+from verbenamill_mesh import Configuration, Mesh
+from verbenamill_model import Move, VerdictRecord
+from verbenamill_model.traffic import Member, Observation, Shares
+from verbenamill_model.typing import Offset, ServiceName, VmId
+from verbenamill_moves import (
+    REPORT_KIND,
+    TOPIC,
+    Decider,
+    Evidence,
+    MoveState,
+    Note,
+    Publish,
+    Settle,
+    decider_of,
+    decode_move_states,
+    encode_move_state,
+    merge_states,
+    move_key,
+    shares,
+)
+from verbenamill_platform import Clock
+from verbenamill_platform.streams import AuditLine
+
+#: Time between two reports of an owner, and two steps of a decider.
+PERIOD = timedelta(milliseconds=500)
+
+
+class Moving:
+    """Joins evidence, decisions and the mesh for the running moves.
+
+    :param member: this daemon as the others see it.
+    """
+
+    def __init__(
+        self,
+        *,
+        member: Callable[[], Member],
+        mesh: Mesh,
+        configuration: Configuration,
+        settler: Settler,
+        audit: AuditWriter,
+        clock: Clock,
+    ) -> None:
+        self._member = member
+        self._mesh = mesh
+        self._configuration = configuration
+        self._settler = settler
+        self._audit = audit
+        self._clock = clock
+        me = member()
+        self._evidence = Evidence(incarnation=me.incarnation)
+        self._decider = Decider(
+            vm=me.id,
+            availability_zone=me.availability_zone,
+        )
+        self._encoded: dict[str, bytes] = {}
+        self._states: dict[Offset, MoveState] = {}
+        mesh.add_topic(TOPIC, merge_states)
+        mesh.handle(REPORT_KIND, self._decider.receive)
+
+    def observe(self, observation: Observation) -> None:
+        """Count one call that this owner saw end."""
+        self._evidence.observe(observation)
+
+    def shares(self, name: ServiceName) -> Shares:
+        """Share of each version in the calls that arrive here."""
+        service = self._configuration.snapshot.services[name]
+        if service.move is None:
+            return {service.version: 1}
+        return shares(
+            service,
+            self.states().get(service.move.id),
+            availability_zone=self._member().availability_zone,
+            now=self._clock.now(),
+        )
+
+    def running(self) -> list[Move]:
+        """The moves that run, oldest first."""
+        services = self._configuration.snapshot.services.values()
+        moves = (known.move for known in services if known.move is not None)
+        return sorted(moves, key=_move_id)
+
+    def states(self) -> dict[Offset, MoveState]:
+        """What is known of each move, by its id.
+
+        Every call asks for it, so it is decoded again only after a change.
+        """
+        encoded = self._mesh.entries(TOPIC)
+        if encoded != self._encoded:
+            self._encoded = dict(encoded)
+            self._states = decode_move_states(encoded)
+        return self._states
+
+    async def run(self) -> None:
+        """Report and decide until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                self._report()
+                self._decide(nursery)
+                self._forget()
+                await trio.sleep(PERIOD.total_seconds())
+
+    def _report(self) -> None:
+        member = self._member()
+        if member.upstream is None:
+            return
+        service = self._configuration.snapshot.services.get(
+            member.upstream.service,
+        )
+        if service is None or service.move is None:
+            return
+        decider = self._decider_of(service.move)
+        report = self._evidence.report()
+        if decider is not None and report is not None:
+            self._mesh.send(decider, REPORT_KIND, report)
+
+    def _decider_of(self, move: Move) -> VmId | None:
+        return decider_of(
+            move,
+            self._member().availability_zone,
+            self._mesh.members(),
+        )
+
+    def _decide(self, nursery: trio.Nursery) -> None:
+        actions = self._decider.step(
+            snapshot=self._configuration.snapshot,
+            states=self.states(),
+            members=self._mesh.members(),
+            now=self._clock.now(),
+        )
+        for action in actions:
+            match action:
+                case Publish(move=move, state=state):
+                    body = encode_move_state(state)
+                    self._mesh.put(TOPIC, move_key(move), body)
+                case Settle(record=record):
+                    nursery.start_soon(self._settler.settle, record)
+                case Note():
+                    self._note(action)
+
+    def _note(self, note: Note) -> None:
+        log(
+            Event.MOVE_STAGE,
+            move=note.move,
+            service=note.service,
+            text=note.text,
+        )
+        self._audit.add(
+            AuditLine(
+                at=note.at,
+                vm=self._member().id,
+                move=note.move,
+                service=note.service,
+                text=note.text,
+            ),
+        )
+
+    def _forget(self) -> None:
+        # A state is kept until its verdict is in this daemon's own
+        # configuration. Dropped sooner, a veto would be forgotten by a
+        # daemon that still runs the move, and the bad version would get
+        # traffic again. An id newer than the configuration is kept too: its
+        # ticket is still on the way.
+        offset = self._configuration.state.offset
+        running = {move_key(move.id) for move in self.running()}
+        self._mesh.drop(
+            TOPIC,
+            lambda key: int(key) > offset or key in running,
+        )
+
+
+def is_running(configuration: Configuration, record: VerdictRecord) -> bool:
+    """Whether the move of a verdict still waits for one."""
+    known = configuration.snapshot.services.get(record.service)
+    return (
+        known is not None
+        and known.move is not None
+        and known.move.id == record.move
+    )
+
+
+def _move_id(move: Move) -> Offset:
+    return move.id
--- a/libs/platform/src/verbenamill_platform/settings.py
+++ b/libs/platform/src/verbenamill_platform/settings.py
@@ -108,7 +108,7 @@
 
     :param max_body_bytes: longest request body that is taken.
     :param max_connections: open connections from callers and daemons.
-    :param queue_length: calls that wait for a slot of the upstream.
+    :param queue_factor: calls that may wait for each slot of the upstream.
     :param queue_timeout: longest such wait before the call is shed.
     :param remembered_requests: finished request ids that are kept.
     :param shutdown_timeout: longest a graceful stop waits for calls.
@@ -116,12 +116,12 @@
 
     max_body_bytes: Annotated[int, as_integer(1, 1 << 30)] = 64 << 20
     max_connections: Annotated[int, as_integer(1, 100_000)] = 2000
-    queue_length: Annotated[int, as_integer(0, 10_000)] = 64
+    queue_factor: Annotated[int, as_integer(0, 100)] = 4
     queue_timeout: Annotated[
         timedelta,
         as_duration(timedelta(milliseconds=1), timedelta(minutes=1)),
-    ] = timedelta(seconds=1)
-    remembered_requests: Annotated[int, as_integer(1, 1_000_000)] = 4096
+    ] = timedelta(milliseconds=250)
+    remembered_requests: Annotated[int, as_integer(1, 1_000_000)] = 50_000
     shutdown_timeout: Annotated[
         timedelta,
         as_duration(timedelta(seconds=1), timedelta(minutes=10)),
--- a/libs/platform/tests/test_settings.py
+++ b/libs/platform/tests/test_settings.py
@@ -42,14 +42,14 @@
     """
     faults = faults_of(
         GOOD.replace('region = "tx-central"', 'reigon = "tx-central"')
-        + '[calls]\nqueue_timeout = 3\nqueue_length = "64"\n[lgo]\n',
+        + '[calls]\nqueue_timeout = 3\nqueue_factor = "64"\n[lgo]\n',
     )
     assert faults == [
         'lgo = a table: expected no such key; did you mean log?',
         'vm.reigon = "tx-central": expected no such key; did you mean region?',
         'vm.region: missing; expected a name of up to 100 letters, digits, '
         '".", "_" and "-", in quotes',
-        'calls.queue_length = "64": expected a whole number from 0 to 10000',
+        'calls.queue_factor = "64": expected a whole number from 0 to 100',
         'calls.queue_timeout = 3: expected a number with a unit '
         '(ms, s, m, h) in quotes, such as "3s", from 0.001s to 60s',
     ]
