Bring about the mesh's failures on a mock clock

Dead readers, silent connections, lost pushes, a zone without the log, a cut zone, a zone in halves, stale seeds, expired and left-out records, a paused checkpoint writer, and half a zone that returns at once.

--- a/libs/mesh/src/verbenamill_mesh/testing.py
+++ b/libs/mesh/src/verbenamill_mesh/testing.py
@@ -230,6 +230,41 @@
         )
 
 
+class LogView:
+    """One availability zone's way to a log, which may be cut.
+
+    :param log: shared with the other availability zones.
+    """
+
+    def __init__(self, log: MemoryLog) -> None:
+        self._log = log
+        self.is_down = False
+
+    async def append(
+        self,
+        stream: str,
+        body: bytes,
+    ) -> Result[Offset, LogError]:
+        """Append one record and learn its offset."""
+        if self.is_down:
+            return Failure(LogError(fault=LogFault.NOT_TAKEN, detail='cut'))
+        return await self._log.append(stream, body)
+
+    async def read(
+        self,
+        stream: str,
+        start: Offset,
+        *,
+        limit: int = 500,
+        wait: timedelta = timedelta(0),
+    ) -> Result[LogPage, LogError]:
+        """Read records from an offset; wait for one when there is none."""
+        page = await self._log.read(stream, start, limit=limit, wait=wait)
+        if self.is_down:
+            return Failure(LogError(fault=LogFault.UNAVAILABLE, detail='cut'))
+        return page
+
+
 async def wait_until(
     condition: Callable[[], bool],
     *,
--- /dev/null
+++ b/libs/mesh/tests/test_failures.py
@@ -0,0 +1,426 @@
+"""What breaks between daemons, and what callers must not see of it."""
+
+from datetime import timedelta
+
+import msgspec
+import trio
+from returns.result import Failure, Success
+
+from verbenamill_mesh import CHECKPOINTS, CONFIG, Configuration
+from verbenamill_mesh.checkpoints import CheckpointRecord
+from verbenamill_mesh.testing import EPOCH, LogView, MemoryLog, wait_until
+from verbenamill_model import Entry
+from verbenamill_model.traffic import Upstream
+from verbenamill_platform import LogPage
+
+WITHIN_3_S = timedelta(seconds=3)
+WITHIN_10_S = timedelta(seconds=10)
+
+
+def upstream(state):
+    return Upstream(
+        service='entries', version='v1', state=state, slots=16, connections=130
+    )
+
+
+async def start_zone(fleet, zone, size, **options):
+    for place in range(size):
+        await fleet.start(f'{zone}-{place}', zone=zone, **options)
+
+
+async def start_two_zones(fleet, size=4, logs=None):
+    logs = logs or {}
+    for zone in 'ab':
+        await start_zone(
+            fleet, zone, size, seeds=('a-0', 'b-0'), log=logs.get(zone)
+        )
+    await wait_until(lambda: fleet.all_know(2 * size))
+    await wait_until(lambda: all(d.mesh.ready for d in daemons_of(fleet)))
+
+
+def daemons_of(fleet, zone=''):
+    return [
+        daemon
+        for name, daemon in fleet.daemons.items()
+        if name.startswith(zone)
+    ]
+
+
+def is_reader(daemon):
+    return daemon.mesh.stats().log_requests.get(CONFIG, 0) > 0
+
+
+def test_both_readers_die_and_tickets_go_on(run_fleet):
+    """An operator publishes just after both log readers of a zone died.
+
+    The others still take the dead ones for the readers; nothing reads until
+    they count as dead. Then the next two in rank read, and the ticket is in
+    force, with the zone's callers served from the old state meanwhile.
+    """
+
+    async def scenario(fleet):
+        await start_zone(fleet, 'a', 6, seeds=('a-0',))
+        await wait_until(lambda: fleet.all_know(6))
+        await wait_until(lambda: all(d.mesh.ready for d in daemons_of(fleet)))
+        for name in [n for n, d in fleet.daemons.items() if is_reader(d)]:
+            fleet.kill(name)
+        assert len(fleet.daemons) < 6
+        offset = fleet.publish()
+        await wait_until(
+            lambda: fleet.all_at(offset), within=timedelta(seconds=30)
+        )
+
+    run_fleet(scenario)
+
+
+def test_silent_connections_are_replaced(run_fleet):
+    """Every open connection goes silent for good while new ones work.
+
+    A daemon that waited on its links would miss all later tickets. Each
+    request that is not answered closes its link and goes over a new one.
+    """
+
+    async def scenario(fleet):
+        await start_two_zones(fleet)
+        fleet.network.silence_links()
+        offset = fleet.publish()
+        fleet.daemons['a-1'].mesh.announce(upstream('draining'))
+        await wait_until(lambda: fleet.all_at(offset), within=WITHIN_3_S)
+        await wait_until(
+            lambda: all(
+                d.mesh.members()['a-1'].upstream is not None
+                for d in daemons_of(fleet)
+            ),
+            within=WITHIN_3_S,
+        )
+        await trio.sleep(20)
+        assert fleet.all_know(8), 'nobody counts as dead'
+
+    run_fleet(scenario)
+
+
+def test_draining_is_known_in_time_though_pushes_are_lost(run_fleet):
+    """Most messages of the tree are lost while an upstream begins to drain.
+
+    Callers' daemons that were not told would go on giving it work. Probes
+    carry a digest of all members, and mend the rest in a few periods.
+    """
+
+    async def scenario(fleet):
+        await start_two_zones(fleet, size=8)
+        deaf = {'a-2', 'a-3', 'a-5', 'b-1', 'b-2', 'b-4', 'b-6'}
+        fleet.network.is_lost = lambda _, target: target in deaf
+        fleet.daemons['a-1'].mesh.announce(upstream('draining'))
+        await trio.sleep(0.8)
+        fleet.network.is_lost = lambda *_: False
+        await wait_until(
+            lambda: all(
+                d.mesh.members()['a-1'].upstream is not None
+                for d in daemons_of(fleet)
+            ),
+            within=timedelta(seconds=2.2),
+        )
+
+    run_fleet(scenario)
+
+
+def test_a_daemon_that_leaves_is_gone_at_once(run_fleet):
+    async def scenario(fleet):
+        await start_two_zones(fleet)
+        await fleet.daemons['a-1'].mesh.leave()
+        await wait_until(
+            lambda: (
+                not any('a-1' in d.mesh.members() for d in daemons_of(fleet))
+            ),
+            within=timedelta(seconds=1),
+        )
+        fleet.kill('a-1')
+        await trio.sleep(5)
+        await fleet.start('a-1', zone='a', seeds=('a-0',))
+        await wait_until(lambda: fleet.all_know(8))
+
+    run_fleet(scenario)
+
+
+def test_a_zone_without_the_log_converges_by_another(run_fleet):
+    """Zone b loses the log, but not zone a.
+
+    Its readers fail, and its proxies would keep the old configuration for
+    as long as the outage. Gateways of zone a tell how far they are, and
+    those of zone b fetch and push what they lack.
+    """
+
+    async def scenario(fleet):
+        logs = {'b': LogView(fleet.log)}
+        await start_two_zones(fleet, logs=logs)
+        logs['b'].is_down = True
+        await trio.sleep(10)
+        for _ in range(3):
+            offset = fleet.publish()
+            await wait_until(lambda: fleet.all_at(offset), within=WITHIN_3_S)
+
+    run_fleet(scenario)
+
+
+def test_the_log_goes_down_after_one_reader_has_the_change(run_fleet):
+    async def scenario(fleet):
+        logs = {zone: LogView(fleet.log) for zone in 'ab'}
+        await start_two_zones(fleet, logs=logs)
+        logs['b'].is_down = True
+        offset = fleet.publish()
+        await wait_until(
+            lambda: any(d.offset == offset for d in daemons_of(fleet)),
+            step=timedelta(milliseconds=1),
+        )
+        fleet.log.is_down = True
+        await wait_until(lambda: fleet.all_at(offset), within=WITHIN_3_S)
+
+    run_fleet(scenario)
+
+
+def test_a_cut_zone_serves_on_and_mends_after(run_fleet):
+    """Zone b is cut off from everyone and from the log.
+
+    It keeps what it has and its own members; once back it has all tickets
+    and all changes of upstreams, though no push was ever repeated.
+    """
+
+    async def scenario(fleet):
+        logs = {'b': LogView(fleet.log)}
+        await start_two_zones(fleet, logs=logs)
+        first = fleet.publish()
+        await wait_until(lambda: fleet.all_at(first))
+        logs['b'].is_down = True
+        for daemon in daemons_of(fleet, 'b'):
+            daemon.mesh.cut(frozenset('a'))
+        offset = fleet.publish()
+        fleet.daemons['b-1'].mesh.put('moves', 'm', b'veto')
+        await trio.sleep(60)
+        assert {d.offset for d in daemons_of(fleet, 'b')} == {first}
+        assert all(d.mesh.entries('moves') for d in daemons_of(fleet, 'b')), (
+            'a veto spreads inside the cut zone'
+        )
+        assert not any(d.mesh.entries('moves') for d in daemons_of(fleet, 'a'))
+        for daemon in daemons_of(fleet, 'b'):
+            daemon.mesh.cut(frozenset())
+        await wait_until(lambda: fleet.all_at(offset), within=WITHIN_10_S)
+        await wait_until(
+            lambda: all(d.mesh.entries('moves') for d in daemons_of(fleet)),
+            within=WITHIN_10_S,
+        )
+
+    run_fleet(scenario)
+
+
+def test_halves_of_a_zone_find_each_other_again(run_fleet):
+    """A zone splits for so long that each half holds the other for dead.
+
+    Nobody probes the dead, so after the partition each half would live on
+    alone. Now and then each daemon tries someone it holds for dead, who
+    then refutes it under a higher incarnation.
+    """
+
+    async def scenario(fleet):
+        await start_zone(fleet, 'a', 8, seeds=('a-0',))
+        await wait_until(lambda: fleet.all_know(8))
+        fleet.network.is_lost = lambda source, target: (
+            (source < 'a-4') != (target < 'a-4')
+        )
+        await wait_until(lambda: fleet.all_know(4))
+        fleet.network.is_lost = lambda *_: False
+        await wait_until(lambda: fleet.all_know(8))
+
+    run_fleet(scenario)
+
+
+def test_stale_seeds_do_not_keep_a_daemon_out(run_fleet):
+    """Every daemon that the seeds name was replaced.
+
+    A fresh daemon would stay alone. It looks up addresses that the mesh
+    keeps on the log.
+    """
+
+    async def scenario(fleet):
+        await start_zone(fleet, 'a', 4, seeds=('a-0',))
+        await trio.sleep(20)
+        await fleet.start('late', zone='b', seeds=('gone-1', 'gone-2'))
+        await wait_until(lambda: fleet.all_know(5))
+
+    run_fleet(scenario)
+
+
+def test_a_lone_daemon_without_the_log_is_not_ready(run_fleet):
+    async def scenario(fleet):
+        fleet.log.is_down = True
+        alone = await fleet.start('a-0', zone='a', seeds=('a-1',))
+        await trio.sleep(60)
+        assert not alone.mesh.ready
+        fleet.log.is_down = False
+        await wait_until(lambda: alone.mesh.ready)
+
+    run_fleet(scenario)
+
+
+def test_all_daemons_are_replaced_after_records_expired(run_fleet):
+    """All VMs are replaced, and the log has lost its oldest records.
+
+    Without a checkpoint the new ones would have to start from a later
+    record and run a state that lacks services.
+    """
+
+    async def scenario(fleet):
+        await start_two_zones(fleet)
+        for _ in range(100):
+            offset = fleet.publish()
+            await trio.sleep(0.5)
+        await wait_until(lambda: fleet.all_at(offset))
+        before = fleet.daemons['a-0'].configuration.head()
+        for name in tuple(fleet.daemons):
+            fleet.kill(name)
+        fresh = await fleet.start('new', zone='a', seeds=('a-0',))
+        await wait_until(lambda: fresh.mesh.ready)
+        assert fresh.configuration.head() == before
+
+    run_fleet(scenario, log=MemoryLog(kept=40))
+
+
+def test_expired_records_are_never_skipped(run_fleet):
+    """The oldest records have expired and there is no checkpoint.
+
+    Reading on from the oldest record left would give a state that no other
+    daemon has. The daemon says so, serves what it has and is not ready.
+    """
+
+    async def scenario(fleet):
+        for _ in range(20):
+            fleet.publish()
+        alone = await fleet.start('a-0', zone='a', seeds=())
+        await trio.sleep(60)
+        assert alone.offset == -1
+        assert not alone.mesh.ready
+
+    run_fleet(scenario, log=MemoryLog(kept=10))
+
+
+def test_a_paused_writer_leaves_an_old_checkpoint(run_fleet):
+    """A writer wakes from a pause and appends what it had prepared.
+
+    Its checkpoint comes last on the stream but is of an older state; a
+    fresh daemon that took the last one would ask for expired records.
+    """
+
+    async def scenario(fleet):
+        writer = await fleet.start('a-0', zone='a', seeds=())
+        fleet.publish()
+        await wait_until(lambda: writer.offset == 0)
+        old = msgspec_record(writer.configuration)
+        for _ in range(40):
+            offset = fleet.publish()
+            await trio.sleep(1)
+        await trio.sleep(90)
+        fleet.kill('a-0')
+        fleet.log.put(CHECKPOINTS, old)
+        fresh = await fleet.start('a-1', zone='a', seeds=())
+        await wait_until(lambda: fresh.mesh.ready)
+        assert fresh.offset == offset
+
+    run_fleet(scenario, log=MemoryLog(kept=20))
+
+
+def msgspec_record(configuration):
+    return msgspec.msgpack.encode(
+        CheckpointRecord(
+            offset=configuration.state.offset, body=configuration.checkpoint()
+        )
+    )
+
+
+class HolesLog(MemoryLog):
+    """A log that leaves out a record."""
+
+    hole = 3
+
+    async def read(self, stream, start, **options):
+        page = await super().read(stream, start, **options)
+        if stream != CONFIG or isinstance(page, Failure):
+            return page
+        whole = page.unwrap()
+        entries = tuple(e for e in whole.entries if e.offset != self.hole)
+        return Success(
+            LogPage(entries=entries, oldest=whole.oldest, end=whole.end)
+        )
+
+
+def test_a_record_that_the_log_left_out_is_not_skipped(run_fleet):
+    async def scenario(fleet):
+        daemon = await fleet.start('a-0', zone='a', seeds=())
+        for _ in range(6):
+            fleet.publish()
+        await trio.sleep(20)
+        assert daemon.offset == 2
+        assert daemon.mesh.stats().gaps > 0
+        fleet.log.hole = None
+        await wait_until(lambda: daemon.offset == 5)
+
+    run_fleet(scenario, log=HolesLog())
+
+
+def test_half_a_zone_returns_at_once(run_fleet):
+    """Half of a zone dies and comes back with nothing, all at one moment.
+
+    Each fetches the state and the table from someone. The survivors serve
+    a bounded number each second and send the others on, so none of them
+    carries the herd alone.
+    """
+
+    async def scenario(fleet):
+        await start_zone(fleet, 'a', 24, seeds=('a-0', 'a-1'))
+        await wait_until(lambda: fleet.all_know(24))
+        for _ in range(30):
+            fleet.publish()
+            await trio.sleep(0.1)
+        for place in range(12, 24):
+            fleet.kill(f'a-{place}')
+        await wait_until(lambda: fleet.all_know(12))
+        offset = fleet.publish()
+        served = transfers_of(fleet)
+        for place in range(12, 24):
+            await fleet.start(f'a-{place}', zone='a', seeds=('a-0', 'a-1'))
+        await wait_until(lambda: fleet.all_at(offset), within=WITHIN_10_S)
+        await wait_until(lambda: fleet.all_know(24))
+        grown = [
+            count - served.get(name, 0)
+            for name, count in transfers_of(fleet).items()
+        ]
+        assert max(grown) <= 20, grown
+
+    run_fleet(scenario)
+
+
+def transfers_of(fleet):
+    return {
+        name: daemon.mesh.stats().transfers
+        for name, daemon in fleet.daemons.items()
+    }
+
+
+def test_a_configuration_takes_nothing_older():
+    """Entries that come twice, late or with a gap between them."""
+    configuration = Configuration()
+    entries = tuple(
+        Entry(offset=place, at=EPOCH, body=b'broken') for place in range(4)
+    )
+    assert not configuration.take(entries[1:])
+    assert configuration.state.offset == -1
+    assert configuration.take(entries[:2])
+    old = configuration.checkpoint()
+    assert configuration.take(entries[::-1])
+    assert configuration.take(entries[:1])
+    assert configuration.restore(old).unwrap().offset == 3
+    assert configuration.state.offset == 3
+    assert configuration.tail(1, 10) == entries[2:]
+    assert isinstance(configuration.restore(old[:-5]), Failure)
+    fresh = Configuration()
+    fresh.restore(configuration.checkpoint())
+    assert fresh.head() == configuration.head()
+    assert fresh.tail(1, 10) is None
