verbenamill-bench calls: added latency, throughput and faults

Load generators are processes of their own, open loop, latency from the time a call was due. Not run against a daemon yet.

--- a/libs/bench/src/verbenamill_bench/demo.py
+++ b/libs/bench/src/verbenamill_bench/demo.py
@@ -5,8 +5,6 @@
 from collections.abc import Awaitable, Callable
 from datetime import UTC, datetime, timedelta
 from functools import cached_property
-from pathlib import Path
-from random import Random
 from typing import Any
 
 import msgspec
@@ -29,7 +27,7 @@
     open_fleet,
     poll,
 )
-from verbenamill_bench.load import Load
+from verbenamill_bench.load import Load, LoadSpec
 from verbenamill_bench.process import BIN
 from verbenamill_standins import Behaviour
 
@@ -71,7 +69,6 @@
 
     def __init__(self, fleet: Fleet) -> None:
         self.fleet = fleet
-        self.journals: list[Path] = []
         self.tickets = 0
         self._started = trio.current_time()
 
@@ -116,22 +113,23 @@
     def load(self) -> Load:
         """Calls of both kinds to all daemons."""
         return Load(
-            'demo',
-            [daemon.calls for daemon in self.fleet.daemons],
-            PLANS,
-            rate=RATE,
-            random=Random(0),
+            LoadSpec(
+                name='demo',
+                targets=tuple(daemon.calls for daemon in self.fleet.daemons),
+                plans=PLANS,
+                seconds=RUN_LIMIT,
+                rate=RATE,
+            ),
         )
 
     def upstream(self, index: int, version: str, behaviour: Behaviour) -> None:
         """Start an upstream beside a daemon."""
-        started = self.fleet.add_upstream(
+        self.fleet.add_upstream(
             self.fleet.daemons[index],
             SERVICE,
             version,
             behaviour=behaviour,
         )
-        self.journals.append(started.journal)
 
 
 async def start(demo: Demo) -> Result[None, str]:
@@ -248,7 +246,7 @@
                 if isinstance(result, Failure):
                     return result
             demo.say(f'sending {RATE} calls a second through all daemons')
-            nursery.start_soon(demo.load.run, RUN_LIMIT)
+            nursery.start_soon(demo.load.run)
             for step in STEPS:
                 result = await step(demo)
                 if isinstance(result, Failure):
@@ -338,7 +336,7 @@
     calls = demo.load.calls
     endings = Counter(call.ending.value for call in calls)
     demo.say(f'{len(calls)} calls: {dict(sorted(endings.items()))}')
-    broken = find_broken(calls, read_journals(demo.journals))
+    broken = find_broken(calls, read_journals(demo.fleet.journals))
     if broken.total:
         return Failure(f'promises to callers were broken: {broken}')
     bad = [
--- a/libs/bench/src/verbenamill_bench/fleet.py
+++ b/libs/bench/src/verbenamill_bench/fleet.py
@@ -16,11 +16,13 @@
 
 from verbenamill_bench.ports import free_ports
 from verbenamill_bench.process import Process
-from verbenamill_standins import Behaviour
+from verbenamill_standins import Behaviour, Relay
 
 #: Longest that a process may take to stop when asked, in seconds.
 STOP_TIMEOUT = 20.0
 START_TIMEOUT = 20.0
+#: Daemons of each availability zone that are in all settings' seeds.
+SEEDS = 2
 _POLL = 0.05
 _SETTINGS = """\
 [vm]
@@ -32,6 +34,7 @@
 calls = "{calls}"
 control = "{control}"
 admin = "{admin}"
+{advertise}
 
 [log]
 url = "{log_url}"
@@ -58,8 +61,24 @@
     ready: bool
 
 
+class _Plan(Struct, kw_only=True, frozen=True):
+    id: str
+    availability_zone: str
+    calls: str
+    control: str
+    admin: str
+
+    @property
+    def is_seed(self) -> bool:
+        """Whether every daemon's settings name it: two a zone."""
+        return int(self.id.rsplit('-', 1)[1]) <= SEEDS
+
+
 class Daemon(Struct, kw_only=True):
-    """A daemon process and its addresses."""
+    """A daemon process and its addresses.
+
+    :param relay: what the other daemons reach its ``calls`` through.
+    """
 
     id: str
     availability_zone: str
@@ -67,6 +86,7 @@
     control: str
     admin: str
     process: Process
+    relay: Relay | None = None
 
     @property
     def admin_url(self) -> str:
@@ -83,18 +103,32 @@
     daemon: Daemon
     process: Process
     journal: Path
+    slots: int
+    connections: int
 
 
 class Fleet:
     """The processes of one run, with their files in one directory.
 
+    :param nursery: runs relays.
     :param seed: decides on ports; other runs on the machine get others.
     """
 
-    def __init__(self, directory: Path, *, seed: int | None = None) -> None:
+    def __init__(
+        self,
+        directory: Path,
+        nursery: trio.Nursery,
+        *,
+        seed: int | None = None,
+    ) -> None:
         self.directory = directory
+        self._nursery = nursery
         self.daemons: list[Daemon] = []
         self.upstreams: list[Upstream] = []
+        #: Journals of all upstreams, also of those that have ended.
+        self.journals: list[Path] = []
+        #: Load generators, so that none outlives the run.
+        self.callers: list[Process] = []
         self.log_address = ''
         self.client = httpx.AsyncClient(timeout=5, trust_env=False)
         self._ports = free_ports(Random(seed))
@@ -131,46 +165,24 @@
         zones: dict[str, int],
         *,
         level: str = 'info',
-        seeds_per_zone: int = 2,
+        relayed: bool = False,
     ) -> list[Daemon]:
         """Start daemons without waiting for them.
 
         :param zones: number of daemons by availability zone.
-        :param seeds_per_zone: daemons of each zone in all settings' seeds.
+        :param relayed: whether they reach each other's ``calls`` through a
+            relay that can fall silent.
         """
         planned = [
-            (f'{zone}-{number}', zone, *self._addresses())
+            self._plan(f'{zone}-{number}', zone)
             for zone, count in zones.items()
             for number in range(1, count + 1)
         ]
-        seeds = [
-            control
-            for name, zone, _, control, _ in planned
-            if int(name.removeprefix(f'{zone}-')) <= seeds_per_zone
+        seeds = [plan.control for plan in planned if plan.is_seed]
+        started = [
+            self._start_daemon(plan, seeds, level=level, relayed=relayed)
+            for plan in planned
         ]
-        started = []
-        for name, zone, calls, control, admin in planned:
-            text = _SETTINGS.format(
-                id=name,
-                availability_zone=zone,
-                region='loopback',
-                calls=calls,
-                control=control,
-                admin=admin,
-                log_url=self.log_url,
-                seeds=', '.join(f'"{seed}"' for seed in seeds),
-                level=level,
-            )
-            started.append(
-                Daemon(
-                    id=name,
-                    availability_zone=zone,
-                    calls=calls,
-                    control=control,
-                    admin=admin,
-                    process=self._start_daemon(name, text),
-                ),
-            )
         self.daemons += started
         return started
 
@@ -201,8 +213,12 @@
             daemon=daemon,
             process=Process(name, command, self.directory / f'{name}.out'),
             journal=journal,
+            slots=slots,
+            connections=connections,
         )
         self.upstreams.append(started)
+        if journal not in self.journals:
+            self.journals.append(journal)
         return started
 
     async def wait_ready(
@@ -327,18 +343,53 @@
     def _processes(self) -> list[Process]:
         found = [upstream.process for upstream in self.upstreams]
         found += [daemon.process for daemon in self.daemons]
+        found += self.callers
         return found if self._log is None else [*found, self._log]
 
-    def _addresses(self) -> tuple[str, str, str]:
-        return next(self._ports), next(self._ports), next(self._ports)
+    def _plan(self, name: str, zone: str) -> '_Plan':
+        return _Plan(
+            id=name,
+            availability_zone=zone,
+            calls=next(self._ports),
+            control=next(self._ports),
+            admin=next(self._ports),
+        )
 
-    def _start_daemon(self, name: str, settings: str) -> Process:
-        path = self.directory / f'{name}.toml'
-        path.write_text(settings)
-        return Process(
-            name,
+    def _start_daemon(
+        self,
+        plan: '_Plan',
+        seeds: list[str],
+        *,
+        level: str,
+        relayed: bool,
+    ) -> Daemon:
+        relay: Relay | None = None
+        advertise = ''
+        if relayed:
+            told = next(self._ports)
+            relay = Relay(plan.calls)
+            self._nursery.start_soon(relay.serve, told)
+            advertise = f'advertise_calls = "{told}"'
+        path = self.directory / f'{plan.id}.toml'
+        path.write_text(
+            _SETTINGS.format(
+                **msgspec.structs.asdict(plan),
+                region='loopback',
+                advertise=advertise,
+                log_url=self.log_url,
+                seeds=', '.join(f'"{seed}"' for seed in seeds),
+                level=level,
+            ),
+        )
+        process = Process(
+            plan.id,
             ['verbenamilld', '--config', str(path)],
-            self.directory / f'{name}.out',
+            self.directory / f'{plan.id}.out',
+        )
+        return Daemon(
+            **msgspec.structs.asdict(plan),
+            process=process,
+            relay=relay,
         )
 
     async def _known(self, daemon: Daemon) -> set[tuple[str, str]]:
@@ -396,14 +447,16 @@
     Its directory is removed, unless :func:`keep_files` was called.
     """
     directory = Path(tempfile.mkdtemp(prefix='verbenamill-'))
-    fleet = Fleet(directory, seed=seed)
-    try:
-        yield fleet
-    finally:
-        with trio.CancelScope(shield=True):
-            await fleet.end()
-        if not (directory / _KEEP).exists():
-            shutil.rmtree(directory)
+    async with trio.open_nursery() as nursery:
+        fleet = Fleet(directory, nursery, seed=seed)
+        try:
+            yield fleet
+        finally:
+            with trio.CancelScope(shield=True):
+                await fleet.end()
+            if not (directory / _KEEP).exists():
+                shutil.rmtree(directory)
+        nursery.cancel_scope.cancel()
 
 
 _KEEP = 'keep'
--- a/libs/bench/src/verbenamill_bench/main.py
+++ b/libs/bench/src/verbenamill_bench/main.py
@@ -1,10 +1,17 @@
 """The command ``verbenamill-bench``."""
 
+from functools import partial
+from pathlib import Path
+from typing import Annotated
+
 import trio
 import typer
 from returns.result import Failure
 
+from verbenamill_bench.calls_bench import measure_calls
 from verbenamill_bench.demo import run_demo
+from verbenamill_bench.load_process import run_caller
+from verbenamill_bench.printing import print_report
 
 app = typer.Typer(
     help='Demo and measurements of verbenamill on real processes.',
@@ -26,6 +33,35 @@
         raise typer.Exit(1)
 
 
+AsJson = Annotated[bool, typer.Option('--json', help='Print JSON.')]
+
+
+@app.command('calls')
+def calls_command(
+    seconds: Annotated[
+        float,
+        typer.Option(min=5, help='Length of each load.'),
+    ] = 8,
+    only: Annotated[
+        str,
+        typer.Option(help='Only experiments with this text in the name.'),
+    ] = '',
+    as_json: AsJson = False,
+) -> None:
+    """Measure what the mesh adds to a call, and count broken promises."""
+    report = trio.run(partial(measure_calls, seconds=seconds, only=only))
+    print_report(report, as_json=as_json)
+    is_broken = any(known.broken.total for known in report.experiments)
+    if report.failures or is_broken:
+        raise typer.Exit(1)
+
+
+@app.command('caller', hidden=True)
+def caller_command(spec: Path, calls: Path) -> None:
+    """Send the calls of a specification; the benches start it."""
+    run_caller(spec, calls)
+
+
 def main() -> None:
     """Entry point."""
     app()
--- /dev/null
+++ b/libs/bench/src/verbenamill_bench/setup.py
@@ -0,0 +1,107 @@
+"""Starting a mesh with a service that is ready to take calls."""
+
+from datetime import timedelta
+
+import msgspec
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from verbenamill_bench.fleet import Fleet, Upstream
+from verbenamill_model import (
+    Route,
+    Service,
+    Ticket,
+    TicketRecord,
+    encode_record,
+)
+from verbenamill_model.typing import (
+    Priority,
+    RouteName,
+    ServiceName,
+    TicketNumber,
+    VersionName,
+)
+from verbenamill_standins import Behaviour
+
+SERVICE = ServiceName('entries')
+VERSION = VersionName('v1')
+CALL_TIMEOUT = timedelta(seconds=5)
+
+
+class _Appended(msgspec.Struct):
+    offset: int
+
+
+async def publish(fleet: Fleet, ticket: Ticket) -> Result[int, str]:
+    """Append a ticket to the log; its offset."""
+    response = await fleet.client.post(
+        f'{fleet.log_url}/streams/config/records',
+        content=encode_record(TicketRecord(ticket=ticket)),
+    )
+    if response.is_error:
+        return Failure(f'the log answered {response.status_code}')
+    appended = msgspec.json.decode(response.content, type=_Appended)
+    return Success(appended.offset)
+
+
+def first_ticket() -> Ticket:
+    """A service with lookups and fees first, and photos after them."""
+    return Ticket(
+        number=TicketNumber(1),
+        author='bench',
+        services=(Service(name=SERVICE, version=VERSION),),
+        routes=(
+            Route(
+                name=RouteName('entries'),
+                prefix='/entries',
+                service=SERVICE,
+                priority=Priority.HIGH,
+                timeout=CALL_TIMEOUT,
+            ),
+            Route(
+                name=RouteName('photos'),
+                prefix='/photos',
+                service=SERVICE,
+                priority=Priority.BULK,
+                timeout=CALL_TIMEOUT,
+            ),
+        ),
+    )
+
+
+async def start_mesh(
+    fleet: Fleet,
+    zones: dict[str, int],
+    *,
+    behaviour: Behaviour,
+    slots: int = 16,
+    relayed: bool = False,
+) -> Result[list[Upstream], str]:
+    """Start a log, daemons, an upstream beside each, and the service."""
+    logged = await fleet.start_log()
+    if not is_successful(logged):
+        return Failure(logged.failure())
+    fleet.add_daemons(zones, relayed=relayed)
+    ready = await fleet.wait_ready()
+    if not is_successful(ready):
+        return Failure(ready.failure())
+    upstreams = [
+        fleet.add_upstream(
+            daemon,
+            SERVICE,
+            VERSION,
+            behaviour=behaviour,
+            slots=slots,
+        )
+        for daemon in fleet.daemons
+    ]
+    published = await publish(fleet, first_ticket())
+    if not is_successful(published):
+        return Failure(published.failure())
+    for waited in (
+        await fleet.wait_version(published.unwrap()),
+        await fleet.wait_upstreams(),
+    ):
+        if not is_successful(waited):
+            return Failure(waited.failure())
+    return Success(upstreams)
--- a/libs/bench/tests/test_fleet.py
+++ b/libs/bench/tests/test_fleet.py
@@ -14,7 +14,8 @@
     read_journals,
 )
 from verbenamill_bench.fleet import Daemon, open_fleet
-from verbenamill_bench.load import Load
+from verbenamill_bench.load import LoadSpec
+from verbenamill_bench.load_process import run_callers
 from verbenamill_bench.ports import free_ports
 from verbenamill_bench.process import Process
 from verbenamill_standins import Behaviour, Caller
@@ -48,10 +49,14 @@
             )
             await wait_open(upstream.address)
             plan = CallPlan(method='POST', path='/fees', body=b'x', once=True)
-            load = Load(
-                'fee', [upstream.address], [plan], rate=50, random=Random(1)
+            spec = LoadSpec(
+                name='fee',
+                targets=(upstream.address,),
+                plans=(plan,),
+                seconds=0.5,
+                rate=50,
             )
-            calls = await load.run(0.5)
+            calls = (await run_callers(fleet, [spec])).unwrap()
             assert {call.ending for call in calls} == {Ending.OK}
             assert await fleet.stop() == Success(None)
             runs = read_journals([upstream.journal])
