--- a/libs/cli/src/verbenamill_cli/audit.py
+++ b/libs/cli/src/verbenamill_cli/audit.py
@@ -12,6 +12,10 @@
 from verbenamill_platform.streams import AuditLine
 
 
+#: Above every offset, for entries that have none.
+MAX_OFFSET = 1 << 63
+
+
 class TrailEntry(Struct, frozen=True, kw_only=True):
     """One thing that happened.
 
@@ -105,7 +109,8 @@
 
 
 def _time_of(entry: TrailEntry) -> tuple[datetime, int]:
-    return entry.at, -1 if entry.offset is None else entry.offset
+    # A step follows the record of the same moment that made it possible.
+    return entry.at, MAX_OFFSET if entry.offset is None else entry.offset
 
 
 def select(
--- a/libs/cli/src/verbenamill_cli/publish.py
+++ b/libs/cli/src/verbenamill_cli/publish.py
@@ -25,6 +25,7 @@
     accept,
     decode_record,
     encode_record,
+    find_faults,
 )
 from verbenamill_model.typing import Offset, TicketNumber
 from verbenamill_platform import LogError, LogFault
@@ -63,7 +64,8 @@
             return Failure(error)
     match predict(known, ticket, now=now):
         case Refusal() as refusal:
-            return Failure(_refused(ticket, refusal))
+            faults = find_faults(known.state.snapshot, ticket, now)
+            return Failure(_refused(ticket, faults or (refusal.reason,)))
         case Repeated():
             return Success(_repeated(known, ticket))
     return await _append(log, known, ticket)
@@ -143,7 +145,7 @@
         case Repeated():
             return Success(_repeated(history, ticket))
         case Refusal() as refusal:
-            return Failure(_refused(ticket, refusal))
+            return Failure(_refused(ticket, (refusal.reason,)))
 
 
 def _moves_begun(history: History, offset: Offset) -> tuple[Move, ...]:
@@ -173,14 +175,15 @@
     )
 
 
-def _refused(ticket: Ticket, refusal: Refusal) -> CliError:
+def _refused(ticket: Ticket, reasons: tuple[str, ...]) -> CliError:
     return CliError(
         code=ExitCode.REFUSED,
-        message=f'ticket {ticket.number} refused: {refusal.reason}',
+        message=f'ticket {ticket.number} is refused',
         action=(
             'nothing was changed; correct the ticket, look at it with '
             '`verbenamill ticket diff FILE`, and publish it again'
         ),
+        faults=reasons,
     )
 
 
