Daemon: verdicts and audit lines survive the log's faults

Cause: a line dropped from a full queue while another was being written took the wrong line with it; pending lines were lost at a graceful stop. Change: the line in hand is kept apart, a stop waits up to 2 s for the rest.

--- a/libs/daemon/src/verbenamill_daemon/daemon.py
+++ b/libs/daemon/src/verbenamill_daemon/daemon.py
@@ -38,6 +38,8 @@
 #: Time for the other daemons to hear that this one is leaving. They stop
 #: sending within 3 s at the latest; most hear of it at once.
 LEAVE_GRACE = timedelta(seconds=1)
+#: Time for the last lines of the audit trail to reach the log.
+FLUSH_LIMIT = timedelta(seconds=2)
 
 
 @dataclass
@@ -165,6 +167,7 @@
         await trio.sleep(LEAVE_GRACE.total_seconds())
         await self.local.drain()
         await self.server.stop()
+        await self.audit.flush(FLUSH_LIMIT)
 
     def _describe_moves(self) -> list[Any]:
         states = self.moving.states()
--- a/libs/daemon/src/verbenamill_daemon/settling.py
+++ b/libs/daemon/src/verbenamill_daemon/settling.py
@@ -16,6 +16,7 @@
 
 FIRST_WAIT = timedelta(milliseconds=200)
 LONGEST_WAIT = timedelta(seconds=10)
+FLUSH_POLL = timedelta(milliseconds=20)
 #: Audit lines kept while the log is away; the oldest go first.
 MAX_LINES = 1000
 
@@ -97,20 +98,34 @@
         self._log = log
         self._random = random
         self._lines: deque[AuditLine] = deque(maxlen=MAX_LINES)
+        self._written: AuditLine | None = None
         self._added = trio.Event()
 
+    @property
+    def waiting(self) -> int:
+        """Lines that are not on the log yet."""
+        return len(self._lines) + (self._written is not None)
+
     def add(self, line: AuditLine) -> None:
         """Queue a line; never waits."""
         self._lines.append(line)
         self._added.set()
 
+    async def flush(self, limit: timedelta) -> None:
+        """Wait until all lines are on the log, or for a limited time."""
+        with trio.move_on_after(limit.total_seconds()):
+            while self.waiting:
+                await trio.sleep(FLUSH_POLL.total_seconds())
+
     async def run(self) -> None:
         """Append queued lines until cancelled."""
         while True:
             await self._added.wait()
             self._added = trio.Event()
             while self._lines:
-                await self._write(self._lines.popleft())
+                self._written = self._lines.popleft()
+                await self._write(self._written)
+                self._written = None
 
     async def _write(self, line: AuditLine) -> None:
         body = msgspec.json.encode(line)
