Status over all daemons, with reasons for lag; times in UTC

Tried by hand against the stand-in log: a deadline written with an offset was shown with its local hour and a Z. A daemon knows all of its own availability zone but only some of the others, so status asks one daemon of each zone for its members. Reasons for lag: silent, cut off, its whole zone behind, starting, state differs.

--- a/libs/cli/src/verbenamill_cli/output.py
+++ b/libs/cli/src/verbenamill_cli/output.py
@@ -2,7 +2,7 @@
 
 import sys
 from collections.abc import Iterable, Sequence
-from datetime import datetime
+from datetime import UTC, datetime
 from typing import Any, NoReturn
 
 import msgspec
@@ -76,7 +76,7 @@
 
 def show_time(moment: datetime) -> str:
     """Time to the second, in UTC."""
-    return moment.strftime('%Y-%m-%d %H:%M:%SZ')
+    return moment.astimezone(UTC).strftime('%Y-%m-%d %H:%M:%SZ')
 
 
 def table(
--- a/libs/cli/src/verbenamill_cli/status.py
+++ b/libs/cli/src/verbenamill_cli/status.py
@@ -147,7 +147,8 @@
 
     def _why_behind(self, status: Status) -> str:
         zone = status.availability_zone
-        behind = f'{self._head - status.offset} records behind'
+        missing = self._head - status.offset
+        behind = f'{missing} record{"s" if missing > 1 else ""} behind'
         if status.members == 1 and self._most_members > 1:
             return f'{behind}: it is cut off from every other daemon'
         is_whole_zone = self._behind[zone] == self._zones[zone]
--- a/libs/cli/src/verbenamill_cli/verdicts.py
+++ b/libs/cli/src/verbenamill_cli/verdicts.py
@@ -26,6 +26,8 @@
 def report_verdicts(verdicts: Iterable[Verdict]) -> Report:
     """Show verdicts, newest last."""
     found = tuple(verdicts)
+    if not found:
+        return Report(data=found, lines=('no verdict yet',))
     return Report(data=found, lines=table(HEADER, map(_row, found)))
 
 
--- /dev/null
+++ b/libs/cli/tests/test_status.py
@@ -0,0 +1,210 @@
+"""Status over all daemons: which ones lag, and why."""
+
+from dataclasses import replace
+
+import httpx
+import msgspec
+import pytest
+
+from verbenamill_cli.errors import ExitCode
+from verbenamill_model import (
+    Service,
+    State,
+    Ticket,
+    TicketRecord,
+    accept,
+    digest_state,
+    encode_record,
+)
+from verbenamill_model.traffic import Member
+from verbenamill_model.typing import VmId
+
+
+class Fleet:
+    """Daemons behind an HTTP client that reaches no network.
+
+    ``sees`` holds the ids that a daemon's ``/members`` tells.
+    """
+
+    def __init__(self):
+        self.members = {}
+        self.statuses = {}
+        self.sees = {}
+        self.dead = set()
+
+    def add(self, number, zone, *, offset, digest, members=4, ready=True):
+        admin = f'10.0.0.{number}:7003'
+        name = VmId(f'vm-{number}')
+        self.members[admin] = Member(
+            id=name,
+            availability_zone=zone,
+            region='tx',
+            control=f'10.0.0.{number}:7002',
+            calls=f'10.0.0.{number}:7001',
+            incarnation=1,
+            admin=admin,
+        )
+        self.statuses[admin] = {
+            'id': name,
+            'availability_zone': zone,
+            'offset': offset,
+            'version': offset,
+            'digest': digest,
+            'ready': ready,
+            'members': members,
+            'moves': 0,
+        }
+
+    def answer(self, request):
+        admin = request.url.netloc.decode()
+        if admin in self.dead:
+            raise httpx.ReadTimeout('silent')
+        if request.url.path == '/status':
+            return httpx.Response(200, json=self.statuses[admin])
+        seen = [
+            member
+            for member in self.members.values()
+            if admin not in self.sees or member.id in self.sees[admin]
+        ]
+        return httpx.Response(200, content=msgspec.json.encode(seen))
+
+
+@pytest.fixture
+def digests(log):
+    """Digest of the state at each offset of a log with three records."""
+    state = State()
+    known = {}
+    for number in range(1, 4):
+        service = Service(name=f's{number}', version='v1')
+        ticket = Ticket(number=number, author='ann', services=(service,))
+        log.put('config', encode_record(TicketRecord(ticket=ticket)))
+        entry = log.streams['config'][-1]
+        state, _ = accept(state, entry)
+        known[entry.offset] = digest_state(state)
+    return known
+
+
+@pytest.fixture
+def fleet(digests):
+    fleet = Fleet()
+    for number, zone in enumerate(('a', 'a', 'b', 'b'), start=1):
+        fleet.add(number, zone, offset=2, digest=digests[2])
+    return fleet
+
+
+@pytest.fixture
+def environment(environment, fleet):
+    transport = httpx.MockTransport(lambda request: fleet.answer(request))
+    return replace(
+        environment,
+        open_client=lambda: httpx.AsyncClient(transport=transport),
+    )
+
+
+@pytest.fixture
+def status(run_json):
+    """Reasons by daemon, as ``status --json`` tells them."""
+
+    def ask(*, code):
+        found = run_json(
+            'status',
+            '--daemon',
+            'http://10.0.0.1:7003',
+            '--timeout',
+            0.1,
+            code=code,
+        )
+        return {daemon['id']: daemon['reason'] for daemon in found['daemons']}
+
+    return ask
+
+
+def test_all_up_to_date(status):
+    assert set(status(code=ExitCode.OK).values()) == {''}
+
+
+def test_reasons_of_lag(status, fleet, digests):
+    """One daemon is silent, one is behind alone, one has another state."""
+    fleet.dead = {'10.0.0.2:7003'}
+    fleet.add(3, 'b', offset=1, digest=digests[1])
+    fleet.add(4, 'b', offset=2, digest='ffff')
+    reasons = status(code=ExitCode.LAGGING)
+    assert reasons['vm-1'] == ''
+    assert reasons['vm-2'] == 'does not answer in time'
+    assert reasons['vm-3'].startswith('1 record behind')
+    assert 'differs from the others' in reasons['vm-4']
+
+
+def test_zone_that_is_behind_as_a_whole(status, fleet, digests):
+    """A cut between b and the log leaves all of b behind.
+
+    Named for each daemon alone it would look like many slow daemons.
+    """
+    fleet.add(3, 'b', offset=1, digest=digests[1])
+    fleet.add(4, 'b', offset=0, digest=digests[0])
+    reasons = status(code=ExitCode.LAGGING)
+    assert 'as all of b' in reasons['vm-3']
+    assert 'as all of b' in reasons['vm-4']
+
+
+def test_daemon_that_sees_nobody(status, fleet, digests):
+    fleet.add(4, 'b', offset=0, digest=digests[0], members=1)
+    assert 'cut off' in status(code=ExitCode.LAGGING)['vm-4']
+
+
+def test_members_of_other_zones_are_found_through_their_own(status, fleet):
+    """A daemon knows all of its zone but only some of the others.
+
+    The first daemon of b that is asked is dead; the second knows the rest.
+    """
+    fleet.add(5, 'b', offset=2, digest='', members=4)
+    fleet.statuses['10.0.0.5:7003']['digest'] = fleet.statuses['10.0.0.1:7003'][
+        'digest'
+    ]
+    fleet.sees['10.0.0.1:7003'] = {'vm-1', 'vm-2', 'vm-3', 'vm-4'}
+    fleet.dead = {'10.0.0.3:7003'}
+    assert set(status(code=ExitCode.LAGGING)) == {
+        'vm-1',
+        'vm-2',
+        'vm-3',
+        'vm-4',
+        'vm-5',
+    }
+
+
+def test_log_outage_does_not_hide_the_daemons(status, log, fleet, digests):
+    """The log is down; daemons are compared with the newest among them."""
+    log.down = True
+    fleet.add(4, 'b', offset=1, digest=digests[1])
+    reasons = status(code=ExitCode.LAGGING)
+    assert [name for name, reason in reasons.items() if reason] == ['vm-4']
+
+
+def test_running_move_is_described_by_a_daemon(run, log, fleet):
+    """The daemon knows what is not on the log: the shares of each version."""
+    service = Service(
+        name='s1',
+        version='v2',
+        deadline='2026-12-03T00:00:00Z',
+    )
+    ticket = Ticket(number=9, author='ann', services=(service,))
+    log.put('config', encode_record(TicketRecord(ticket=ticket)))
+    moves = [
+        {
+            'move': {
+                'id': 3,
+                'ticket': 9,
+                'service': 's1',
+                'old': 'v1',
+                'new': 'v2',
+                'accepted_at': '2026-12-02T00:00:00Z',
+                'deadline': '2026-12-03T00:00:00Z',
+                'profile': 'on-time',
+            },
+            'state': {'stage': 2},
+            'shares': {'v1': 0.75, 'v2': 0.25},
+        },
+    ]
+    fleet.answer = lambda request: httpx.Response(200, json=moves)
+    told = run('move', 'show', 3, '--daemon', 'http://10.0.0.1:7003').stdout
+    assert 'v1 75%, v2 25%' in told
