--- a/libs/bench/tests/test_fleet.py
+++ b/libs/bench/tests/test_fleet.py
@@ -1,6 +1,7 @@
 """Fleets and load, with real stand-ins but no daemon."""
 
 from collections import Counter
+from pathlib import Path
 from random import Random
 
 import trio
@@ -13,7 +14,8 @@
     read_journals,
 )
 from verbenamill_bench.fleet import Daemon, open_fleet
-from verbenamill_bench.load import Load
+from verbenamill_bench.load import LoadSpec
+from verbenamill_bench.load_process import run_callers
 from verbenamill_bench.ports import free_ports
 from verbenamill_bench.process import Process
 from verbenamill_standins import Behaviour, Caller
@@ -47,10 +49,14 @@
             )
             await wait_open(upstream.address)
             plan = CallPlan(method='POST', path='/fees', body=b'x', once=True)
-            load = Load(
-                'fee', [upstream.address], [plan], rate=50, random=Random(1)
+            spec = LoadSpec(
+                name='fee',
+                targets=(upstream.address,),
+                plans=(plan,),
+                seconds=0.5,
+                rate=50,
             )
-            calls = await load.run(0.5)
+            calls = (await run_callers(fleet, [spec])).unwrap()
             assert {call.ending for call in calls} == {Ending.OK}
             assert await fleet.stop() == Success(None)
             runs = read_journals([upstream.journal])
@@ -82,6 +88,11 @@
     trio.run(main)
 
 
+def state_of(process):
+    stat = Path(f'/proc/{process.pid}/stat').read_text()
+    return stat.rsplit(')', 1)[1].split()[0]
+
+
 def test_pause_and_kill_reach_only_the_child(tmp_path):
     async def main():
         address = next(free_ports(Random(3)))
@@ -91,6 +102,9 @@
             tmp_path / 'log.out',
         )
         process.pause()
+        with trio.fail_after(5):
+            while state_of(process) != 'T':
+                await trio.sleep(0.01)
         process.terminate()
         assert await process.wait(0.2) is None
         process.kill()
