Daemon: a planned stop ends cleanly, and the first one is ready at once

Cause: after leaving the mesh a daemon looked itself up among the members and crashed in the middle of its graceful stop (seen with SIGTERM on one daemon); a first read held open by a quiet log kept it unready for 5 s. Change: Mesh.own answers also after leaving; reads wait for records only once ready; the HTTP client's request lines are out of the log; a crash is an event with its innermost cause.

--- a/libs/daemon/src/verbenamill_daemon/daemon.py
+++ b/libs/daemon/src/verbenamill_daemon/daemon.py
@@ -1,6 +1,5 @@
 """Joins the libraries into the one process beside an upstream."""
 
-from collections.abc import Callable
 from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
@@ -30,8 +29,7 @@
 from verbenamill_mesh import Configuration, Mesh
 from verbenamill_model import State
 from verbenamill_model.traffic import Member
-from verbenamill_model.typing import VmId
-from verbenamill_platform import Announcement, Clock, HttpLog
+from verbenamill_platform import Announcement, Clock, Log
 
 #: How often the state of the own upstream is looked at.
 WATCH_PERIOD = timedelta(milliseconds=200)
@@ -56,8 +54,6 @@
     server: CallServer
     moving: Moving
     audit: AuditWriter
-    platform_log: HttpLog
-    me: Callable[[], Member]
 
     async def run(self, stopping: trio.Event) -> None:
         """Serve until told to stop, then stop without cutting a request.
@@ -72,18 +68,17 @@
             nursery.start_soon(self.audit.run)
             nursery.start_soon(self._watch_upstream)
             nursery.start_soon(self._watch_configuration)
-            log(Event.STARTED, id=self.me().id)
+            log(Event.STARTED, id=self.mesh.own.id)
             await stopping.wait()
-            log(Event.STOPPING, id=self.me().id)
+            log(Event.STOPPING, id=self.mesh.own.id)
             await self._stop()
             nursery.cancel_scope.cancel()
-        await self.platform_log.aclose()
-        log(Event.STOPPED, id=self.me().id)
+        log(Event.STOPPED, id=self.mesh.own.id)
 
     def status(self) -> Status:
         """What this daemon runs, for the operators."""
         state = self.configuration.state
-        member = self.me()
+        member = self.mesh.own
         return Status(
             id=member.id,
             availability_zone=member.availability_zone,
@@ -142,7 +137,7 @@
 
     def _tell_upstream(self) -> None:
         upstream = self.local.upstream()
-        if upstream != self.me().upstream:
+        if upstream != self.mesh.own.upstream:
             log(Event.UPSTREAM_CHANGED, upstream=repr(upstream))
             self.mesh.announce(upstream)
 
@@ -242,6 +237,7 @@
 def build_daemon(
     settings: Settings,
     *,
+    platform_log: Log,
     clock: Clock,
     random: Random,
 ) -> Daemon:
@@ -258,7 +254,6 @@
         incarnation=int(clock.now().timestamp() * 1000),
     )
     configuration = Configuration()
-    platform_log = HttpLog(settings.log.url)
     mesh = Mesh(
         member=member,
         seeds=settings.mesh.seeds,
@@ -268,12 +263,9 @@
         random=random,
     )
 
-    def me() -> Member:
-        return mesh.members()[VmId(settings.vm.id)]
-
     audit = AuditWriter(platform_log, random=random)
     moving = Moving(
-        member=me,
+        member=lambda: mesh.own,
         mesh=mesh,
         configuration=configuration,
         settler=Settler(
@@ -286,7 +278,7 @@
         clock=clock,
     )
     context = CallContext(
-        member=me,
+        member=lambda: mesh.own,
         snapshot=lambda: configuration.snapshot,
         members=mesh.members,
         shares=moving.shares,
@@ -304,6 +296,4 @@
         server=CallServer(context, local, limits),
         moving=moving,
         audit=audit,
-        platform_log=platform_log,
-        me=me,
     )
--- a/libs/daemon/src/verbenamill_daemon/logs.py
+++ b/libs/daemon/src/verbenamill_daemon/logs.py
@@ -59,6 +59,8 @@
     root.handlers.clear()
     root.addHandler(handler)
     root.setLevel(settings.level.value.upper())
+    # The HTTP client tells of each request; a long poll is no event.
+    logging.getLogger('httpx').setLevel(logging.WARNING)
 
 
 class _Line(Struct, omit_defaults=True):
--- a/libs/daemon/src/verbenamill_daemon/main.py
+++ b/libs/daemon/src/verbenamill_daemon/main.py
@@ -9,7 +9,7 @@
 import typer
 from returns.result import Failure, Success
 
-from verbenamill_daemon.daemon import Daemon, build_daemon
+from verbenamill_daemon.daemon import build_daemon
 from verbenamill_daemon.events import Event
 from verbenamill_daemon.logs import log, set_up_logs
 from verbenamill_daemon.settings import (
@@ -17,7 +17,7 @@
     Settings,
     load_settings,
 )
-from verbenamill_platform import SystemClock
+from verbenamill_platform import HttpLog, SystemClock
 
 BAD_SETTINGS = 2
 
@@ -41,20 +41,34 @@
 
 def _run(settings: Settings) -> None:
     set_up_logs(settings.logging)
+    try:
+        trio.run(_run_until_signal, settings)
+    except BaseException as error:
+        log(Event.INVARIANT_BROKEN, detail=_find_cause(error))
+        raise
+
+
+def _find_cause(error: BaseException) -> str:
+    """First innermost exception of nested groups, in one line."""
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return repr(error)
+
+
+async def _run_until_signal(settings: Settings) -> None:
+    platform_log = HttpLog(settings.log.url)
     daemon = build_daemon(
         settings,
+        platform_log=platform_log,
         clock=SystemClock(),
         random=SystemRandom(),
     )
-    trio.run(_run_until_signal, daemon)
-
-
-async def _run_until_signal(daemon: Daemon) -> None:
     stopping = trio.Event()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_watch_signals, stopping)
         await daemon.run(stopping)
         nursery.cancel_scope.cancel()
+    await platform_log.aclose()
 
 
 async def _watch_signals(stopping: trio.Event) -> None:
@@ -65,4 +79,6 @@
 
 def main() -> None:
     """Entry point of ``verbenamilld``."""
-    typer.run(run)
+    app = typer.Typer(pretty_exceptions_enable=False)
+    app.command()(run)
+    app()
--- a/libs/mesh/src/verbenamill_mesh/reader.py
+++ b/libs/mesh/src/verbenamill_mesh/reader.py
@@ -86,10 +86,13 @@
     async def _read_page(self) -> bool:
         """Read once; whether that went well."""
         self._stats.count_log(CONFIG)
+        # Held open by a quiet log, the first read would keep a daemon that
+        # has caught up from saying so for a whole long poll.
+        is_ready = self._stats.ready
         outcome = await self._log.read(
             CONFIG,
             Offset(self._configuration.state.offset + 1),
-            wait=self._settings.long_poll,
+            wait=self._settings.long_poll if is_ready else timedelta(0),
         )
         match outcome:
             case Success(LogPage() as page):
