Read checkpoints by the mesh library's own code; tell a veto in the story

The tool had a copy of the checkpoint's form. It now uses the mesh library's reader and restore, with its checks. status waits 2 s for the log, as the daemons can be compared without it. The audit trail gives a verdict's reason.

--- a/libs/cli/src/verbenamill_cli/audit.py
+++ b/libs/cli/src/verbenamill_cli/audit.py
@@ -72,18 +72,23 @@
 
 
 def _changes(history: History) -> Iterator[TrailEntry]:
-    moves = {verdict.offset: verdict.move for verdict in history.verdicts()}
+    endings = {verdict.offset: verdict for verdict in history.verdicts()}
     begun = {move.id for move in known_moves(history)}
     for line in history.audit():
-        ended = moves.get(line.offset)
-        move = line.offset if line.offset in begun else None
+        text, move = line.text, None
+        ending = endings.get(line.offset)
+        if line.offset in begun:
+            move = line.offset
+        elif ending is not None:
+            move = ending.move.id
+            text = f'{text}: {ending.reason}'
         yield TrailEntry(
             at=line.at,
             who=line.author,
-            text=line.text,
+            text=text,
             offset=line.offset,
             ticket=line.ticket,
-            move=move if ended is None or move is not None else ended.id,
+            move=move,
         )
 
 
--- a/libs/cli/src/verbenamill_cli/history.py
+++ b/libs/cli/src/verbenamill_cli/history.py
@@ -4,7 +4,6 @@
 pure function, so that its answers hold after every daemon was replaced.
 """
 
-import zlib
 from collections.abc import Iterator
 
 import msgspec
@@ -13,6 +12,9 @@
 
 from verbenamill_cli.errors import CliError, ExitCode
 from verbenamill_cli.patience import PatientLog, unavailable
+from verbenamill_mesh import Configuration
+from verbenamill_mesh.checkpoints import CheckpointRecord
+from verbenamill_mesh.newest import read_newest
 from verbenamill_model import (
     Answer,
     AuditEntry,
@@ -21,16 +23,16 @@
     State,
     Verdict,
     accept,
-    decode_state,
 )
 from verbenamill_model.typing import Offset
 from verbenamill_platform import LogError, LogFault, LogPage
 from verbenamill_platform.streams import CHECKPOINTS, CONFIG
 
-#: Checkpoints that are looked at, newest first, before giving up.
-MAX_CHECKPOINTS = 64
-#: Checkpoints of no use after which older ones are not looked at.
+#: Newest checkpoints that are looked at. A writer that woke from a pause
+#: leaves an old one above newer ones, so the last alone is not enough.
 LOOK_BACK = 4
+#: The same when the oldest that is of use is wanted.
+MAX_CHECKPOINTS = 64
 
 
 class Step(Struct, frozen=True, kw_only=True):
@@ -179,65 +181,30 @@
     farthest: bool,
 ) -> Result[State | None, LogError]:
     """Checkpoint that the record ``oldest`` or a later one follows."""
-    match await _bounds(log, CHECKPOINTS):
-        case Success((first, end)):
-            lowest = max(first, end - MAX_CHECKPOINTS)
-        case Failure(error):
-            return Failure(error)
-    usable: list[State] = []
-    unusable = 0
-    for place in range(end - 1, lowest - 1, -1):
-        match await log.read(CHECKPOINTS, Offset(place), limit=1):
-            case Success(LogPage(entries=(entry, *_))):
-                state = read_checkpoint(entry.body)
-            case Success(_) | Failure(LogError(fault=LogFault.EXPIRED)):
-                break
-            case Failure(error):
-                return Failure(error)
-        if state is None or state.offset + 1 < oldest:
-            unusable += 1
-        else:
-            usable.append(state)
-        # A writer that woke from a pause leaves an old checkpoint above
-        # newer ones, so a single one that is of no use ends no search.
-        if unusable == LOOK_BACK or (usable and not farthest):
-            break
+    count = MAX_CHECKPOINTS if farthest else LOOK_BACK
+    found = await read_newest(log, CHECKPOINTS, count)
     choose = min if farthest else max
-    return Success(choose(usable, key=_offset_of, default=None))
-
-
-def _offset_of(state: State) -> Offset:
-    return state.offset
 
+    def choose_usable(entries: tuple[Entry, ...]) -> State | None:
+        states = (read_checkpoint(entry.body) for entry in entries)
+        usable = (
+            state
+            for state in states
+            if state is not None and state.offset + 1 >= oldest
+        )
+        return choose(usable, key=_offset_of, default=None)
 
-async def _bounds(
-    log: PatientLog,
-    stream: str,
-) -> Result[tuple[Offset, Offset], LogError]:
-    """First offset that a stream still has, and its end."""
-    start = Offset(0)
-    while True:
-        match await log.read(stream, start, limit=1):
-            case Success(page):
-                return Success((page.oldest, page.end))
-            case Failure(LogError(fault=LogFault.EXPIRED) as expired):
-                start = expired.oldest or start
-            case Failure(error):
-                return Failure(error)
-
+    return found.map(choose_usable)
 
-class _Checkpoint(Struct, frozen=True, array_like=True):
-    """A checkpoint as the daemons write it."""
 
-    offset: Offset
-    body: bytes
+def _offset_of(state: State) -> Offset:
+    return state.offset
 
 
 def read_checkpoint(body: bytes) -> State | None:
     """State of a checkpoint, or ``None`` when it cannot be read."""
     try:
-        checkpoint = msgspec.msgpack.decode(body, type=_Checkpoint)
-        plain = zlib.decompress(checkpoint.body)
-    except (msgspec.MsgspecError, zlib.error):
+        checkpoint = msgspec.msgpack.decode(body, type=CheckpointRecord)
+    except msgspec.MsgspecError:
         return None
-    return decode_state(plain).value_or(None)
+    return Configuration().restore(checkpoint.body).value_or(None)
--- a/libs/cli/src/verbenamill_cli/main.py
+++ b/libs/cli/src/verbenamill_cli/main.py
@@ -40,6 +40,9 @@
 from verbenamill_model.typing import Offset
 from verbenamill_platform import Log
 
+#: Daemons can be asked without the log, so status does not wait for it long.
+STATUS_TIMEOUT: float = 2
+
 _CODES = ', '.join(f'{code.value} {code.name.lower()}' for code in ExitCode)
 
 app = typer.Typer(
@@ -60,7 +63,7 @@
     context: typer.Context,
     daemon: DaemonUrl = '',
     log: LogUrl = '',
-    timeout: Timeout = DEFAULT_TIMEOUT,
+    timeout: Timeout = STATUS_TIMEOUT,
     as_json: AsJson = False,
 ) -> None:
     """Show what every daemon runs, which ones lag, and why."""
--- a/libs/cli/src/verbenamill_cli/patience.py
+++ b/libs/cli/src/verbenamill_cli/patience.py
@@ -45,11 +45,17 @@
         start: Offset,
         *,
         limit: int = 500,
+        wait: timedelta = timedelta(0),
     ) -> Result[LogPage, LogError]:
         """Read; a failure other than an expired offset is tried again."""
         waits = self.waits()
         while True:
-            answer = await self._log.read(stream, start, limit=limit)
+            answer = await self._log.read(
+                stream,
+                start,
+                limit=limit,
+                wait=wait,
+            )
             match answer:
                 case Success(_) | Failure(LogError(fault=LogFault.EXPIRED)):
                     return answer
--- a/libs/cli/src/verbenamill_cli/story.py
+++ b/libs/cli/src/verbenamill_cli/story.py
@@ -15,6 +15,7 @@
 from verbenamill_cli.tickets import describe_move, find_tickets
 from verbenamill_model import Move, Verdict
 from verbenamill_model.typing import Offset, VersionName
+from verbenamill_moves import MoveState
 from verbenamill_platform.streams import AuditLine
 
 
@@ -25,7 +26,7 @@
     """
 
     move: Move
-    state: Any = None
+    state: MoveState | None = None
     shares: dict[VersionName, float] = {}
 
 
@@ -168,4 +169,13 @@
         for version, share in story.running.shares.items()
     )
     yield f'shares now, at the daemon that was asked: {shares}'
-    yield f'decided so far: {story.running.state}'
+    yield from _tell_state(story.running.state or MoveState())
+
+
+def _tell_state(state: MoveState) -> Iterator[str]:
+    if state.veto:
+        yield f'vetoed, so the new version gets no traffic: {state.reason}'
+    stages = ', '.join(
+        f'{zone} {stage}' for zone, stage in sorted(state.stages.items())
+    )
+    yield f'stage by availability zone: {stages or "none yet"}'
--- a/libs/cli/tests/test_status.py
+++ b/libs/cli/tests/test_status.py
@@ -201,10 +201,12 @@
                 'deadline': '2026-12-03T00:00:00Z',
                 'profile': 'on-time',
             },
-            'state': {'stage': 2},
+            'state': {'stages': {'a': 2}, 'veto': True, 'reason': 'slow'},
             'shares': {'v1': 0.75, 'v2': 0.25},
         },
     ]
     fleet.answer = lambda request: httpx.Response(200, json=moves)
     told = run('move', 'show', 3, '--daemon', 'http://10.0.0.1:7003').stdout
     assert 'v1 75%, v2 25%' in told
+    assert 'no traffic: slow' in told
+    assert 'a 2' in told
