--- /dev/null
+++ b/libs/platform/src/verbenamill_platform/events.py
@@ -0,0 +1,276 @@
+"""Numbered events: what a daemon tells the people on call.
+
+They stand below the libraries that write them, so that every code has its
+one place.
+
+``python -m verbenamill_platform.events`` prints the catalogue that stands in
+``docs/operators/events.md``; a test fails when the two differ.
+"""
+
+import logging
+from enum import Enum, unique
+from itertools import groupby
+from operator import attrgetter
+
+from msgspec import Struct
+
+
+class EventKind(Struct, frozen=True):
+    """What is known of an event before it happens.
+
+    :param code: number that never changes its meaning.
+    :param level: level of the standard ``logging`` module.
+    :param template: message with the names of fields in braces.
+    :param meaning: why it happens, for the catalogue.
+    :param action: what an operator does, for the catalogue.
+    """
+
+    code: str
+    level: int
+    template: str
+    meaning: str
+    action: str
+
+    @property
+    def chapter(self) -> str:
+        """Part of the catalogue, by the code's first digit."""
+        return _CHAPTERS[self.code[2]]
+
+
+_CHAPTERS = {
+    '1': 'Start and stop',
+    '2': 'Configuration',
+    '3': 'Log service',
+    '4': 'Daemons and links',
+    '5': 'Moves',
+    '6': 'Upstream and calls',
+    '9': 'Faults of the program',
+}
+_NOTHING = 'Nothing.'
+
+
+@unique
+class Event(Enum):
+    """Every event, by what happened."""
+
+    STARTED = EventKind(
+        'VM1001',
+        logging.INFO,
+        'daemon {id} started',
+        'The daemon listens on all its addresses.',
+        _NOTHING,
+    )
+    STOPPING = EventKind(
+        'VM1002',
+        logging.INFO,
+        'daemon {id} is stopping',
+        'A signal asked for a graceful shutdown. The daemon tells the others '
+        'that it leaves and finishes the calls it holds.',
+        _NOTHING,
+    )
+    STOPPED = EventKind(
+        'VM1003',
+        logging.INFO,
+        'daemon {id} stopped',
+        'The shutdown is complete; no call was cut.',
+        _NOTHING,
+    )
+    SETTINGS_FAULT = EventKind(
+        'VM1004',
+        logging.ERROR,
+        '{path}: {fault}',
+        'The settings file cannot be used; the daemon did not start.',
+        'Correct the key that is named, try `verbenamill config check FILE`, '
+        'and start the daemon again.',
+    )
+    CONFIGURATION_ACCEPTED = EventKind(
+        'VM2001',
+        logging.INFO,
+        'ticket {ticket} accepted at offset {offset}',
+        'A ticket passed all checks and changed the configuration.',
+        _NOTHING,
+    )
+    CONFIGURATION_REFUSED = EventKind(
+        'VM2002',
+        logging.WARNING,
+        'record at offset {offset} refused: {reason}',
+        'A record on the log changed nothing, on any daemon.',
+        'The reason says what to correct. Publish again under a new number.',
+    )
+    CONFIGURATION_APPLIED = EventKind(
+        'VM2003',
+        logging.INFO,
+        'running version {version}',
+        'The daemon swapped in a newer snapshot, whole.',
+        _NOTHING,
+    )
+    CHECKPOINT_WRITTEN = EventKind(
+        'VM2004',
+        logging.INFO,
+        'checkpoint of offset {offset} written',
+        'The state was put on the log, so that a new daemon can start after '
+        'older records have expired.',
+        _NOTHING,
+    )
+    CHECKPOINT_USED = EventKind(
+        'VM2005',
+        logging.INFO,
+        'started from the state at offset {offset} of {source}',
+        'The daemon had no state, or a gap, and took a whole state from '
+        'another daemon or from a checkpoint.',
+        'Nothing at a start. On a daemon that has run for long, look whether '
+        'it was cut off.',
+    )
+    LOG_UNAVAILABLE = EventKind(
+        'VM3001',
+        logging.WARNING,
+        'log service unavailable: {detail}',
+        'A read or an append failed. Calls, links and vetoes go on; new '
+        'tickets and verdicts wait.',
+        'Look at the log service. The daemons retry by themselves.',
+    )
+    LOG_RECOVERED = EventKind(
+        'VM3002',
+        logging.INFO,
+        'log service answers again',
+        'The first read or append after an outage succeeded.',
+        _NOTHING,
+    )
+    READER_CHOSEN = EventKind(
+        'VM3003',
+        logging.INFO,
+        'reading the log for {availability_zone}',
+        'This daemon is one of the few of its availability zone that read '
+        'the log and pass changes on.',
+        _NOTHING,
+    )
+    PEER_LOST = EventKind(
+        'VM4001',
+        logging.WARNING,
+        'link to {peer} lost: {reason}',
+        'A link failed or was silent for too long. A new one is being opened.',
+        'Nothing for one. Many at once mean a network fault or dead VMs; '
+        'look at `verbenamill status`.',
+    )
+    PEER_RECOVERED = EventKind(
+        'VM4002',
+        logging.INFO,
+        'link to {peer} is back',
+        'A new link to the daemon works.',
+        _NOTHING,
+    )
+    MEMBER_SUSPECTED = EventKind(
+        'VM4003',
+        logging.INFO,
+        'daemon {member} suspected',
+        'It answered neither this daemon nor those that were asked to try. '
+        'It gets no new calls unless it objects.',
+        _NOTHING,
+    )
+    MEMBER_GONE = EventKind(
+        'VM4004',
+        logging.WARNING,
+        'daemon {member} gone',
+        'It left, or did not object to being suspected in time.',
+        'Nothing when it was stopped or replaced; else look at its VM.',
+    )
+    MOVE_STAGE = EventKind(
+        'VM5001',
+        logging.INFO,
+        'move {move} of {service}: {text}',
+        'A decider took a step of a move.',
+        '`verbenamill move show MOVE` tells the whole story.',
+    )
+    MOVE_VETOED = EventKind(
+        'VM5002',
+        logging.WARNING,
+        'move {move} of {service} vetoed: {text}',
+        'The new version is bad by the evidence; it gets no more traffic.',
+        'Look at the evidence with `verbenamill move show MOVE`, mend the '
+        'version and publish a new ticket.',
+    )
+    MOVE_SETTLED = EventKind(
+        'VM5003',
+        logging.INFO,
+        'move {move} of {service} settled: {text}',
+        'The verdict of the move is in force.',
+        _NOTHING,
+    )
+    UPSTREAM_CHANGED = EventKind(
+        'VM6001',
+        logging.INFO,
+        'upstream is now {upstream}',
+        'The upstream of this daemon announced itself or changed.',
+        _NOTHING,
+    )
+    UPSTREAM_DRAINING = EventKind(
+        'VM6002',
+        logging.INFO,
+        'upstream of {service} is draining',
+        'The upstream leaves; it gets no new calls and finishes those it has.',
+        _NOTHING,
+    )
+    UPSTREAM_LOST = EventKind(
+        'VM6003',
+        logging.WARNING,
+        'upstream of {service} has not announced itself for its lease',
+        'The upstream stopped without draining, or is too busy to announce.',
+        'Look at the upstream on this VM.',
+    )
+    OVERLOAD = EventKind(
+        'VM6004',
+        logging.WARNING,
+        'shedding calls of {service}: {reason}',
+        'The slots and the queue are full; further calls are refused as not '
+        'run, so that callers can go elsewhere.',
+        'Nothing for a moment. When it lasts, add upstreams.',
+    )
+    INVARIANT_BROKEN = EventKind(
+        'VM9001',
+        logging.CRITICAL,
+        'stopped by a broken invariant: {detail}',
+        'The program found itself in a state that must never be, and stopped '
+        'rather than answer callers from it.',
+        'Keep the output and report it; the daemon may be started again.',
+    )
+
+    @property
+    def kind(self) -> EventKind:
+        """What is known of the event."""
+        return self.value
+
+
+_HEADER = """# Events
+
+Every event that a daemon writes, by its code. The page is printed by
+`python -m verbenamill_platform.events`; do not edit it by hand.
+
+With `[logging] format = "json"` an event is one line of JSON with the keys
+`at`, `level`, `code`, `message` and `fields`. An event that repeats too often
+is held back; the next one that is written has a field `suppressed` with the
+count of those that were not.
+"""
+
+
+def render_catalogue() -> str:
+    """Text of the page with all events."""
+    kinds = [event.kind for event in Event]
+    parts = [_HEADER]
+    for chapter, members in groupby(kinds, attrgetter('chapter')):
+        parts.append(f'\n## {chapter}\n')
+        parts.extend(map(_render, members))
+    return ''.join(parts)
+
+
+def _render(kind: EventKind) -> str:
+    level = logging.getLevelName(kind.level)
+    return (
+        f'\n### {kind.code} ({level})\n\n'
+        f'    {kind.template}\n\n'
+        f'{kind.meaning}\n\n'
+        f'What to do: {kind.action}\n'
+    )
+
+
+if __name__ == '__main__':
+    print(render_catalogue(), end='')
