--- a/libs/model/src/verbenamill_model/__init__.py
+++ b/libs/model/src/verbenamill_model/__init__.py
@@ -8,7 +8,7 @@
     accept,
     fold,
 )
-from verbenamill_model.checks import find_faults
+from verbenamill_model.checks import find_faults, find_form_faults
 from verbenamill_model.codec import (
     as_plain,
     decode_record,
@@ -16,8 +16,8 @@
     digest_state,
     encode_record,
     encode_state,
-    read_ticket,
 )
+from verbenamill_model.faults import Fault
 from verbenamill_model.state import (
     AuditEntry,
     Move,
@@ -27,6 +27,7 @@
     State,
     Verdict,
 )
+from verbenamill_model.ticket_file import read_ticket
 from verbenamill_model.tickets import (
     Record,
     Route,
@@ -41,6 +42,7 @@
     'AuditEntry',
     'Changed',
     'Entry',
+    'Fault',
     'Move',
     'Record',
     'Refusal',
@@ -62,6 +64,7 @@
     'encode_record',
     'encode_state',
     'find_faults',
+    'find_form_faults',
     'fold',
     'read_ticket',
 )
