--- a/libs/calls/src/verbenamill_calls/asking.py
+++ b/libs/calls/src/verbenamill_calls/asking.py
@@ -97,6 +97,7 @@
         id=call.id,
         idempotent=call.idempotent,
         timeout=whole_milliseconds(wait),
+        key=call.key,
     )
     try:
         return await _converse(links, exchange, question)
--- a/libs/calls/src/verbenamill_calls/attempts.py
+++ b/libs/calls/src/verbenamill_calls/attempts.py
@@ -143,7 +143,9 @@
         self._suspect_silence()
         is_gone = kind is FaultKind.CALLER_GONE
         is_late = kind is FaultKind.TIMED_OUT
-        is_blameless = is_gone or (is_late and self._call.is_shortened)
+        is_unsent = kind is FaultKind.TOO_LATE
+        is_own_haste = is_late and self._call.is_shortened
+        is_blameless = is_gone or is_unsent or is_own_haste
         self._end(
             Outcome.CANCELLED if is_blameless else Outcome.FAILED,
             is_cancelled=is_gone or is_late,
@@ -245,6 +247,13 @@
             fault.reason,
             retry_after=timedelta(seconds=1),
         )
+    if fault.kind is FaultKind.TOO_LATE:
+        return refuse(
+            HTTPStatus.GATEWAY_TIMEOUT,
+            Fate.NOT_RUN,
+            fault.reason,
+            retry_after=timedelta(seconds=1),
+        )
     status = HTTPStatus.BAD_GATEWAY
     if fault.kind is FaultKind.TIMED_OUT:
         status = HTTPStatus.GATEWAY_TIMEOUT
--- a/libs/calls/src/verbenamill_calls/exchange.py
+++ b/libs/calls/src/verbenamill_calls/exchange.py
@@ -31,11 +31,12 @@
 class FaultKind(Enum):
     """Why there is no answer.
 
-    Only ``NOT_SENT`` proves that the call did not run.
+    Only ``NOT_SENT`` and ``TOO_LATE`` prove that the call did not run.
     """
 
     NOT_SENT = 'not-sent'
     CALLER_GONE = 'caller-gone'
+    TOO_LATE = 'too-late'
     LOST = 'lost'
     TIMED_OUT = 'timed-out'
     BAD_ANSWER = 'bad-answer'
@@ -89,7 +90,9 @@
         headers: list[Header],
         body: Body,
     ) -> Fault | None:
-        """Send the request."""
+        """Send the request, unless its deadline has passed already."""
+        if self._clock.elapsed() >= self._deadline:
+            return Fault(FaultKind.TOO_LATE, 'the deadline passed before')
         head = encode_request(method, target, headers, body.framing)
         self.connection.expect_answer(is_bodiless=method == b'HEAD')
         relayed = await body.send(head, self.connection, self.limits)
--- a/libs/calls/src/verbenamill_calls/hedging.py
+++ b/libs/calls/src/verbenamill_calls/hedging.py
@@ -38,9 +38,10 @@
 async def race(
     first: Attempt,
     begin_second: Callable[[], Awaitable[Attempt | Answer]],
+    wait: Callable[[Attempt], Awaitable[Answer]],
 ) -> Answer:
     """The first good answer of two tries; the other try is cancelled."""
-    runners = _Race()
+    runners = _Race(wait)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(runners.run_first, first, nursery)
         nursery.start_soon(runners.run_second, begin_second, nursery)
@@ -48,7 +49,8 @@
 
 
 class _Race:
-    def __init__(self) -> None:
+    def __init__(self, wait: Callable[[Attempt], Awaitable[Answer]]) -> None:
+        self._wait = wait
         self._answers: list[Answer] = []
 
     async def run_first(self, attempt: Attempt, nursery: trio.Nursery) -> None:
@@ -76,11 +78,10 @@
 
     async def _run(self, attempt: Attempt, nursery: trio.Nursery) -> None:
         try:
-            answer = await attempt.wait()
+            answer = await self._wait(attempt)
         except trio.Cancelled:
             attempt.abandon()
             raise
-        assert answer is not None
         self._offer(answer, nursery)
 
     def _offer(self, answer: Answer, nursery: trio.Nursery) -> None:
--- a/libs/calls/src/verbenamill_calls/hop.py
+++ b/libs/calls/src/verbenamill_calls/hop.py
@@ -53,6 +53,7 @@
     id: RequestId
     idempotent: bool
     timeout: int
+    key: str | None = None
 
 
 class Unreadable(Struct, frozen=True):
--- a/libs/calls/src/verbenamill_calls/ingress.py
+++ b/libs/calls/src/verbenamill_calls/ingress.py
@@ -137,12 +137,16 @@
         """Try a second owner while the first is waited for."""
         other = self._pick(call, tried)
         if other is None or not self._budget.spend():
-            return await self._outwait(call, attempt)
+            return await self._outwait(attempt)
         self._stats.hedges += 1
         tried.append(other.id)
-        return await race(attempt, lambda: self._begin(call, other))
+        return await race(
+            attempt,
+            lambda: self._begin(call, other),
+            self._outwait,
+        )
 
-    async def _outwait(self, call: Call, attempt: Attempt) -> Answer:
+    async def _outwait(self, attempt: Attempt) -> Answer:
         """Wait to the end, unless the call turns out to be lost."""
         while True:
             now = self._context.clock.elapsed()
--- a/libs/calls/src/verbenamill_calls/ledger.py
+++ b/libs/calls/src/verbenamill_calls/ledger.py
@@ -104,6 +104,12 @@
             self._by_key[key] = call
         return call
 
+    def add_id(self, id: RequestId, call: Remembered) -> None:
+        """Know a call under a second id, by which it came again."""
+        if id not in self._by_id:
+            self._by_id[id] = call
+            self._order.append((self._clock.elapsed(), id))
+
     def finish(
         self,
         call: Remembered,
@@ -132,6 +138,15 @@
             self._by_key.pop(call.key)
             call.key = None
 
+    def _forget_call(self, call: Remembered) -> None:
+        if call.key is not None:
+            self._by_key.pop(call.key)
+            call.key = None
+        if isinstance(call.answer, StoredAnswer):
+            self._stored.remove(call)
+            self._stored_bytes -= len(call.answer.body)
+            call.answer = None
+
     def _drop_bodies(self) -> None:
         """Keep the answers within their bytes; the calls stay known."""
         while self._stored_bytes > self._settings.max_stored:
@@ -150,9 +165,5 @@
                 return
             self._order.popleft()
             self._by_id.pop(id)
-            if call.key is not None:
-                self._by_key.pop(call.key)
-            if isinstance(call.answer, StoredAnswer):
-                self._stored.remove(call)
-                self._stored_bytes -= len(call.answer.body)
+            self._forget_call(call)
             self._complete_since = max(self._complete_since, began_at)
--- a/libs/calls/src/verbenamill_calls/local.py
+++ b/libs/calls/src/verbenamill_calls/local.py
@@ -145,6 +145,7 @@
     async def ask(
         self,
         id: RequestId,
+        key: str | None,
         *,
         deadline: timedelta,
     ) -> Answer | None:
@@ -156,6 +157,9 @@
         may still be on its way here; only then is "not run" true.
         """
         found = self.ledger.find(id, None)
+        if found is None and self.ledger.find(id, key) is not None:
+            # That call did not run, but what its key stands for may have.
+            return unknown('another call with this key came first')
         if found is None and self.ledger.is_full:
             return unknown('too many calls are remembered')
         if found is None:
@@ -292,6 +296,7 @@
                 'the idempotency key was used for another request; '
                 'choose a new one',
             )
+        self.ledger.add_id(call.id, found)
         await self._await_end(found, call.deadline)
         if found.settled.is_set():
             return recall(found.answer)
--- a/libs/calls/src/verbenamill_calls/owner_side.py
+++ b/libs/calls/src/verbenamill_calls/owner_side.py
@@ -71,7 +71,7 @@
         if ask.idempotent:
             report = self._report(is_running=ask.id in self._running)
             return await self._send_report(connection, report)
-        answer = await self._local.ask(ask.id, deadline=deadline)
+        answer = await self._local.ask(ask.id, ask.key, deadline=deadline)
         if not isinstance(answer, Reply):
             report = self._report(answer, is_running=answer is None)
             return await self._send_report(connection, report)
--- a/libs/calls/src/verbenamill_calls/peers.py
+++ b/libs/calls/src/verbenamill_calls/peers.py
@@ -29,6 +29,8 @@
 #: Time for which a host counts as a daemon's without another look through
 #: all members, which a large fleet could not afford on each call.
 _HOST_AGE = timedelta(seconds=10)
+#: Connections to an owner that are kept for questions.
+_ASK_RESERVE = 16
 #: Failures in a row, in points, that eject an owner.
 _EJECT_AT = 5
 #: Points of a lost connection; a failed answer is one.
@@ -300,6 +302,7 @@
                 member.calls,
                 limit=self._settings.peer_connections,
                 max_idle=PEER_IDLE,
+                reserve=_ASK_RESERVE,
                 settings=self._settings,
             )
             known = Peer(member.id, pool)
--- a/libs/calls/src/verbenamill_calls/pool.py
+++ b/libs/calls/src/verbenamill_calls/pool.py
@@ -21,6 +21,7 @@
     """Connections to one address.
 
     :param limit: open connections that are never exceeded.
+    :param reserve: open connections beyond it, for questions only.
     :param max_idle: idle time after which one is not used again, in seconds.
     """
 
@@ -30,28 +31,37 @@
         *,
         limit: int,
         max_idle: float,
+        reserve: int = 0,
         settings: CallSettings,
     ) -> None:
         self.address = address
         self.limit = limit
         self.open = 0
         self._max_idle = max_idle
+        self._reserve = reserve
         self._settings = settings
         self._idle: list[HttpConnection] = []
         self._suspect_before = float('-inf')
 
+    @property
+    def is_full(self) -> bool:
+        """Whether :meth:`take` could open no connection and has none."""
+        return not self._idle and self.open >= self.limit
+
     async def take(self, *, is_new: bool = False) -> HttpConnection | None:
         """An open connection of one's own; ``None`` if there is none.
 
-        :param is_new: use none that was opened before.
+        :param is_new: use none that was opened before. To ask after calls
+            that silent connections hold, some may be opened over the limit.
         """
         connection = None if is_new else self._take_idle()
         if connection is not None:
             return connection
-        if self.open >= self.limit:
+        limit = self.limit + self._reserve if is_new else self.limit
+        if self.open >= limit:
             return None
         self.open += 1
-        assert self.open <= self.limit
+        assert self.open <= limit
         connection = None
         try:
             connection = await self._connect()
--- a/libs/calls/src/verbenamill_calls/remote.py
+++ b/libs/calls/src/verbenamill_calls/remote.py
@@ -6,7 +6,7 @@
 from verbenamill_calls.asking import Asked, ask, ask_once, read_report
 from verbenamill_calls.attempts import refusal_of
 from verbenamill_calls.body import Relayed
-from verbenamill_calls.call import Answer, Call, Fate, Refusal, Reply
+from verbenamill_calls.call import Answer, Call, Fate, Refusal, Reply, refuse
 from verbenamill_calls.connection import HttpConnection
 from verbenamill_calls.exchange import Exchange, Fault, FaultKind
 from verbenamill_calls.hop import (
@@ -20,6 +20,18 @@
 from verbenamill_calls.stored import read_answer, recall
 
 
+#: No failure of the owner: it has as many calls from here as it could queue.
+_BUSY = refuse(
+    HTTPStatus.SERVICE_UNAVAILABLE,
+    Fate.NOT_RUN,
+    'too many calls to the owner are on their way',
+    retry_after=timedelta(milliseconds=100),
+)
+
+
+_BLAMELESS = frozenset((FaultKind.CALLER_GONE, FaultKind.TOO_LATE))
+
+
 class RemoteAttempt:
     """A call sent to the daemon that owns the chosen upstream.
 
@@ -39,6 +51,9 @@
 
     async def send(self) -> Answer | None:
         """Send the call; an answer, when that has settled it already."""
+        if self.peer.pool.is_full:
+            self._end()
+            return _BUSY
         connection = await self.peer.pool.take()
         if connection is None:
             fault = Fault(FaultKind.NOT_SENT, 'the owner takes no connection')
@@ -67,7 +82,7 @@
         """
         assert self._exchange is not None
         if not self.call.idempotent:
-            until = self.sent_at + self._links.settings.silence
+            until = self._clock.elapsed() + self._links.settings.silence
         head = await self._exchange.wait(until)
         if isinstance(head, ResponseHead):
             return await self._take_answer(head, self._exchange)
@@ -164,7 +179,7 @@
     def _conclude(self, fault: Fault) -> Refusal:
         """End with what is known from the fault alone."""
         points = 1 if fault.kind is FaultKind.TIMED_OUT else LOST_POINTS
-        if fault.kind is not FaultKind.CALLER_GONE:
+        if fault.kind not in _BLAMELESS:
             now = self._clock.elapsed()
             self.peer.fail(points, now, self._links.context.random)
         self.abandon()
--- a/libs/calls/src/verbenamill_calls/settings.py
+++ b/libs/calls/src/verbenamill_calls/settings.py
@@ -43,7 +43,7 @@
     max_body: int = 64 * 1024 * 1024
     buffer: int = 64 * 1024
     max_connections: int = 2000
-    peer_connections: int = 64
+    peer_connections: int = 96
     head_timeout: timedelta = timedelta(seconds=10)
     body_timeout: timedelta = timedelta(seconds=10)
     idle_timeout: timedelta = timedelta(seconds=60)
--- a/libs/calls/tests/test_once.py
+++ b/libs/calls/tests/test_once.py
@@ -221,3 +221,31 @@
         assert runs(daemons) == 1
 
     fleet(check, 2)
+
+
+def test_lost_second_call_of_a_key_is_not_told_as_not_run(fleet, link):
+    """A fee runs; its caller sends it once more with the same key.
+
+    The link swallows the second one. It did not run, but the fee did, so
+    "not run" would have the family pay by other means.
+    """
+
+    async def check(daemons, nursery):
+        ingress, owner = daemons
+        ingress.stand_aside()
+        relay = await link(owner, nursery)
+        await trio.sleep(1)
+        pay = partial(
+            ingress.call,
+            'POST',
+            '/entries/fee',
+            b'100',
+            idempotency_key='k',
+        )
+        assert (await pay()).status == 200
+        relay.silence()
+        assert (await pay()).outcome == b'unknown'
+        assert (await pay()).status == 200
+        assert owner.upstream.targets.count(b'/entries/fee') == 1
+
+    fleet(check, 2)
--- a/libs/calls/tests/test_retries.py
+++ b/libs/calls/tests/test_retries.py
@@ -213,3 +213,18 @@
         assert far.upstream.targets
 
     fleet(check, 2, QUICK)
+
+
+def test_call_without_time_left_is_not_sent(fleet):
+    async def check(daemons, nursery):
+        answer = await daemons[0].call(
+            'POST',
+            '/entries',
+            b'1',
+            x_request_timeout_ms='0',
+        )
+        assert (answer.status, answer.outcome) == (504, b'not-run')
+        assert not daemons[0].upstream.targets
+        assert daemons[0].local.admission.running == 0
+
+    fleet(check, 1)
--- a/libs/calls/tests/test_whole.py
+++ b/libs/calls/tests/test_whole.py
@@ -140,3 +140,21 @@
         assert owner.outcomes == ['cancelled']
 
     fleet(check, 2, timeout=timedelta(seconds=60))
+
+
+def test_second_answer_to_one_request_reaches_nobody(fleet):
+    """An upstream answers twice; the next caller must not get the second."""
+
+    async def check(daemons, nursery):
+        upstream = daemons[0].upstream
+
+        async def answer_twice(stream, target):
+            await upstream.reply(stream, target)
+            await upstream.reply(stream, b'crossed')
+
+        upstream.answer = answer_twice
+        for number in range(10):
+            answer = await daemons[0].call('GET', f'/entries/{number}')
+            assert answer.body == b'/entries/%d' % number
+
+    fleet(check, 1)
