--- a/libs/calls/tests/test_once.py
+++ b/libs/calls/tests/test_once.py
@@ -246,6 +246,9 @@
         relay.silence()
         assert (await pay()).outcome == b'unknown'
         assert (await pay()).status == 200
+        relay.silence(deaf=False)
+        assert (await pay()).status == 200
+        assert ingress.server.stats().recovered == 1
         assert owner.upstream.targets.count(b'/entries/fee') == 1
 
     fleet(check, 2)
--- a/libs/calls/tests/test_overload.py
+++ b/libs/calls/tests/test_overload.py
@@ -39,6 +39,16 @@
         admission.leave(priority, timedelta(seconds=seconds))
 
 
+async def hold_slot(admission):
+    entry = await admission.enter(
+        Priority.NORMAL,
+        'first',
+        deadline=LATER,
+        is_gone=lambda: False,
+    )
+    assert entry is Entry.ADMITTED
+
+
 def run(main):
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
@@ -137,6 +147,30 @@
     run(main)
 
 
+def test_slot_given_to_a_cancelled_call_is_not_lost():
+    """A waiting call is cancelled and given a slot at the same moment."""
+
+    async def main():
+        done = []
+        admission = make_admission(slots=1)
+        await hold_slot(admission)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                hold,
+                admission,
+                Priority.NORMAL,
+                'late',
+                1,
+                done,
+            )
+            await trio.testing.wait_all_tasks_blocked()
+            nursery.cancel_scope.cancel()
+            admission.leave(Priority.NORMAL, None)
+        assert (admission.running, admission.queued) == (0, 0)
+
+    run(main)
+
+
 @given(seed=st.integers(0, 10**6), slots=st.integers(1, 5))
 @settings(max_examples=30, derandomize=True, deadline=None)
 def test_slots_are_never_exceeded_nor_lost(seed, slots):
