--- a/libs/mesh/src/verbenamill_mesh/mesh.py
+++ b/libs/mesh/src/verbenamill_mesh/mesh.py
@@ -200,7 +200,7 @@
 
     @property
     def own(self) -> Member:
-        """This daemon as it tells the others, also after it has left."""
+        """This daemon as others see it, also after it has left."""
         return self._members.own
 
     def members(self) -> dict[VmId, Member]:
