--- a/libs/cli/src/verbenamill_cli/story.py
+++ b/libs/cli/src/verbenamill_cli/story.py
@@ -1,7 +1,6 @@
 """The whole story of one move, in order."""
 
 from collections.abc import Iterator
-from typing import Any
 
 import httpx
 from msgspec import Struct
@@ -12,8 +11,8 @@
 from verbenamill_cli.errors import CliError, ExitCode
 from verbenamill_cli.history import History
 from verbenamill_cli.output import Report, show_time
-from verbenamill_cli.tickets import describe_move, find_tickets
-from verbenamill_model import Move, Verdict
+from verbenamill_cli.tickets import describe_move
+from verbenamill_model import AuditEntry, Move, Verdict
 from verbenamill_model.typing import Offset, VersionName
 from verbenamill_moves import MoveState
 from verbenamill_platform.streams import AuditLine
@@ -34,13 +33,14 @@
     """Everything known of a move.
 
     :param move: ``None`` when its ticket and verdict have expired.
+    :param opened: the audit trail's line of the ticket.
     :param running: a daemon's view, when it runs and a daemon was asked.
     :param daemon: why there is no such view.
     """
 
     id: Offset
     move: Move | None
-    ticket: Any
+    opened: AuditEntry | None
     steps: tuple[AuditLine, ...]
     verdict: Verdict | None
     running: RunningMove | None = None
@@ -61,31 +61,19 @@
     move = moves.get(wanted)
     if move is None and not steps:
         return Failure(_not_found(wanted, moves))
+    opened = (line for line in history.audit() if line.offset == wanted)
     ended = (known for known in history.verdicts() if known.move.id == wanted)
     return Success(
         Story(
             id=wanted,
             move=move,
-            ticket=_ticket_of(history, move),
+            opened=next(opened, None),
             steps=steps,
             verdict=next(ended, None),
         ),
     )
 
 
-def _ticket_of(history: History, move: Move | None) -> Any:
-    if move is None:
-        return None
-    return next(
-        (
-            shown
-            for shown in find_tickets(history, move.ticket)
-            if shown.offset == move.id
-        ),
-        None,
-    )
-
-
 def _not_found(wanted: Offset, moves: dict[Offset, Move]) -> CliError:
     same_ticket = [
         str(move.id)
@@ -134,7 +122,7 @@
         yield f'move {story.id}: its ticket has expired from the log'
     else:
         yield describe_move(story.move)
-        yield from _tell_ticket(story, story.move)
+        yield _tell_ticket(story, story.move)
     for step in story.steps:
         yield f'{show_time(step.at)}  {step.vm}: {step.text}'
     if story.verdict is not None:
@@ -148,16 +136,11 @@
         yield from _tell_running(story)
 
 
-def _tell_ticket(story: Story, move: Move) -> Iterator[str]:
-    author, note = 'unknown', ''
-    if story.ticket is not None:
-        author = story.ticket.ticket.author
-        note = story.ticket.ticket.note
-    told = f' ({note})' if note else ''
-    yield (
-        f'{show_time(move.accepted_at)}  ticket {move.ticket} of {author}'
-        f'{told} accepted'
-    )
+def _tell_ticket(story: Story, move: Move) -> str:
+    start = f'{show_time(move.accepted_at)}  ticket {move.ticket} accepted'
+    if story.opened is None:
+        return start
+    return f'{start}, of {story.opened.author}: {story.opened.text}'
 
 
 def _tell_running(story: Story) -> Iterator[str]:
--- a/libs/cli/tests/test_history.py
+++ b/libs/cli/tests/test_history.py
@@ -115,9 +115,19 @@
     assert 'no checkpoint' in outcome.stderr
 
 
-def test_story_of_a_finished_move(moved, run):
+@pytest.mark.parametrize('has_expired', [False, True])
+def test_story_of_a_finished_move(moved, run, has_expired):
+    """It is told in order, also when the ticket's record has expired."""
+    if has_expired:
+        moved.checkpoint(2)
+        moved.oldest['config'] = 3
     told = run('move', 'show', 1).stdout
-    order = ('from v1 to v2', 'ticket 2 of ann', 'canary', 'verdict: done')
+    order = (
+        'from v1 to v2',
+        'ticket 2 accepted, of ann',
+        'canary',
+        'verdict: done',
+    )
     places = [told.index(part) for part in order]
     assert places == sorted(places)
     assert told.count('canary') == 1
