--- /dev/null
+++ b/libs/cli/tests/test_bad_files.py
@@ -0,0 +1,71 @@
+"""What a new user is told of a faulty file, word for word."""
+
+from verbenamill_cli.errors import ExitCode
+
+SETTINGS = """
+[vm]
+id = "tx a 1"
+availability_zone = "tx-central-a"
+region = "tx-central"
+[listen]
+calls = "localhost:7001"
+control = "10.0.0.5:7002"
+admin = "10.0.0.5:7003"
+[log]
+url = "10.0.0.9:8080"
+[loging]
+level = "info"
+"""
+TICKET = """
+number = "7"
+autor = "me"
+[[service]]
+name = "entries"
+[[routes]]
+name = "fees"
+prefix = "/fees"
+service = "entries"
+priority = "urgent"
+"""
+
+
+def test_settings(run, tmp_path):
+    file = tmp_path / 'bad.toml'
+    file.write_text(SETTINGS)
+    outcome = run('config', 'check', file)
+    assert outcome.exit_code == ExitCode.FAULTY
+    assert outcome.stderr.splitlines() == [
+        f'error: {file}: 4 to correct',
+        '  - loging = a table: expected no such key; did you mean logging?',
+        '  - vm.id = "tx a 1": expected a name of up to 100 letters, digits, '
+        '".", "_" and "-", in quotes',
+        '  - listen.calls = "localhost:7001": expected an IP number and a '
+        'port in quotes, such as "10.0.0.5:7001"',
+        '  - log.url = "10.0.0.9:8080": expected a URL such as '
+        '"http://10.0.0.9:8080" without a query',
+        'what to do: correct them all; examples/ has an annotated file',
+    ]
+
+
+def test_ticket(run, tmp_path):
+    file = tmp_path / 'bad.toml'
+    file.write_text(TICKET)
+    outcome = run('ticket', 'validate', file)
+    assert outcome.exit_code == ExitCode.FAULTY
+    assert outcome.stderr.splitlines() == [
+        f'error: {file} is no ticket; 5 to correct',
+        '  - autor = "me": expected no such key; did you mean author?',
+        '  - service = [a table]: expected no such key; did you mean services?',
+        '  - number = "7": expected a whole number',
+        '  - author: missing; expected text in quotes',
+        '  - routes[1].priority = "urgent": expected one of "high", '
+        '"normal", "bulk"',
+        'what to do: correct them all; examples/ has annotated tickets',
+    ]
+
+
+def test_files_that_cannot_be_read(run, tmp_path):
+    for command in (('config', 'check'), ('ticket', 'publish')):
+        outcome = run(*command, tmp_path)
+        assert outcome.exit_code == ExitCode.FAULTY
+        assert 'cannot be read' in outcome.stderr
--- a/libs/platform/src/verbenamill_platform/logs.py
+++ b/libs/platform/src/verbenamill_platform/logs.py
@@ -100,22 +100,27 @@
     def format(self, record: logging.LogRecord) -> str:
         line = _read(record)
         at = line.at.isoformat(timespec='milliseconds')
-        fields = ' '.join(
-            f'{name}={value}' for name, value in line.fields.items()
-        )
-        parts = (
-            at,
-            line.level,
-            line.code,
-            line.message,
-            fields and f'[{fields}]',
-        )
+        parts = (at, line.level, line.code, line.message, _show_rest(record))
         text = ' '.join(part for part in parts if part)
         # A field may quote what a caller sent; a line break in it would
         # let the caller write lines of its own into the log.
         return text.replace('\r', r'\r').replace('\n', r'\n')
 
 
+def _show_rest(record: logging.LogRecord) -> str:
+    """Fields that the message does not tell already."""
+    event: Event | None = getattr(record, 'event', None)
+    if event is None:
+        return ''
+    fields: dict[str, Any] = record.__dict__['fields']
+    shown = ' '.join(
+        f'{name}={value}'
+        for name, value in fields.items()
+        if f'{{{name}}}' not in event.kind.template
+    )
+    return f'[{shown}]' if shown else ''
+
+
 class _RateLimit:
     """Holds back an event that repeats.
 
--- a/libs/platform/src/verbenamill_platform/settings.py
+++ b/libs/platform/src/verbenamill_platform/settings.py
@@ -162,7 +162,7 @@
     try:
         text = path.read_text(encoding='utf-8')
     except (OSError, UnicodeDecodeError) as error:
-        return Failure((f'{path} cannot be read: {error}',))
+        return Failure((f'the file cannot be read: {error}',))
     return check_settings(text).alt(
         lambda faults: tuple(str(fault) for fault in faults),
     )
--- a/libs/platform/tests/test_logs.py
+++ b/libs/platform/tests/test_logs.py
@@ -50,6 +50,7 @@
     stream, _ = written(LogFormat.TEXT)
     log(Event.OVERLOAD, service='a\nCRITICAL VM9001', reason='100% full')
     assert stream.getvalue().count('\n') == 1
+    assert stream.getvalue().count('100% full') == 1
     assert 'VM6004' in stream.getvalue()
 
 
