Metrics that can be read, with kinds, labels and a page

Cause: GET /metrics answered 500 on every daemon that had heard of another one; the mesh's counters by kind are messages, not numbers. Figures that rise and fall were exposed as counters.

Touches the wiring in the daemon's daemon.py.

--- a/libs/daemon/src/verbenamill_daemon/daemon.py
+++ b/libs/daemon/src/verbenamill_daemon/daemon.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 import trio
-from msgspec.structs import asdict
 
 from verbenamill_calls import (
     CallContext,
@@ -22,7 +21,7 @@
 from verbenamill_daemon.events import Event
 from verbenamill_daemon.limits import read_limits
 from verbenamill_daemon.logs import log
-from verbenamill_daemon.metrics import build_registry
+from verbenamill_daemon.metrics import Health, Sources, build_registry
 from verbenamill_daemon.moving import Moving, is_running
 from verbenamill_daemon.settings import Settings
 from verbenamill_daemon.settling import AuditWriter, Settler
@@ -120,8 +119,11 @@
             calls=self.server.stats,
             announce=self._announce,
             registry=build_registry(
-                gauges=self._gauges,
-                counters=self._counters,
+                Sources(
+                    health=self._health,
+                    calls=self.server.stats,
+                    mesh=self.mesh.stats,
+                ),
             ),
             cut=self.mesh.cut if allow_cut else None,
         )
@@ -175,23 +177,14 @@
             for move in self.moving.running()
         ]
 
-    def _gauges(self) -> dict[str, float]:
+    def _health(self) -> Health:
         status = self.status()
-        return {
-            'config_offset': status.offset,
-            'config_version': status.version,
-            'ready': float(status.ready),
-            'members': status.members,
-            'moves_running': status.moves,
-        }
-
-    def _counters(self) -> dict[str, float]:
-        return {
-            name: figure
-            for name, figure in _numbers(self.server.stats(), 'calls')
-        } | {
-            name: figure for name, figure in _numbers(self.mesh.stats(), 'mesh')
-        }
+        return Health(
+            offset=status.offset,
+            version=status.version,
+            ready=status.ready,
+            moves=status.moves,
+        )
 
 
 def _log_change(before: State, after: State) -> None:
@@ -214,20 +207,6 @@
             )
 
 
-def _numbers(stats: Any, prefix: str) -> list[tuple[str, float]]:
-    """Numeric fields of a Struct, also of one level of dicts in it."""
-    figures: list[tuple[str, float]] = []
-    for name, value in asdict(stats).items():
-        if isinstance(value, int | float):
-            figures.append((f'{prefix}_{name}', value))
-        elif isinstance(value, dict):
-            figures.extend(
-                (f'{prefix}_{name}_{key}'.replace('-', '_'), part)
-                for key, part in value.items()
-            )
-    return figures
-
-
 def split_address(address: str) -> tuple[str, int]:
     """Split ``host:port``; the settings have checked its form."""
     host, _, port = address.rpartition(':')
--- a/libs/daemon/src/verbenamill_daemon/metrics.py
+++ b/libs/daemon/src/verbenamill_daemon/metrics.py
@@ -1,41 +1,340 @@
-"""Metrics of the daemon, read from its parts when they are asked for."""
+"""Metrics of the daemon, read from its parts when they are asked for.
+
+``python -m verbenamill_daemon.metrics`` prints the page
+``docs/operators/metrics.md``; a test fails when the two differ.
+"""
 
 from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+from typing import Any, cast
 
+from msgspec import Struct
 from prometheus_client import CollectorRegistry, ProcessCollector
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 from prometheus_client.metrics_core import Metric
 from prometheus_client.registry import Collector
 
-Read = Callable[[], Mapping[str, float]]
+from verbenamill_calls import CallStats
+from verbenamill_mesh import MeshStats
+
+#: Samples of one metric by the values of its labels.
+Samples = Mapping[tuple[str, ...], float]
+
+
+class Health(Struct, frozen=True, kw_only=True):
+    """Figures of the daemon itself."""
+
+    offset: int
+    version: int
+    ready: bool
+    moves: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class Sources:
+    """Parts that the figures are read from."""
+
+    health: Callable[[], Health]
+    calls: Callable[[], CallStats]
+    mesh: Callable[[], MeshStats]
+
+
+class Figures(Struct, frozen=True, kw_only=True):
+    """All parts read at one moment."""
+
+    health: Health
+    calls: CallStats
+    mesh: MeshStats
+
+
+@dataclass(frozen=True)
+class Definition:
+    """One metric.
+
+    :param is_counter: whether it only grows.
+    :param labels: names of its labels.
+    """
+
+    name: str
+    is_counter: bool
+    help: str
+    read: Callable[[Figures], Samples]
+    labels: tuple[str, ...] = ()
+
+    @property
+    def exposed_name(self) -> str:
+        """Name as a query writes it."""
+        return f'verbenamill_{self.name}{"_total" if self.is_counter else ""}'
+
+
+def _plain(part: str, field: str) -> Callable[[Figures], Samples]:
+    def read(figures: Figures) -> Samples:
+        return {(): getattr(getattr(figures, part), field)}
+
+    return read
+
+
+def _gauge(name: str, part: str, field: str, text: str) -> Definition:
+    return Definition(name, False, text, _plain(part, field))
+
+
+def _counter(name: str, part: str, field: str, text: str) -> Definition:
+    return Definition(name, True, text, _plain(part, field))
+
+
+def _traffic(field: str) -> Callable[[Figures], Samples]:
+    def read(figures: Figures) -> Samples:
+        directions = {
+            'sent': figures.mesh.sent,
+            'received': figures.mesh.received,
+        }
+        return {
+            (direction, kind): getattr(traffic, field)
+            for direction, by_kind in directions.items()
+            for kind, traffic in by_kind.items()
+        }
+
+    return read
+
+
+def _by_key(field: str) -> Callable[[Figures], Samples]:
+    def read(figures: Figures) -> Samples:
+        found: dict[str, int] = getattr(figures.mesh, field)
+        return {(key,): number for key, number in found.items()}
+
+    return read
+
+
+DEFINITIONS = (
+    _gauge('config_offset', 'health', 'offset', 'Last record folded in.'),
+    _gauge(
+        'config_version',
+        'health',
+        'version',
+        'Version in force; equal on all daemons within seconds of a change.',
+    ),
+    _gauge(
+        'ready',
+        'health',
+        'ready',
+        '1 when the configuration is known to be caught up.',
+    ),
+    _gauge('moves_running', 'health', 'moves', 'Moves without a verdict.'),
+    _counter('calls', 'calls', 'calls', 'Calls from callers.'),
+    _counter('hops', 'calls', 'hops', 'Calls from other daemons.'),
+    _counter(
+        'calls_answered',
+        'calls',
+        'answered',
+        'Answers of upstreams that callers got whole.',
+    ),
+    _counter(
+        'calls_broken',
+        'calls',
+        'broken',
+        'Answers that broke off on their way to a caller.',
+    ),
+    _counter(
+        'calls_not_run',
+        'calls',
+        'not_run',
+        'Refusals of calls that did not run; overload when it lasts.',
+    ),
+    _counter(
+        'calls_unknown',
+        'calls',
+        'unknown',
+        'Calls of which it is not known whether they ran.',
+    ),
+    _counter(
+        'calls_rejected',
+        'calls',
+        'rejected',
+        'Requests at fault themselves, as bad or too long.',
+    ),
+    _counter('call_retries', 'calls', 'retries', 'Tries after the first.'),
+    _counter(
+        'call_hedges',
+        'calls',
+        'hedges',
+        'Second tries while the first was still waited for.',
+    ),
+    _counter(
+        'calls_asked',
+        'calls',
+        'asked',
+        'Questions to an owner after a lost connection.',
+    ),
+    _counter(
+        'calls_recovered',
+        'calls',
+        'recovered',
+        'Answers that such a question brought.',
+    ),
+    _gauge('calls_in_hand', 'calls', 'in_hand', 'Requests being served now.'),
+    _gauge(
+        'call_connections',
+        'calls',
+        'connections',
+        'Open connections from callers and daemons.',
+    ),
+    _gauge(
+        'upstream_running',
+        'calls',
+        'running',
+        'Calls in slots of the upstream of this daemon.',
+    ),
+    _gauge(
+        'upstream_queued',
+        'calls',
+        'queued',
+        'Calls that wait for a slot.',
+    ),
+    _gauge(
+        'calls_remembered',
+        'calls',
+        'remembered',
+        'Calls known that may not be repeated.',
+    ),
+    Definition(
+        'mesh_messages',
+        True,
+        'Messages to and from other daemons.',
+        _traffic('messages'),
+        ('direction', 'kind'),
+    ),
+    Definition(
+        'mesh_bytes',
+        True,
+        'Bytes of these messages, without those of TCP.',
+        _traffic('size'),
+        ('direction', 'kind'),
+    ),
+    Definition(
+        'log_requests',
+        True,
+        'Reads and appends at the log; none on most daemons.',
+        _by_key('log_requests'),
+        ('stream',),
+    ),
+    Definition(
+        'config_records',
+        True,
+        'Records taken, by where each came from first: log, push or pull.',
+        _by_key('entries_first_from'),
+        ('origin',),
+    ),
+    _gauge('mesh_links', 'mesh', 'links', 'Open links to other daemons.'),
+    _counter(
+        'mesh_links_replaced',
+        'mesh',
+        'links_replaced',
+        'Links closed because no answer came; silent connections.',
+    ),
+    _counter(
+        'mesh_requests_dropped',
+        'mesh',
+        'requests_dropped',
+        "Requests given up because a peer's queue was full.",
+    ),
+    _counter(
+        'mesh_transfers',
+        'mesh',
+        'transfers',
+        'Whole states, record pages and values served.',
+    ),
+    _counter(
+        'mesh_transfers_refused',
+        'mesh',
+        'transfers_refused',
+        'Those answered with the address of another daemon to try.',
+    ),
+    _counter(
+        'mesh_gaps',
+        'mesh',
+        'gaps',
+        'Pushes and pages that left out a record; mended by asking.',
+    ),
+    _counter(
+        'mesh_digest_clashes',
+        'mesh',
+        'digest_clashes',
+        'Peers with another state at the same offset; must stay 0.',
+    ),
+    _gauge('members', 'mesh', 'members', 'Daemons alive, this one included.'),
+    _gauge('members_dead', 'mesh', 'tombstones', 'Dead ones remembered.'),
+    _gauge(
+        'mesh_store_bytes',
+        'mesh',
+        'store_bytes',
+        'Bytes of what daemons tell each other.',
+    ),
+)
 
 
 class _Parts(Collector):
     """Turns the figures of each part into metric families."""
 
-    def __init__(self, gauges: Read, counters: Read) -> None:
-        self._gauges = gauges
-        self._counters = counters
+    def __init__(self, sources: Sources) -> None:
+        self._sources = sources
 
     def collect(self) -> Iterable[Metric]:
-        """Read every figure once."""
-        for name, value in self._gauges().items():
-            gauge = GaugeMetricFamily(f'verbenamill_{name}', name)
-            gauge.add_metric([], value)
-            yield gauge
-        for name, value in self._counters().items():
-            counter = CounterMetricFamily(f'verbenamill_{name}', name)
-            counter.add_metric([], value)
-            yield counter
-
-
-def build_registry(*, gauges: Read, counters: Read) -> CollectorRegistry:
-    """Registry with the daemon's figures and those of its process.
-
-    :param gauges: figures that rise and fall, by metric name.
-    :param counters: figures that only grow, by metric name.
-    """
+        """Read every part once."""
+        figures = Figures(
+            health=self._sources.health(),
+            calls=self._sources.calls(),
+            mesh=self._sources.mesh(),
+        )
+        for definition in DEFINITIONS:
+            yield _family(definition, definition.read(figures))
+
+
+def _family(definition: Definition, samples: Samples) -> Metric:
+    kind: Any = GaugeMetricFamily
+    if definition.is_counter:
+        kind = CounterMetricFamily
+    family = kind(
+        f'verbenamill_{definition.name}',
+        definition.help,
+        labels=definition.labels,
+    )
+    for labels, sample in samples.items():
+        family.add_metric(labels, float(sample))
+    return cast(Metric, family)
+
+
+def build_registry(sources: Sources) -> CollectorRegistry:
+    """Registry with the daemon's figures and those of its process."""
     registry = CollectorRegistry()
     ProcessCollector(registry=registry)
-    registry.register(_Parts(gauges, counters))
+    registry.register(_Parts(sources))
     return registry
+
+
+_HEADER = """# Metrics
+
+`GET /metrics` on a daemon's admin address answers in the Prometheus text
+format. Besides the figures below there are those of the process, such as
+`process_cpu_seconds_total` and `process_resident_memory_bytes`. The page is
+printed by `python -m verbenamill_daemon.metrics`; do not edit it by hand.
+What to alert on is in [README.md](README.md#alerts).
+
+| Name | Kind | Labels | Meaning |
+| --- | --- | --- | --- |
+"""
+
+
+def render_page() -> str:
+    """Text of the page with all metrics."""
+    rows = (
+        f'| `{definition.exposed_name}` '
+        f'| {"counter" if definition.is_counter else "gauge"} '
+        f'| {", ".join(definition.labels)} '
+        f'| {definition.help} |\n'
+        for definition in DEFINITIONS
+    )
+    return _HEADER + ''.join(rows)
+
+
+if __name__ == '__main__':
+    print(render_page(), end='')
