Calls: a stopping daemon resets no connection it has not accepted yet

Change: the queue of the port is emptied before it is closed; connections opened within 500 ms are waited for; a request that comes as its connection is ended is served. Figures: the test of 20 such callers failed without the emptying.

--- a/libs/calls/src/verbenamill_calls/server.py
+++ b/libs/calls/src/verbenamill_calls/server.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from verbenamill_calls.accepting import KeptListener
 from verbenamill_calls.call import Fate, refuse
 from verbenamill_calls.caller_side import CallerSide
 from verbenamill_calls.connection import HttpConnection
@@ -13,7 +14,7 @@
 from verbenamill_calls.hop import HopAsk, HopCall, read_hop
 from verbenamill_calls.ingress import Ingress
 from verbenamill_calls.local import LocalUpstream
-from verbenamill_calls.messages import Broken, RequestHead
+from verbenamill_calls.messages import Broken, Event, RequestHead
 from verbenamill_calls.owner_side import NOT_A_DAEMON, OwnerSide
 from verbenamill_calls.requests import find_fault
 from verbenamill_calls.responses import encode_refusal
@@ -27,6 +28,8 @@
 _CLOSE_GRACE = 1.0
 #: How often a stopping server looks whether all is done, in seconds.
 _STOP_POLL = 0.02
+#: Age up to which a connection counts as just opened when stopping.
+_FRESH = timedelta(milliseconds=500)
 
 
 class CallServer:
@@ -47,8 +50,8 @@
         self._callers = CallerSide(context, self._ingress, self._handling)
         self._owner = OwnerSide(local, self._handling)
         self._seats: set[_Seat] = set()
-        self._is_closing = False
         self._accepting: trio.CancelScope | None = None
+        self._accepted = trio.Event()
         self._serving: trio.CancelScope | None = None
 
     async def serve(
@@ -64,17 +67,32 @@
             self._serving = nursery.cancel_scope
             self._local.attach(nursery)
             nursery.start_soon(self._sweep)
-            accepting = trio.CancelScope()
-            self._accepting = accepting
-            with accepting:
-                await trio.serve_listeners(
-                    self._serve_connection,
-                    listeners,
-                    handler_nursery=nursery,
-                    task_status=task_status,
-                )
+            kept = [KeptListener(listener) for listener in listeners]
+            task_status.started(listeners)
+            try:
+                await self._accept(kept, nursery)
+            finally:
+                for listener in kept:
+                    listener.close()
+            self._accepted.set()
             await trio.sleep_forever()
 
+    async def _accept(
+        self,
+        kept: list[KeptListener],
+        nursery: trio.Nursery,
+    ) -> None:
+        accepting = trio.CancelScope()
+        self._accepting = accepting
+        with accepting:
+            await trio.serve_listeners(
+                self._serve_connection,
+                kept,
+                handler_nursery=nursery,
+            )
+        for listener in kept:
+            await listener.empty(self._serve_connection, nursery)
+
     async def stop(self) -> None:
         """Stop gracefully: finish what is in hand, and cut nothing.
 
@@ -87,9 +105,7 @@
         with trio.move_on_after(timeout):
             await self._local.drain()
             await trio.sleep(self._settings.linger.total_seconds())
-            self._close_waiting()
-            while self._stats.in_hand:
-                await trio.sleep(_STOP_POLL)
+            await self._finish_connections()
         self._ingress.peers.close()
         self._local.close()
         if self._serving is not None:
@@ -102,14 +118,30 @@
         self._stats.remembered = len(self._local.ledger)
         return self._stats
 
-    def _close_waiting(self) -> None:
-        self._is_closing = True
-        if self._accepting is not None:
-            self._accepting.cancel()
+    def _dismiss_idle(self) -> None:
+        """End connections whose callers do not use them.
+
+        One that was opened just now has a request on its way.
+        """
+        oldest = self._clock.elapsed() - _FRESH
         for seat in self._seats:
-            if seat.waits_since is not None and seat.connection.is_between:
+            waits_since = seat.waits_since
+            if waits_since is None or not seat.connection.is_between:
+                continue
+            if waits_since < oldest:
                 seat.dismiss(_STOPPING)
 
+    async def _finish_connections(self) -> None:
+        """Close the port, and wait until no connection is served."""
+        if self._accepting is not None:
+            self._accepting.cancel()
+            await self._accepted.wait()
+        # Those accepted last have yet to take their seats.
+        await trio.sleep(_STOP_POLL)
+        while self._seats:
+            self._dismiss_idle()
+            await trio.sleep(_STOP_POLL)
+
     async def _sweep(self) -> None:
         while True:
             await trio.sleep(_SWEEP)
@@ -151,18 +183,28 @@
 
     async def _next_request(self, seat: '_Seat') -> RequestHead | Broken:
         connection = seat.connection
-        if self._is_closing and connection.is_between:
-            return _STOPPING
         event = connection.ready()
         if event is None:
             seat.waits_since = self._clock.elapsed()
             event = await connection.receive()
             seat.waits_since = None
         if isinstance(event, Broken) and seat.dismissal is not None:
-            return seat.dismissal
+            event = await self._last_request(seat, seat.dismissal)
         assert isinstance(event, RequestHead | Broken)
         return event
 
+    async def _last_request(
+        self,
+        seat: '_Seat',
+        dismissal: Broken,
+    ) -> Event:
+        """What came between the decision to end a connection and now."""
+        connection = seat.connection
+        if not connection.is_between or connection.is_quiet():
+            return dismissal
+        event = await connection.receive()
+        return dismissal if isinstance(event, Broken) else event
+
     def _dismiss_slow(self) -> None:
         """End connections that wait for long: longer between requests."""
         now = self._clock.elapsed()
--- a/libs/calls/tests/conftest.py
+++ b/libs/calls/tests/conftest.py
@@ -223,8 +223,10 @@
             task_status.started()
 
     async def _serve(self, listeners):
+        self.server_ended = trio.Event()
         with self.server_scope:
             await self.server.serve(listeners)
+        self.server_ended.set()
 
     async def _announce_often(self):
         while True:
@@ -242,6 +244,7 @@
     async def restart(self, nursery):
         """Lose all memory, as when the process is replaced."""
         self.server_scope.cancel()
+        await self.server_ended.wait()
         self.start_anew()
         self.announce()
         listeners = await trio.open_tcp_listeners(self.port, host=self.host)
--- a/libs/calls/tests/test_leaving.py
+++ b/libs/calls/tests/test_leaving.py
@@ -1,5 +1,6 @@
 """Upstreams that leave and daemons that stop cut no call."""
 
+import socket
 from datetime import timedelta
 from functools import partial
 
@@ -95,6 +96,28 @@
     fleet(check, 2)
 
 
+def test_connections_not_yet_accepted_are_served(fleet, http):
+    """Twenty callers connect and send just as the daemon closes its port.
+
+    Closed at once, the port would reset them, with their requests sent.
+    """
+
+    async def check(daemons, nursery):
+        stopping = daemons[0]
+        request = http.encode('GET', '/entries')
+        callers = []
+        for _ in range(20):
+            caller = socket.create_connection((stopping.host, stopping.port))
+            caller.sendall(request)
+            callers.append(trio.socket.from_stdlib_socket(caller))
+        await stopping.server.stop()
+        for caller in callers:
+            answer = await http.read_answer(trio.SocketStream(caller))
+            assert answer.status == 200
+
+    fleet(check, 2, CallSettings(linger=timedelta(0), ramp=timedelta(0)))
+
+
 def test_stop_does_not_wait_for_ever(fleet):
     async def check(daemons, nursery):
         daemon = daemons[0]
