--- a/libs/mesh/src/verbenamill_mesh/testing.py
+++ b/libs/mesh/src/verbenamill_mesh/testing.py
@@ -201,6 +201,10 @@
             return Failure(LogError(fault=LogFault.UNAVAILABLE, detail='down'))
         return self._page(stream, start, limit)
 
+    def records(self, stream: str) -> list[Entry]:
+        """Everything that was ever appended, also what has expired."""
+        return list(self._streams.get(stream, ()))
+
     def _end(self, stream: str) -> Offset:
         return Offset(len(self._streams.get(stream, ())))
 
--- a/libs/mesh/tests/test_failures.py
+++ b/libs/mesh/tests/test_failures.py
@@ -8,6 +8,13 @@
 
 from verbenamill_mesh import CHECKPOINTS, CONFIG, Configuration, MeshSettings
 from verbenamill_mesh.checkpoints import CheckpointRecord
+from verbenamill_mesh.messages import (
+    Busy,
+    Envelope,
+    Pull,
+    decode_reply,
+    encode,
+)
 from verbenamill_mesh.ring import rank
 from verbenamill_mesh.testing import EPOCH, LogView, MemoryLog, wait_until
 from verbenamill_model import Entry
@@ -163,6 +170,24 @@
     run_fleet(scenario)
 
 
+def test_a_gateway_pushes_what_it_fetched(run_fleet):
+    """In a zone without the log, one gateway fetches a ticket from another
+    zone. The others must not wait until each has fetched it in turn.
+    """
+
+    async def scenario(fleet):
+        logs = {'b': LogView(fleet.log)}
+        await start_two_zones(fleet, size=16, logs=logs)
+        logs['b'].is_down = True
+        await trio.sleep(10)
+        offset = fleet.publish()
+        await wait_until(
+            lambda: fleet.all_at(offset), within=timedelta(seconds=0.5)
+        )
+
+    run_fleet(scenario)
+
+
 def test_the_log_goes_down_after_one_reader_has_the_change(run_fleet):
     async def scenario(fleet):
         logs = {zone: LogView(fleet.log) for zone in 'ab'}
@@ -559,6 +584,29 @@
     run_fleet(scenario, settings=MeshSettings(transfers_per_second=2))
 
 
+def test_a_busy_daemon_sends_others_on(run_fleet):
+    """Thirty daemons ask one for its records in the same moment.
+
+    It serves a few, and tells the rest at once whom to ask in its stead.
+    """
+
+    async def scenario(fleet):
+        await start_zone(fleet, 'a', 3, seeds=('a-0',))
+        await wait_until(lambda: fleet.all_know(3))
+        offset = fleet.publish()
+        await wait_until(lambda: fleet.all_at(offset))
+        link = fleet.network.transport('x').dial('a-0')
+        body = encode(Envelope('x', 'a', Pull(-1)))
+        replies = [
+            decode_reply((await link.request(body)).unwrap()) for _ in range(30)
+        ]
+        refused = [reply for reply in replies if isinstance(reply, Busy)]
+        assert 20 <= len(refused) < 30
+        assert {reply.address for reply in refused} == {'a-1', 'a-2'}
+
+    run_fleet(scenario, settings=MeshSettings(transfers_per_second=5))
+
+
 def transfers_of(fleet):
     return {
         name: daemon.mesh.stats().transfers
