--- a/libs/cli/tests/test_examples.py
+++ b/libs/cli/tests/test_examples.py
@@ -16,4 +16,8 @@
 
 
 def test_settings(run, examples):
-    assert run('config', 'check', examples / 'daemon.toml').exit_code == 0
+    files = sorted(examples.glob('*.toml'))
+    assert len(files) >= 3
+    for file in files:
+        checked = run('config', 'check', file)
+        assert checked.exit_code == ExitCode.OK, checked.output
