Every event of the catalogue is written somewhere, and a test says so

Seven events stood in the catalogue and in no code: configuration accepted, a link lost and back, a veto, an upstream draining and gone, overload. They are written now where they happen, in the mesh's links, the owner's shedding, the daemon's watch of its upstream and its decider. UPSTREAM_LOST becomes UPSTREAM_GONE, since an upstream that says that it is gone is no fault.

--- a/libs/calls/src/verbenamill_calls/local.py
+++ b/libs/calls/src/verbenamill_calls/local.py
@@ -28,6 +28,8 @@
 from verbenamill_model.typing import RequestId, UpstreamState
 from verbenamill_platform import Announcement
 from verbenamill_platform.announcements import LEASE
+from verbenamill_platform.events import Event
+from verbenamill_platform.logs import log
 
 #: Share of the slots that a cold upstream gets at first.
 _COLD_SHARE = 0.25
@@ -323,6 +325,9 @@
         return f'the upstream here is {told.service} {told.version}'
 
     def _shed(self, reason: str) -> Refusal:
+        if self._announcement is not None:
+            service = self._announcement.upstream.service
+            log(Event.OVERLOAD, service=service, reason=reason)
         return refuse(
             HTTPStatus.SERVICE_UNAVAILABLE,
             Fate.NOT_RUN,
--- a/libs/daemon/src/verbenamill_daemon/daemon.py
+++ b/libs/daemon/src/verbenamill_daemon/daemon.py
@@ -18,17 +18,18 @@
     build_app,
     serve_admin,
 )
-from verbenamill_daemon.events import Event
 from verbenamill_daemon.limits import read_limits
-from verbenamill_daemon.logs import log
 from verbenamill_daemon.metrics import Health, Sources, build_registry
 from verbenamill_daemon.moving import Moving, is_running
 from verbenamill_daemon.settings import Settings
 from verbenamill_daemon.settling import AuditWriter, Settler
 from verbenamill_mesh import Configuration, Mesh
 from verbenamill_model import State
-from verbenamill_model.traffic import Member
+from verbenamill_model.traffic import Member, Upstream
+from verbenamill_model.typing import UpstreamState
 from verbenamill_platform import Announcement, Clock, Log
+from verbenamill_platform.events import Event
+from verbenamill_platform.logs import log
 
 #: How often the state of the own upstream is looked at.
 WATCH_PERIOD = timedelta(milliseconds=200)
@@ -140,7 +141,7 @@
     def _tell_upstream(self) -> None:
         upstream = self.local.upstream()
         if upstream != self.mesh.own.upstream:
-            log(Event.UPSTREAM_CHANGED, upstream=repr(upstream))
+            _log_upstream(upstream)
             self.mesh.announce(upstream)
 
     async def _watch_upstream(self) -> None:
@@ -187,9 +188,33 @@
         )
 
 
+def _log_upstream(upstream: Upstream | None) -> None:
+    if upstream is None:
+        return
+    match upstream.state:
+        case UpstreamState.DRAINING:
+            log(Event.UPSTREAM_DRAINING, service=upstream.service)
+        case UpstreamState.GONE:
+            log(Event.UPSTREAM_GONE, service=upstream.service)
+        case state:
+            log(
+                Event.UPSTREAM_CHANGED,
+                service=upstream.service,
+                version=upstream.version,
+                state=state.value,
+            )
+
+
 def _log_change(before: State, after: State) -> None:
     if after.snapshot.version > before.snapshot.version:
         log(Event.CONFIGURATION_APPLIED, version=after.snapshot.version)
+    for line in after.audit:
+        if line.offset > before.offset and line.ticket not in before.digests:
+            log(
+                Event.CONFIGURATION_ACCEPTED,
+                ticket=line.ticket,
+                offset=line.offset,
+            )
     for refusal in after.refusals:
         if refusal.offset > before.offset:
             log(
--- a/libs/daemon/src/verbenamill_daemon/main.py
+++ b/libs/daemon/src/verbenamill_daemon/main.py
@@ -10,14 +10,14 @@
 from returns.result import Failure, Success
 
 from verbenamill_daemon.daemon import build_daemon
-from verbenamill_daemon.events import Event
-from verbenamill_daemon.logs import log, set_up_logs
 from verbenamill_daemon.settings import (
     LoggingSettings,
     Settings,
     load_settings,
 )
 from verbenamill_platform import HttpLog, SystemClock
+from verbenamill_platform.events import Event
+from verbenamill_platform.logs import log, set_up_logs
 
 BAD_SETTINGS = 2
 
--- a/libs/daemon/src/verbenamill_daemon/moving.py
+++ b/libs/daemon/src/verbenamill_daemon/moving.py
@@ -5,8 +5,6 @@
 
 import trio
 
-from verbenamill_daemon.events import Event
-from verbenamill_daemon.logs import log
 from verbenamill_daemon.settling import AuditWriter, Settler
 from verbenamill_mesh import Configuration, Mesh
 from verbenamill_model import Move, VerdictRecord
@@ -29,6 +27,8 @@
     shares,
 )
 from verbenamill_platform import Clock
+from verbenamill_platform.events import Event
+from verbenamill_platform.logs import log
 from verbenamill_platform.streams import AuditLine
 
 #: Time between two reports of an owner, and two steps of a decider.
@@ -141,6 +141,7 @@
         for action in actions:
             match action:
                 case Publish(move=move, state=state):
+                    self._log_veto(move, state)
                     body = encode_move_state(state)
                     self._mesh.put(TOPIC, move_key(move), body)
                 case Settle(record=record):
@@ -148,6 +149,18 @@
                 case Note():
                     self._note(action)
 
+    def _log_veto(self, move: Offset, state: MoveState) -> None:
+        if not state.veto:
+            return
+        for known in self.running():
+            if known.id == move:
+                log(
+                    Event.MOVE_VETOED,
+                    move=move,
+                    service=known.service,
+                    text=state.reason,
+                )
+
     def _note(self, note: Note) -> None:
         log(
             Event.MOVE_STAGE,
--- a/libs/mesh/src/verbenamill_mesh/links.py
+++ b/libs/mesh/src/verbenamill_mesh/links.py
@@ -18,6 +18,8 @@
 from verbenamill_mesh.stats import MeshStats
 from verbenamill_mesh.transport import Link, Transport
 from verbenamill_model.typing import AvailabilityZone, VmId
+from verbenamill_platform.events import Event
+from verbenamill_platform.logs import log
 
 #: Requests that wait for one peer; more are given up.
 MAX_WAITING = 64
@@ -163,16 +165,22 @@
         new one before the peer is called unreachable.
         """
         worked_before = link is not None
+        is_lost = False
         for _ in range(2 if worked_before else 1):
             if trio.current_time() >= job.expires:
                 return link
             link = link or self._transport.dial(address)
             job.reply = await self._try(address, link, job)
             if isinstance(job.reply, Success):
+                if is_lost:
+                    log(Event.PEER_RECOVERED, peer=address)
                 return link
             link.close()
             link = None
             self._stats.links_replaced += 1
+            if worked_before and not is_lost:
+                is_lost = True
+                log(Event.PEER_LOST, peer=address, reason=job.reply.failure())
         return None
 
     async def _try(
--- a/libs/platform/src/verbenamill_platform/events.py
+++ b/libs/platform/src/verbenamill_platform/events.py
@@ -190,7 +190,8 @@
         'VM4001',
         logging.WARNING,
         'link to {peer} lost: {reason}',
-        'A link failed or was silent for too long. A new one is being opened.',
+        'A link that worked failed or was silent for too long. A new one is '
+        'opened and the request tried again.',
         'Nothing for one. Many at once mean a network fault or dead VMs; '
         'look at `verbenamill status`.',
     )
@@ -198,7 +199,7 @@
         'VM4002',
         logging.INFO,
         'link to {peer} is back',
-        'A new link to the daemon works.',
+        'The new link to the daemon works.',
         _NOTHING,
     )
     MEMBER_SUSPECTED = EventKind(
@@ -249,7 +250,7 @@
     UPSTREAM_CHANGED = EventKind(
         'VM6001',
         logging.INFO,
-        'upstream is now {upstream}',
+        'upstream of {service} {version} is {state}',
         'The upstream of this daemon announced itself or changed.',
         _NOTHING,
     )
@@ -260,12 +261,13 @@
         'The upstream leaves; it gets no new calls and finishes those it has.',
         _NOTHING,
     )
-    UPSTREAM_LOST = EventKind(
+    UPSTREAM_GONE = EventKind(
         'VM6003',
         logging.WARNING,
-        'upstream of {service} has not announced itself for its lease',
-        'The upstream stopped without draining, or is too busy to announce.',
-        'Look at the upstream on this VM.',
+        'upstream of {service} is gone',
+        'It said so, or did not announce itself for its lease: it stopped '
+        'without draining, or is too busy to announce.',
+        'Nothing when it was stopped; else look at the upstream on this VM.',
     )
     OVERLOAD = EventKind(
         'VM6004',
--- a/libs/platform/tests/test_logs.py
+++ b/libs/platform/tests/test_logs.py
@@ -78,6 +78,16 @@
     assert codes == sorted(set(codes))
 
 
+def test_every_event_is_written_somewhere():
+    """An event of the catalogue that nothing writes misleads on call."""
+    sources = Path(__file__).parents[2].glob('*/src/**/*.py')
+    code = '\n'.join(source.read_text() for source in sources)
+    unused = [
+        event.name for event in Event if f'Event.{event.name}' not in code
+    ]
+    assert unused == []
+
+
 def test_catalogue_matches_the_code():
     expected = render_catalogue()
     assert CATALOGUE.read_text() == expected, (
