--- a/libs/cli/src/verbenamill_cli/main.py
+++ b/libs/cli/src/verbenamill_cli/main.py
@@ -64,6 +64,10 @@
     daemon: DaemonUrl = '',
     log: LogUrl = '',
     timeout: Timeout = STATUS_TIMEOUT,
+    show_all: Annotated[
+        bool,
+        typer.Option('--all', help='Name every daemon of a large fleet.'),
+    ] = False,
     as_json: AsJson = False,
 ) -> None:
     """Show what every daemon runs, which ones lag, and why."""
@@ -73,7 +77,12 @@
         history, told = _read_log_if_any(context, log, timeout)
         surveyed = trio.run(_survey, environment, url)
         return surveyed.map(
-            lambda found: report_status(found, history, told),
+            lambda found: report_status(
+                found,
+                history,
+                told,
+                show_all=show_all,
+            ),
         )
 
     url = need_url(daemon, option='--daemon', variable=DAEMON_VARIABLE)
--- a/libs/cli/src/verbenamill_cli/status.py
+++ b/libs/cli/src/verbenamill_cli/status.py
@@ -1,6 +1,7 @@
 """Which daemon runs which version, which ones lag, and why."""
 
 from collections import Counter
+from collections.abc import Sequence
 
 from msgspec import Struct
 
@@ -9,17 +10,23 @@
 from verbenamill_cli.history import History
 from verbenamill_cli.output import Report, table
 from verbenamill_model import digest_state
+from verbenamill_model.traffic import Upstream
 from verbenamill_model.typing import AvailabilityZone, VmId
 
+#: Daemons that are named one by one; of a larger fleet only those that lag.
+MAX_SHOWN = 60
+
 
 class DaemonStatus(Struct, frozen=True, kw_only=True):
     """One daemon's line of the report.
 
+    :param upstream: service, version and state of its upstream.
     :param reason: why it lags, empty when it does not.
     """
 
     id: VmId
     availability_zone: AvailabilityZone
+    upstream: str
     version: int | None
     offset: int | None
     reason: str
@@ -44,11 +51,14 @@
     surveyed: list[Surveyed],
     history: History | None,
     log: str,
+    *,
+    show_all: bool = False,
 ) -> Report:
     """Compare what the daemons run with the end of the log.
 
     :param history: the folded log, or ``None`` when it does not answer.
     :param log: what to say of the log.
+    :param show_all: name every daemon of a large fleet too.
     """
     fleet = judge(surveyed, history, log)
     lagging = [daemon for daemon in fleet.daemons if daemon.reason]
@@ -58,7 +68,7 @@
             f'log: {fleet.log}; last record {fleet.head}, '
             f'version {fleet.version}',
             f'{len(fleet.daemons)} daemons, {len(lagging)} not up to date',
-            *_show_daemons(fleet),
+            *_show(fleet, lagging, show_all=show_all),
         ),
         code=ExitCode.LAGGING if lagging else ExitCode.OK,
     )
@@ -96,6 +106,7 @@
         return DaemonStatus(
             id=member.id,
             availability_zone=member.availability_zone,
+            upstream=_describe_upstream(member.upstream),
             version=answer.version,
             offset=answer.offset,
             reason=reasons.of(answer),
@@ -103,12 +114,20 @@
     return DaemonStatus(
         id=member.id,
         availability_zone=member.availability_zone,
+        upstream=_describe_upstream(member.upstream),
         version=None,
         offset=None,
         reason=answer,
     )
 
 
+def _describe_upstream(upstream: Upstream | None) -> str:
+    if upstream is None:
+        return '-'
+    state = upstream.state.value
+    return f'{upstream.service} {upstream.version} {state}'
+
+
 class _Reasons:
     """Why a daemon lags, in the light of the others."""
 
@@ -177,18 +196,50 @@
     return digests
 
 
-def _show_daemons(fleet: FleetStatus) -> tuple[str, ...]:
+def _show(
+    fleet: FleetStatus,
+    lagging: list[DaemonStatus],
+    *,
+    show_all: bool,
+) -> tuple[str, ...]:
+    if show_all or len(fleet.daemons) <= MAX_SHOWN:
+        return _show_daemons(fleet.daemons)
+    zones = _show_zones(fleet)
+    if not lagging:
+        return zones
+    hidden = len(lagging) - MAX_SHOWN
+    rest = (f'and {hidden} more; --all names every daemon',)
+    return (
+        *zones,
+        *_show_daemons(lagging[:MAX_SHOWN]),
+        *(rest if hidden > 0 else ()),
+    )
+
+
+def _show_zones(fleet: FleetStatus) -> tuple[str, ...]:
+    zones = Counter(daemon.availability_zone for daemon in fleet.daemons)
+    lagging = Counter(
+        daemon.availability_zone for daemon in fleet.daemons if daemon.reason
+    )
+    return table(
+        ('ZONE', 'DAEMONS', 'NOT UP TO DATE'),
+        ((zone, zones[zone], lagging[zone]) for zone in sorted(zones)),
+    )
+
+
+def _show_daemons(daemons: Sequence[DaemonStatus]) -> tuple[str, ...]:
     return table(
-        ('DAEMON', 'ZONE', 'VERSION', 'OFFSET', 'STATE'),
+        ('DAEMON', 'ZONE', 'UPSTREAM', 'VERSION', 'OFFSET', 'STATE'),
         (
             (
                 daemon.id,
                 daemon.availability_zone,
+                daemon.upstream,
                 _show_number(daemon.version),
                 _show_number(daemon.offset),
                 daemon.reason or 'up to date',
             )
-            for daemon in fleet.daemons
+            for daemon in daemons
         ),
     )
 
--- a/libs/cli/tests/test_status.py
+++ b/libs/cli/tests/test_status.py
@@ -180,6 +180,19 @@
     assert [name for name, reason in reasons.items() if reason] == ['vm-4']
 
 
+def test_large_fleet_is_summed_up_by_zone(run, fleet, digests):
+    """Of thousands of daemons only those that lag are named."""
+    for number in range(5, 105):
+        fleet.add(number, 'c', offset=2, digest=digests[2])
+    fleet.add(104, 'c', offset=1, digest=digests[1])
+    command = ('status', '--daemon', 'http://10.0.0.1:7003')
+    told = run(*command).stdout
+    assert 'c     100      1' in told
+    assert 'vm-104' in told
+    assert 'vm-50' not in told
+    assert 'vm-50' in run(*command, '--all').stdout
+
+
 def test_running_move_is_described_by_a_daemon(run, log, fleet):
     """The daemon knows what is not on the log: the shares of each version."""
     service = Service(
