--- a/libs/model/src/verbenamill_model/codec.py
+++ b/libs/model/src/verbenamill_model/codec.py
@@ -1,4 +1,4 @@
-"""Encoding of records, states and tickets; the codec is msgspec's."""
+"""Encoding of records and states; the codec is msgspec's."""
 
 import hashlib
 from datetime import datetime
@@ -37,8 +37,9 @@
 
 
 def encode_state(state: State) -> bytes:
-    """Encode a state for a checkpoint."""
-    return _json_encoder.encode(state)
+    """Encode a state for a checkpoint; equal states give equal bytes."""
+    # The encoder orders keys only when all of them are text already.
+    return _json_encoder.encode(as_plain(state))
 
 
 def decode_state(body: bytes) -> Result[State, str]:
@@ -60,14 +61,6 @@
     return hashlib.blake2b(body, digest_size=16).hexdigest()
 
 
-def read_ticket(text: str) -> Result[Ticket, str]:
-    """Read a ticket from TOML, or say what is wrong with it."""
-    try:
-        return Success(msgspec.toml.decode(text, type=Ticket))
-    except msgspec.MsgspecError as error:
-        return Failure(f'ticket cannot be read: {error}')
-
-
 def as_plain(value: Any) -> Any:
     """Turn messages into plain values for ``--json``."""
     return msgspec.to_builtins(value, str_keys=True)
--- a/libs/standins/src/verbenamill_standins/upstream_server.py
+++ b/libs/standins/src/verbenamill_standins/upstream_server.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from random import Random
+from typing import BinaryIO
 from urllib.parse import parse_qs, urlsplit
 
 import httptools
@@ -19,6 +20,8 @@
 
 #: Header by which a caller names a call; echoed in the answer.
 REQUEST_ID = 'x-request-id'
+#: Header that tells which upstream answered.
+UPSTREAM = 'x-upstream'
 _JSON = {'content-type': 'application/json'}
 
 
@@ -65,21 +68,28 @@
     """Serves calls over HTTP/1.1 on trio.
 
     :param version: told in the ``x-version`` header of each answer.
+    :param address: told in its ``x-upstream`` header.
     :param slots: calls it works on at a time.
+    :param journal: unbuffered file that gets the id of each call before it
+        runs, so that a killed upstream's calls are still known.
     """
 
     def __init__(
         self,
         *,
         version: str,
+        address: str = '',
         slots: int,
         behaviour: Behaviour,
         random: Random,
+        journal: BinaryIO | None = None,
     ) -> None:
         self._version = version
+        self._address = address
         self._slots = slots
         self._behaviour = behaviour
         self._random = random
+        self._journal = journal
         self._started = trio.current_time()
         self._counters = UpstreamCounters()
         self._executions: Counter[str] = Counter()
@@ -192,6 +202,8 @@
         call_id = asked.headers.get(REQUEST_ID, '')
         if call_id:
             self._executions[call_id] += 1
+            if self._journal is not None:
+                self._journal.write(f'{call_id}\n'.encode())
             counters.doubled += self._executions[call_id] == 2
 
     async def _work(
@@ -223,6 +235,7 @@
         headers = {
             'x-version': self._version,
             REQUEST_ID: call_id,
+            UPSTREAM: self._address,
             'x-body-digest': asked.digest,
         }
         if plan.fails:
