Daemon: relay a zone's sums to other deciders, four reports a second

Cause: deciders now answer with Send, which the daemon did not know; and a bad version has to be out of traffic within 2 s of the evidence, of which two half-second waits were half. Change: Send goes out as an evidence message; reports and steps every 250 ms.

--- a/libs/daemon/src/verbenamill_daemon/moving.py
+++ b/libs/daemon/src/verbenamill_daemon/moving.py
@@ -20,6 +20,7 @@
     MoveState,
     Note,
     Publish,
+    Send,
     Settle,
     decider_of,
     decode_move_states,
@@ -32,7 +33,7 @@
 from verbenamill_platform.streams import AuditLine
 
 #: Time between two reports of an owner, and two steps of a decider.
-PERIOD = timedelta(milliseconds=500)
+PERIOD = timedelta(milliseconds=250)
 
 
 class Moving:
@@ -143,6 +144,8 @@
                 case Publish(move=move, state=state):
                     body = encode_move_state(state)
                     self._mesh.put(TOPIC, move_key(move), body)
+                case Send(to=to, body=report):
+                    self._mesh.send(to, REPORT_KIND, report)
                 case Settle(record=record):
                     nursery.start_soon(self._settler.settle, record)
                 case Note():
