Daemon: metrics with traffic by kind

The mesh's counters by kind are Structs within a dict; the daemon passed them on as numbers, and reading /metrics failed once it had a peer.

--- a/libs/daemon/src/verbenamill_daemon/daemon.py
+++ b/libs/daemon/src/verbenamill_daemon/daemon.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import trio
+from msgspec import Struct
 from msgspec.structs import asdict
 
 from verbenamill_calls import (
@@ -214,18 +215,19 @@
             )
 
 
-def _numbers(stats: Any, prefix: str) -> list[tuple[str, float]]:
-    """Numeric fields of a Struct, also of one level of dicts in it."""
-    figures: list[tuple[str, float]] = []
-    for name, value in asdict(stats).items():
-        if isinstance(value, int | float):
-            figures.append((f'{prefix}_{name}', value))
-        elif isinstance(value, dict):
-            figures.extend(
-                (f'{prefix}_{name}_{key}'.replace('-', '_'), part)
-                for key, part in value.items()
-            )
-    return figures
+def _numbers(part: Any, name: str) -> list[tuple[str, float]]:
+    """Numeric fields of a Struct, also of those within it, by their path."""
+    if isinstance(part, int | float):
+        return [(name.replace('-', '_'), part)]
+    if isinstance(part, Struct):
+        part = asdict(part)
+    if not isinstance(part, dict):
+        return []
+    return [
+        figure
+        for key, within in part.items()
+        for figure in _numbers(within, f'{name}_{key}')
+    ]
 
 
 def split_address(address: str) -> tuple[str, int]:
