verbenamill-bench convergence: changes, outages, returns, cost of control

The log stand-in can go down once its first reader has a change. Names of experiments had blanks, which broke the journals' ids and made every call look lost.

--- a/libs/bench/src/verbenamill_bench/calls_bench.py
+++ b/libs/bench/src/verbenamill_bench/calls_bench.py
@@ -303,45 +303,45 @@
 _OVERLOAD = Behaviour(latency_ms=OVERLOAD_MS)
 _SLOW_MS = 300.0
 _EXPERIMENTS: dict[str, Experiment] = {
-    'no fault': _experiment(),
-    'one upstream slow': _experiment(
+    'no-fault': _experiment(),
+    'one-upstream-slow': _experiment(
         change_upstream(0, extra_ms=_SLOW_MS),
     ),
-    'one upstream cuts answers': _experiment(
+    'one-upstream-cuts-answers': _experiment(
         change_upstream(0, cut_share=0.3),
     ),
-    'one upstream stalls': _experiment(
+    'one-upstream-stalls': _experiment(
         change_upstream(0, stall_share=0.3),
         at_least=12,
     ),
-    'one upstream dies': _experiment(kill_upstream(0)),
-    'one upstream leaves': _experiment(drain_upstream(0)),
-    'owner dies and returns': _experiment(
+    'one-upstream-dies': _experiment(kill_upstream(0)),
+    'one-upstream-leaves': _experiment(drain_upstream(0)),
+    'owner-dies-and-returns': _experiment(
         kill_daemons(1, away=1),
         spared=1,
         at_least=12,
     ),
-    'owner paused': _experiment(
+    'owner-paused': _experiment(
         pause_daemon(-1, seconds=4),
         spared=1,
         at_least=12,
     ),
-    'links silent': _experiment(
+    'links-silent': _experiment(
         silence_links(times=2, every=2),
         relayed=True,
         at_least=12,
     ),
-    'load 0.9x': _experiment(
+    'load-0.9x': _experiment(
         behaviour=_OVERLOAD,
         slots=OVERLOAD_SLOTS,
         rate=OVERLOAD_RATE,
         plans=LOOKUP,
     ),
-    'load 2x': _experiment(
+    'load-2x': _experiment(
         behaviour=_OVERLOAD,
         slots=OVERLOAD_SLOTS,
         rate=OVERLOAD_RATE * 2.2,
         plans=LOOKUP,
     ),
-    'rolling restart': _experiment(restart_rolling(), at_least=40),
+    'rolling-restart': _experiment(restart_rolling(), at_least=40),
 }
--- a/libs/bench/src/verbenamill_bench/calls_made.py
+++ b/libs/bench/src/verbenamill_bench/calls_made.py
@@ -110,7 +110,7 @@
     runs: Counter[str] = Counter()
     for path in paths:
         if path.exists():
-            runs.update(path.read_text().split())
+            runs.update(path.read_text().splitlines())
     return runs
 
 
--- a/libs/bench/src/verbenamill_bench/main.py
+++ b/libs/bench/src/verbenamill_bench/main.py
@@ -9,6 +9,7 @@
 from returns.result import Failure
 
 from verbenamill_bench.calls_bench import measure_calls
+from verbenamill_bench.convergence import measure_convergence
 from verbenamill_bench.demo import run_demo
 from verbenamill_bench.load_process import run_caller
 from verbenamill_bench.printing import print_report
@@ -56,6 +57,21 @@
         raise typer.Exit(1)
 
 
+@app.command('convergence')
+def convergence_command(
+    daemons: Annotated[
+        list[int],
+        typer.Option(min=4, help='Size of a fleet; may be given again.'),
+    ],
+    as_json: AsJson = False,
+) -> None:
+    """Measure how changes reach every proxy, and what control costs."""
+    report = trio.run(measure_convergence, daemons)
+    print_report(report, as_json=as_json)
+    if report.failures:
+        raise typer.Exit(1)
+
+
 @app.command('caller', hidden=True)
 def caller_command(spec: Path, calls: Path) -> None:
     """Send the calls of a specification; the benches start it."""
--- a/libs/bench/src/verbenamill_bench/setup.py
+++ b/libs/bench/src/verbenamill_bench/setup.py
@@ -25,6 +25,8 @@
 
 SERVICE = ServiceName('entries')
 VERSION = VersionName('v1')
+#: Services that a run of small changes goes round.
+SERVICES = 50
 CALL_TIMEOUT = timedelta(seconds=5)
 
 
@@ -69,6 +71,24 @@
     )
 
 
+def change_ticket(number: int) -> Ticket:
+    """One of a run of small changes, to one service and its route."""
+    name = f'service-{number % SERVICES}'
+    return Ticket(
+        number=TicketNumber(number),
+        author='bench',
+        note=f'change {number}',
+        services=(Service(name=ServiceName(name), version=VERSION),),
+        routes=(
+            Route(
+                name=RouteName(name),
+                prefix=f'/{name}',
+                service=ServiceName(name),
+            ),
+        ),
+    )
+
+
 async def start_mesh(
     fleet: Fleet,
     zones: dict[str, int],
--- a/libs/standins/src/verbenamill_standins/log_server.py
+++ b/libs/standins/src/verbenamill_standins/log_server.py
@@ -23,10 +23,13 @@
     :param outage: refuse everything with 503.
     :param delay_ms: added to each answer.
     :param lose_answers: appends to come that take effect unanswered.
+    :param outage_after_pages: the outage begins once so many readers have
+        been given records; -1 for never.
     :param lose_silently: hold a lost answer in place of a 500.
     """
 
     outage: bool = False
+    outage_after_pages: int = -1
     delay_ms: float = 0
     lose_answers: int = 0
     lose_silently: bool = False
@@ -119,6 +122,8 @@
         if start < stream.oldest:
             return _answer(410, msgspec.json.encode(_Expired(stream.oldest)))
         records = stream.read(start, limit) if start < stream.end else []
+        if records:
+            self._count_page()
         page = _Page(stream.oldest, stream.end, records)
         return _answer(200, msgspec.json.encode(page))
 
@@ -132,6 +137,12 @@
         told = _Control(self._faults, self._counters)
         return _answer(200, msgspec.json.encode(told))
 
+    def _count_page(self) -> None:
+        faults = self._faults
+        if faults.outage_after_pages > 0:
+            faults.outage_after_pages -= 1
+            faults.outage = faults.outage_after_pages == 0
+
     async def _lose(self) -> Response:
         self._faults.lose_answers -= 1
         self._counters.lost += 1
