--- a/libs/bench/src/verbenamill_bench/control_cost.py
+++ b/libs/bench/src/verbenamill_bench/control_cost.py
@@ -3,10 +3,12 @@
 import trio
 from msgspec import Struct
 from prometheus_client.parser import text_string_to_metric_families
+from prometheus_client.samples import Sample
 
 from verbenamill_bench.fleet import Daemon, Fleet
 
-_SENT = 'verbenamill_mesh_sent_'
+_BYTES = 'verbenamill_mesh_bytes_total'
+_MESSAGES = 'verbenamill_mesh_messages_total'
 _STORE = 'verbenamill_mesh_store_bytes'
 
 
@@ -60,21 +62,21 @@
         return Reading(
             at=at,
             daemons=len(alive),
-            bytes_sent=sum(_sum(one, '_size_total') for one in metrics),
-            messages=sum(_sum(one, '_messages_total') for one in metrics),
+            bytes_sent=sum(_sent(one, _BYTES) for one in metrics),
+            messages=sum(_sent(one, _MESSAGES) for one in metrics),
             cpu=sum(usage.cpu for usage in usages),
             rss_max=max(usage.rss for usage in usages),
-            store_bytes=max(_store(one) for one in metrics),
+            store_bytes=max(_gauge(one, _STORE) for one in metrics),
             log_requests=counters['reads'] + counters['appends'],
         )
 
-    async def _metrics(self, daemon: Daemon) -> dict[str, float]:
+    async def _metrics(self, daemon: Daemon) -> list[Sample]:
         response = await self._fleet.client.get(f'{daemon.admin_url}/metrics')
-        return {
-            sample.name: sample.value
+        return [
+            sample
             for family in text_string_to_metric_families(response.text)
             for sample in family.samples
-        }
+        ]
 
 
 def find_cost(before: Reading, after: Reading) -> Cost:
@@ -94,16 +96,13 @@
     )
 
 
-def _sum(metrics: dict[str, float], ending: str) -> float:
+def _sent(samples: list[Sample], name: str) -> float:
     return sum(
-        value
-        for name, value in metrics.items()
-        if name.startswith(_SENT) and name.endswith(ending)
+        sample.value
+        for sample in samples
+        if sample.name == name and sample.labels.get('direction') == 'sent'
     )
 
 
-def _store(metrics: dict[str, float]) -> float:
-    return next(
-        (value for name, value in metrics.items() if name.startswith(_STORE)),
-        0,
-    )
+def _gauge(samples: list[Sample], name: str) -> float:
+    return next(sample.value for sample in samples if sample.name == name)
