--- a/libs/bench/src/verbenamill_bench/applied.py
+++ b/libs/bench/src/verbenamill_bench/applied.py
@@ -4,6 +4,7 @@
 than what is measured; the events carry the time to a millisecond.
 """
 
+import re
 from datetime import datetime, timedelta
 from pathlib import Path
 
@@ -14,7 +15,9 @@
 from verbenamill_bench.fleet import Fleet
 
 Samples = list[list[float]]
-_EVENT = ' VM2003 '
+#: The event of a version that was put in force. A killed daemon leaves half
+#: a line, on which its next life goes on; that half does not match.
+_EVENT = re.compile(r'(\S{29}) INFO VM2003 running version (\d+) \[')
 
 
 class _Record(Struct):
@@ -58,13 +61,17 @@
 
 def read_versions(log: Path) -> list[tuple[int, datetime]]:
     """Versions that a daemon put in force, with their times."""
-    found = []
-    for line in log.read_text(errors='replace').splitlines():
-        if _EVENT in line:
-            at = datetime.fromisoformat(line.split(' ', 1)[0])
-            version = line.rsplit('version=', 1)[1].split(']')[0].split()[0]
-            found.append((int(version), at))
-    return found
+    lines = log.read_text(errors='replace').splitlines()
+    read = (read_version(line) for line in lines)
+    return [event for event in read if event is not None]
+
+
+def read_version(line: str) -> tuple[int, datetime] | None:
+    """The version in force that a line tells of, and since when."""
+    found = _EVENT.search(line)
+    if found is None:
+        return None
+    return int(found[2]), datetime.fromisoformat(found[1])
 
 
 def last_applied(log: Path) -> datetime:
--- a/libs/bench/src/verbenamill_bench/calls_made.py
+++ b/libs/bench/src/verbenamill_bench/calls_made.py
@@ -52,6 +52,7 @@
     """One call and how it ended.
 
     :param intended: when it was to be sent, on the run's clock.
+    :param at: wall time at which it was due, in seconds.
     :param latency: seconds from ``intended`` to the end.
     """
 
@@ -59,6 +60,7 @@
     target: str
     once: bool
     intended: float
+    at: float = 0
     latency: float
     ending: Ending
     status: int = 0
--- a/libs/bench/src/verbenamill_bench/load.py
+++ b/libs/bench/src/verbenamill_bench/load.py
@@ -6,6 +6,7 @@
 """
 
 from random import Random
+from time import time
 
 import trio
 from msgspec import Struct
@@ -96,6 +97,7 @@
                 target=target,
                 once=plan.once,
                 intended=due,
+                at=time() - trio.current_time() + due,
                 latency=trio.current_time() - due,
                 ending=judge(call_id, plan, reply),
                 status=0 if reply.message is None else reply.message.status,
--- a/libs/bench/src/verbenamill_bench/main.py
+++ b/libs/bench/src/verbenamill_bench/main.py
@@ -11,6 +11,7 @@
 from verbenamill_bench.calls_bench import measure_calls
 from verbenamill_bench.convergence import measure_convergence
 from verbenamill_bench.demo import run_demo
+from verbenamill_bench.faults import find_faults
 from verbenamill_bench.load_process import run_caller
 from verbenamill_bench.printing import print_report
 
@@ -72,6 +73,30 @@
         raise typer.Exit(1)
 
 
+@app.command('faults')
+def faults_command(
+    seed: Annotated[int, typer.Option(help='Seed of the first run.')],
+    runs: Annotated[int, typer.Option(min=1, help='Seeds to run.')] = 1,
+    kind: Annotated[
+        list[str] | None,
+        typer.Option(help='These faults instead of two by chance.'),
+    ] = None,
+    as_json: AsJson = False,
+) -> None:
+    """Bring about two faults at once and check the promises."""
+    report = trio.run(
+        partial(
+            find_faults,
+            seed=seed,
+            count=runs,
+            kinds=tuple(kind or ()),
+        ),
+    )
+    print_report(report, as_json=as_json)
+    if any(run.broken for run in report.runs):
+        raise typer.Exit(1)
+
+
 @app.command('caller', hidden=True)
 def caller_command(spec: Path, calls: Path) -> None:
     """Send the calls of a specification; the benches start it."""
--- a/libs/bench/src/verbenamill_bench/setup.py
+++ b/libs/bench/src/verbenamill_bench/setup.py
@@ -1,7 +1,8 @@
 """Starting a mesh with a service that is ready to take calls."""
 
-from datetime import timedelta
+from datetime import datetime, timedelta
 
+import httpx
 import msgspec
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
@@ -25,6 +26,7 @@
 
 SERVICE = ServiceName('entries')
 VERSION = VersionName('v1')
+NEW_VERSION = VersionName('v2')
 #: Services that a run of small changes goes round.
 SERVICES = 50
 CALL_TIMEOUT = timedelta(seconds=5)
@@ -36,10 +38,13 @@
 
 async def publish(fleet: Fleet, ticket: Ticket) -> Result[int, str]:
     """Append a ticket to the log; its offset."""
-    response = await fleet.client.post(
-        f'{fleet.log_url}/streams/config/records',
-        content=encode_record(TicketRecord(ticket=ticket)),
-    )
+    try:
+        response = await fleet.client.post(
+            f'{fleet.log_url}/streams/config/records',
+            content=encode_record(TicketRecord(ticket=ticket)),
+        )
+    except httpx.HTTPError as error:
+        return Failure(f'the log did not answer: {error!r}')
     if response.is_error:
         return Failure(f'the log answered {response.status_code}')
     appended = msgspec.json.decode(response.content, type=_Appended)
@@ -71,12 +76,12 @@
     )
 
 
-def change_ticket(number: int) -> Ticket:
+def change_ticket(number: int, *, author: str = 'bench') -> Ticket:
     """One of a run of small changes, to one service and its route."""
     name = f'service-{number % SERVICES}'
     return Ticket(
         number=TicketNumber(number),
-        author='bench',
+        author=author,
         note=f'change {number}',
         services=(Service(name=ServiceName(name), version=VERSION),),
         routes=(
@@ -89,6 +94,20 @@
     )
 
 
+def move_ticket(number: int, deadline: datetime) -> Ticket:
+    """The service's move to its new version."""
+    moved = Service(
+        name=SERVICE,
+        version=NEW_VERSION,
+        deadline=deadline,
+    )
+    return Ticket(
+        number=TicketNumber(number),
+        author='bench',
+        services=(moved,),
+    )
+
+
 async def start_mesh(
     fleet: Fleet,
     zones: dict[str, int],
