--- a/libs/bench/src/verbenamill_bench/main.py
+++ b/libs/bench/src/verbenamill_bench/main.py
@@ -9,7 +9,9 @@
 from returns.result import Failure
 
 from verbenamill_bench.calls_bench import measure_calls
+from verbenamill_bench.convergence import measure_convergence
 from verbenamill_bench.demo import run_demo
+from verbenamill_bench.faults import find_faults
 from verbenamill_bench.load_process import run_caller
 from verbenamill_bench.printing import print_report
 
@@ -56,6 +58,45 @@
         raise typer.Exit(1)
 
 
+@app.command('convergence')
+def convergence_command(
+    daemons: Annotated[
+        list[int],
+        typer.Option(min=4, help='Size of a fleet; may be given again.'),
+    ],
+    as_json: AsJson = False,
+) -> None:
+    """Measure how changes reach every proxy, and what control costs."""
+    report = trio.run(measure_convergence, daemons)
+    print_report(report, as_json=as_json)
+    if report.failures:
+        raise typer.Exit(1)
+
+
+@app.command('faults')
+def faults_command(
+    seed: Annotated[int, typer.Option(help='Seed of the first run.')],
+    runs: Annotated[int, typer.Option(min=1, help='Seeds to run.')] = 1,
+    kind: Annotated[
+        list[str] | None,
+        typer.Option(help='These faults instead of two by chance.'),
+    ] = None,
+    as_json: AsJson = False,
+) -> None:
+    """Bring about two faults at once and check the promises."""
+    report = trio.run(
+        partial(
+            find_faults,
+            seed=seed,
+            count=runs,
+            kinds=tuple(kind or ()),
+        ),
+    )
+    print_report(report, as_json=as_json)
+    if any(run.broken for run in report.runs):
+        raise typer.Exit(1)
+
+
 @app.command('caller', hidden=True)
 def caller_command(spec: Path, calls: Path) -> None:
     """Send the calls of a specification; the benches start it."""
