Daemon: look for the owners of a service only when members change

Cause: a daemon whose service moves looked through all members up to eight times a second, for its report and its decisions. Conclusion: decisions cost no longer grows with the fleet between changes.

--- a/libs/daemon/src/verbenamill_daemon/moving.py
+++ b/libs/daemon/src/verbenamill_daemon/moving.py
@@ -5,9 +5,10 @@
 
 import trio
 
+from verbenamill_daemon.caching import cache_last
 from verbenamill_daemon.settling import AuditWriter, Settler
 from verbenamill_mesh import Configuration, Mesh
-from verbenamill_model import Move, VerdictRecord
+from verbenamill_model import Move, Snapshot, VerdictRecord
 from verbenamill_model.traffic import Member, Observation, Shares
 from verbenamill_model.typing import Offset, ServiceName, VmId
 from verbenamill_moves import (
@@ -66,6 +67,8 @@
         )
         self._encoded: dict[str, bytes] = {}
         self._states: dict[Offset, MoveState] = {}
+        self._find_running = cache_last(_find_running)
+        self._find_owners = cache_last(_find_owners)
         mesh.add_topic(TOPIC, merge_states)
         mesh.handle(REPORT_KIND, self._decider.receive)
 
@@ -85,11 +88,9 @@
             now=self._clock.now(),
         )
 
-    def running(self) -> list[Move]:
+    def running(self) -> tuple[Move, ...]:
         """The moves that run, oldest first."""
-        services = self._configuration.snapshot.services.values()
-        moves = (known.move for known in services if known.move is not None)
-        return sorted(moves, key=_move_id)
+        return self._find_running(self._configuration.snapshot)
 
     def states(self) -> dict[Offset, MoveState]:
         """What is known of each move, by its id.
@@ -120,23 +121,27 @@
         )
         if service is None or service.move is None:
             return
-        decider = self._decider_of(service.move)
+        decider = decider_of(
+            service.move,
+            member.availability_zone,
+            self._owners(),
+        )
         report = self._evidence.report()
         if decider is not None and report is not None:
             self._mesh.send(decider, REPORT_KIND, report)
 
-    def _decider_of(self, move: Move) -> VmId | None:
-        return decider_of(
-            move,
-            self._member().availability_zone,
-            self._mesh.members(),
-        )
+    def _owners(self) -> dict[VmId, Member]:
+        """Daemons with an upstream of the same service as this one."""
+        upstream = self._member().upstream
+        if upstream is None:
+            return {}
+        return self._find_owners(self._mesh.members(), upstream.service)
 
     def _decide(self, nursery: trio.Nursery) -> None:
         actions = self._decider.step(
             snapshot=self._configuration.snapshot,
             states=self.states(),
-            members=self._mesh.members(),
+            members=self._owners(),
             now=self._clock.now(),
         )
         for action in actions:
@@ -205,5 +210,22 @@
     )
 
 
+def _find_running(snapshot: Snapshot) -> tuple[Move, ...]:
+    services = snapshot.services.values()
+    moves = (known.move for known in services if known.move is not None)
+    return tuple(sorted(moves, key=_move_id))
+
+
+def _find_owners(
+    members: dict[VmId, Member],
+    service: ServiceName,
+) -> dict[VmId, Member]:
+    return {
+        name: member
+        for name, member in members.items()
+        if member.upstream is not None and member.upstream.service == service
+    }
+
+
 def _move_id(move: Move) -> Offset:
     return move.id
