Mesh: two checks that could not fail now can

Cause: the test of a broken path looked for an event below the captured level, and the one of a paused daemon at the wrong daemon's suspicion, so both passed with their safeguard taken out. Change: level set, the daemon named, and the pause kept for two rounds of judging.

--- a/libs/mesh/tests/test_failures.py
+++ b/libs/mesh/tests/test_failures.py
@@ -369,6 +369,7 @@
         fleet.network.is_lost = lambda *path: path in broken
         await trio.sleep(60)
 
+    caplog.set_level('INFO')
     run_fleet(scenario)
     assert 'suspected' not in caplog.text
 
@@ -386,15 +387,16 @@
         await fleet.start('a-1', zone='a', seeds=('a-0',))
         await wait_until(lambda: fleet.all_know(2))
         fleet.network.is_lost = lambda *path: path[1] == 'a-1'
-        await wait_until(lambda: 'suspected' in caplog.text)
+        await wait_until(lambda: 'a-1 suspected' in caplog.text)
         clock.pause += timedelta(minutes=1)
+        await trio.sleep(3)
         fleet.network.is_lost = lambda *_: False
         await trio.sleep(30)
         assert fleet.all_know(2)
 
     caplog.set_level('INFO')
     run_fleet(scenario)
-    assert 'gone' not in caplog.text
+    assert 'a-1 gone' not in caplog.text
 
 
 class PausedClock(TrioClock):
