--- a/libs/moves/src/verbenamill_moves/likelihood.py
+++ b/libs/moves/src/verbenamill_moves/likelihood.py
@@ -6,8 +6,8 @@
   Now and then a fault hits both versions for some seconds; they have one
   higher rate then, and the one that fits the calls best is taken.
 * bad: the same, but from some moment on (the first call or later) calls of
-  the new version alone go bad at one of several higher rates; it may
-  recover, too.
+  the new version alone go bad, at one of several higher rates or at the rate
+  that its own last calls had; it may recover, too.
 
 Both are hidden Markov models of a few states, so their likelihoods are kept
 by the forward algorithm in constant memory. While the good model holds, the
@@ -36,6 +36,9 @@
 #: lowest rate: an unknown old version is not presumed to be perfect.
 _PRIOR_CALLS = 30
 _PRIOR_FACTOR = 3
+#: Calls of the new version that its own rates are taken from; the few
+#: follow a change, the many are exact enough for a busy service.
+_OWN_CALLS = (60, 400)
 #: Calls of earlier steps that the common rate is taken from.
 _COMMON_CALLS = 60
 #: What a sudden change of the common rate costs its model (logarithm).
@@ -93,11 +96,12 @@
         self._excesses = excesses
         self._turns_bad = 1 / max(length, 1)
         self._old = Pair()
+        self._own = [Pair() for _ in _OWN_CALLS]
         self._common = Pair()
         # Calm: no fault of both versions; the first place of each list is a
         # good version, the others are the models of badness.
-        models = len(excesses)
-        at_once = (_BAD_AT_ONCE / models for _ in excesses)
+        models = len(excesses) + len(_OWN_CALLS)
+        at_once = (_BAD_AT_ONCE / models for _ in range(models))
         self._calm = [1 - _BAD_AT_ONCE, *at_once]
         self._fault = [float(0) for _ in self._calm]
         self._good_calm = float(1)
@@ -133,7 +137,10 @@
 
     def _new_rates(self, usual: float) -> list[float]:
         excesses = (0, *self._excesses)
-        return [usual + (1 - usual) * excess for excess in excesses]
+        rates = [usual + (1 - usual) * excess for excess in excesses]
+        least = rates[1]
+        own = (max(_rate_of_new(known, least), least) for known in self._own)
+        return [*rates, *own]
 
     def _common_likelihood(self, pair: Pair, usual: float) -> float:
         """Likelihood of the step at one rate of both versions.
@@ -160,6 +167,11 @@
         self._old = self._old.plus(pair)
         if self._old.old > _MEMORY_CALLS:
             self._old = self._old.scaled(1 / 2)
+        for place, limit in enumerate(_OWN_CALLS):
+            known = self._own[place].plus(pair)
+            if known.new > limit:
+                known = known.scaled(limit / known.new)
+            self._own[place] = known
 
     def _transit(self, elapsed: float) -> None:
         """Let the hidden states change for a while."""
@@ -211,5 +223,9 @@
     return min(rate, _HIGHEST)
 
 
+def _rate_of_new(pair: Pair, usual: float) -> float:
+    return min((pair.new_bad + usual) / (pair.new + 1), _HIGHEST)
+
+
 def _log_likelihood(calls: float, bad: float, rate: float) -> float:
     return bad * log(rate) + (calls - bad) * log(1 - rate)
--- /dev/null
+++ b/libs/moves/tests/test_evidence.py
@@ -0,0 +1,92 @@
+"""What an owner counts, and what a report may weigh."""
+
+from datetime import timedelta
+
+import pytest
+
+from verbenamill_model.traffic import Observation, Outcome
+from verbenamill_moves import Evidence
+from verbenamill_moves.evidence import (
+    COLD_CALLS,
+    MAX_ROUTES,
+    OTHER_ROUTES,
+    read_report,
+)
+from verbenamill_moves.histogram import BUCKETS, bucket_of
+
+FAST = timedelta(milliseconds=20)
+
+
+def observe(evidence, count, *, outcome=Outcome.OK, route='r', version='v2'):
+    for _ in range(count):
+        evidence.observe(
+            Observation(
+                service='entries',
+                version=version,
+                route=route,
+                outcome=outcome,
+                latency=FAST,
+            ),
+        )
+
+
+@pytest.fixture
+def evidence():
+    return Evidence(incarnation=1)
+
+
+def routes_of(evidence):
+    return read_report(evidence.report()).versions[0].routes
+
+
+def test_shed_and_cancelled_calls_are_no_failures(evidence):
+    observe(evidence, 3, outcome=Outcome.SHED)
+    observe(evidence, 2, outcome=Outcome.CANCELLED)
+    observe(evidence, 1, outcome=Outcome.FAILED)
+    (counts,) = routes_of(evidence)
+    assert (counts.answered, counts.failed, counts.shed) == (1, 1, 3)
+
+
+def test_latencies_of_a_cold_start_are_left_out(evidence):
+    """A fresh upstream is slow at first, whatever its version."""
+    observe(evidence, COLD_CALLS + 2)
+    (counts,) = routes_of(evidence)
+    assert counts.answered == COLD_CALLS + 2
+    assert counts.latencies == {bucket_of(FAST): 2}
+
+
+def test_reports_are_cumulative(evidence):
+    """A report that is lost on the way costs no evidence."""
+    observe(evidence, 3)
+    evidence.report()
+    observe(evidence, 4)
+    (counts,) = routes_of(evidence)
+    assert counts.answered == 7
+
+
+def test_memory_is_bounded_whatever_callers_send(evidence):
+    for number in range(3 * MAX_ROUTES):
+        observe(evidence, 1, route=f'r{number}')
+    for number in range(10):
+        observe(evidence, 1, version=f'v{number}')
+    report = read_report(evidence.report())
+    assert len(report.versions) <= 4
+    assert bucket_of(timedelta(hours=1)) == BUCKETS - 1
+
+
+def test_routes_beyond_the_bound_count_together(evidence):
+    for number in range(MAX_ROUTES + 5):
+        observe(evidence, 1, route=f'r{number}')
+    counts = {known.route: known.answered for known in routes_of(evidence)}
+    assert len(counts) == MAX_ROUTES + 1
+    assert counts[OTHER_ROUTES] == 5
+
+
+def test_report_of_two_routes_stays_small(evidence):
+    for route in ('class-lists', 'entry-fees'):
+        observe(evidence, 10000, route=route)
+    assert len(evidence.report()) <= 200
+
+
+def test_nothing_to_report_before_any_call(evidence):
+    assert evidence.report() is None
