Bench: experiments whose every call is passed on

With an upstream beside each daemon the ingress served almost every call itself, so killed, paused and silent owners were hardly met: 'links-silent' found no connection open. Callers now use daemons without an upstream.

--- a/libs/bench/src/verbenamill_bench/calls_bench.py
+++ b/libs/bench/src/verbenamill_bench/calls_bench.py
@@ -24,11 +24,11 @@
 from verbenamill_bench.fleet import Fleet, keep_files, open_fleet
 from verbenamill_bench.load import LoadSpec
 from verbenamill_bench.load_process import run_callers
-from verbenamill_bench.setup import start_mesh
+from verbenamill_bench.setup import number_of, start_mesh
 from verbenamill_bench.troubles import (
     change_upstream,
     drain_upstream,
-    kill_daemons,
+    kill_daemon,
     kill_upstream,
     pause_daemon,
     restart_rolling,
@@ -58,7 +58,7 @@
 class LatencyFigures(Struct, kw_only=True):
     """Latency through the mesh beside that of the upstream itself.
 
-    :param rate: calls a second to each of two daemons.
+    :param rate: calls a second to each of two daemons, one an owner.
     :param direct: calls sent to an upstream without the mesh.
     :param local: calls whose ingress owns the upstream.
     :param hop: calls passed on to another daemon.
@@ -127,8 +127,9 @@
     async with open_fleet() as fleet:
         started = await start_mesh(
             fleet,
-            {'az-1': 2},
+            {'az-1': 3},
             behaviour=Behaviour(latency_ms=UPSTREAM_MS),
+            owners=2,
         )
         if isinstance(started, Failure):
             keep_files(fleet)
@@ -155,8 +156,9 @@
     seconds: float,
 ) -> Result[LatencyFigures, str]:
     direct_name = f'direct-{rate}'
+    owner, _, other = fleet.daemons
     targets = {
-        f'mesh-{rate}-{daemon.id}': daemon.calls for daemon in fleet.daemons
+        f'mesh-{rate}-{daemon.id}': daemon.calls for daemon in (owner, other)
     }
     targets[direct_name] = fleet.upstreams[0].address
     specs = [
@@ -190,8 +192,8 @@
     own = {
         upstream.daemon.calls: upstream.address for upstream in fleet.upstreams
     }
-    local = [call for call in mesh if call.upstream == own[call.target]]
-    hop = [call for call in mesh if call.upstream != own[call.target]]
+    local = [call for call in mesh if call.upstream == own.get(call.target)]
+    hop = [call for call in mesh if call.upstream != own.get(call.target)]
     bare = summarize_calls(direct)
     through = summarize_calls(mesh)
     return LatencyFigures(
@@ -248,12 +250,13 @@
     rate: float = FAULT_RATE,
     plans: tuple[CallPlan, ...] = MIXED_PLANS,
     relayed: bool = False,
-    spared: int = 0,
+    with_hop: bool = False,
     at_least: float = 0,
 ) -> Experiment:
     """An experiment on a fleet of its own.
 
-    :param spared: daemons, from the last, that callers do not use.
+    :param with_hop: callers use daemons without an upstream, so that every
+        call is passed on; the first of each zone is the only owner.
     :param at_least: shortest time that callers run, in seconds.
     """
 
@@ -268,6 +271,7 @@
                 behaviour=behaviour,
                 slots=slots,
                 relayed=relayed,
+                owners=1 if with_hop else None,
             )
             if isinstance(result, Failure):
                 keep_files(fleet)
@@ -279,21 +283,37 @@
                 seconds=max(seconds, at_least),
                 trouble=trouble,
                 plans=plans,
-                ingresses=fleet.daemons[: len(fleet.daemons) - spared],
+                ingresses=[
+                    daemon
+                    for daemon in fleet.daemons
+                    if not with_hop or number_of(daemon) > 1
+                ],
             )
-            _keep_if_broken(fleet, figures)
-            return figures
+            return _judge(fleet, figures, is_planned=name in _PLANNED)
 
     return run
 
 
-def _keep_if_broken(
+def _judge(
     fleet: Fleet,
     figures: Result[ExperimentFigures, str],
-) -> None:
-    broken = figures.map(lambda known: known.broken.total).value_or(1)
-    if broken:
-        _say(f'logs are kept in {keep_files(fleet)}')
+    *,
+    is_planned: bool,
+) -> Result[ExperimentFigures, str]:
+    """Note broken promises, and keep the files of such a run.
+
+    :param is_planned: whether no call may be cut.
+    """
+    if isinstance(figures, Failure):
+        return Failure(f'{figures.failure()}; see {keep_files(fleet)}')
+    known = figures.unwrap()
+    if known.broken.total:
+        known.events.append(f'broken promises, see {keep_files(fleet)}')
+    if is_planned and known.cut:
+        known.events.append(f'{known.cut} calls cut, see {keep_files(fleet)}')
+    if known.over_slots or known.over_connections:
+        known.events.append('an upstream was given too much')
+    return figures
 
 
 def _say(text: str) -> None:
@@ -302,6 +322,10 @@
 
 _OVERLOAD = Behaviour(latency_ms=OVERLOAD_MS)
 _SLOW_MS = 300.0
+#: Experiments in which no call may be cut.
+_PLANNED = frozenset(
+    ('no-fault', 'one-upstream-slow', 'one-upstream-leaves', 'rolling-restart'),
+)
 _EXPERIMENTS: dict[str, Experiment] = {
     'no-fault': _experiment(),
     'one-upstream-slow': _experiment(
@@ -317,18 +341,19 @@
     'one-upstream-dies': _experiment(kill_upstream(0)),
     'one-upstream-leaves': _experiment(drain_upstream(0)),
     'owner-dies-and-returns': _experiment(
-        kill_daemons(1, away=1),
-        spared=1,
+        kill_daemon(0, away=1),
+        with_hop=True,
         at_least=12,
     ),
     'owner-paused': _experiment(
-        pause_daemon(-1, seconds=4),
-        spared=1,
+        pause_daemon(0, seconds=4),
+        with_hop=True,
         at_least=12,
     ),
     'links-silent': _experiment(
         silence_links(times=2, every=2),
         relayed=True,
+        with_hop=True,
         at_least=12,
     ),
     'load-0.9x': _experiment(
--- a/libs/bench/src/verbenamill_bench/experiments.py
+++ b/libs/bench/src/verbenamill_bench/experiments.py
@@ -61,6 +61,7 @@
     :param goodput: whole answers a second.
     :param over_slots: upstreams that ever had more calls than slots.
     :param over_connections: likewise for connections.
+    :param events: promises that did not hold, in words.
     """
 
     name: str
--- a/libs/bench/src/verbenamill_bench/faults.py
+++ b/libs/bench/src/verbenamill_bench/faults.py
@@ -35,6 +35,7 @@
     change_ticket,
     first_ticket,
     move_ticket,
+    number_of,
     publish,
 )
 from verbenamill_standins import Behaviour
@@ -146,7 +147,7 @@
     if isinstance(ready, Failure):
         return ready
     for daemon in fleet.daemons:
-        is_new = int(daemon.id.rsplit('-', 1)[1]) <= NEW_IN_ZONE
+        is_new = number_of(daemon) <= NEW_IN_ZONE
         fleet.add_upstream(
             daemon,
             SERVICE,
--- a/libs/bench/src/verbenamill_bench/main.py
+++ b/libs/bench/src/verbenamill_bench/main.py
@@ -53,7 +53,7 @@
     """Measure what the mesh adds to a call, and count broken promises."""
     report = trio.run(partial(measure_calls, seconds=seconds, only=only))
     print_report(report, as_json=as_json)
-    is_broken = any(known.broken.total for known in report.experiments)
+    is_broken = any(known.events for known in report.experiments)
     if report.failures or is_broken:
         raise typer.Exit(1)
 
--- a/libs/bench/src/verbenamill_bench/setup.py
+++ b/libs/bench/src/verbenamill_bench/setup.py
@@ -7,7 +7,7 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
-from verbenamill_bench.fleet import Fleet, Upstream
+from verbenamill_bench.fleet import Daemon, Fleet, Upstream
 from verbenamill_model import (
     Route,
     Service,
@@ -36,6 +36,11 @@
     offset: int
 
 
+def number_of(daemon: Daemon) -> int:
+    """Place of a daemon in its availability zone, from 1."""
+    return int(daemon.id.rsplit('-', 1)[1])
+
+
 async def publish(fleet: Fleet, ticket: Ticket) -> Result[int, str]:
     """Append a ticket to the log; its offset."""
     try:
@@ -115,8 +120,13 @@
     behaviour: Behaviour,
     slots: int = 16,
     relayed: bool = False,
+    owners: int | None = None,
 ) -> Result[list[Upstream], str]:
-    """Start a log, daemons, an upstream beside each, and the service."""
+    """Start a log, daemons, upstreams and the service.
+
+    :param owners: daemons of each availability zone with an upstream; all
+        when left out.
+    """
     logged = await fleet.start_log()
     if not is_successful(logged):
         return Failure(logged.failure())
@@ -133,6 +143,7 @@
             slots=slots,
         )
         for daemon in fleet.daemons
+        if owners is None or number_of(daemon) <= owners
     ]
     published = await publish(fleet, first_ticket())
     if not is_successful(published):
--- a/libs/bench/src/verbenamill_bench/troubles.py
+++ b/libs/bench/src/verbenamill_bench/troubles.py
@@ -43,19 +43,16 @@
     return trouble
 
 
-def kill_daemons(count: int, *, away: float) -> Trouble:
-    """The last daemons die at once and return after some time."""
+def kill_daemon(index: int, *, away: float) -> Trouble:
+    """One daemon dies and returns after some time."""
 
     async def trouble(fleet: Fleet) -> Result[None, str]:
-        herd = fleet.daemons[-count:]
-        for daemon in herd:
-            daemon.process.kill()
-        for daemon in herd:
-            await daemon.process.wait(STOP_LIMIT)
+        daemon = fleet.daemons[index]
+        daemon.process.kill()
+        await daemon.process.wait(STOP_LIMIT)
         await trio.sleep(away)
-        for daemon in herd:
-            daemon.process.restart()
-        return await fleet.wait_ready(herd)
+        daemon.process.restart()
+        return await fleet.wait_ready([daemon])
 
     return trouble
 
