--- a/libs/calls/src/verbenamill_calls/local.py
+++ b/libs/calls/src/verbenamill_calls/local.py
@@ -28,6 +28,8 @@
 from verbenamill_model.typing import RequestId, UpstreamState
 from verbenamill_platform import Announcement
 from verbenamill_platform.announcements import LEASE
+from verbenamill_platform.events import Event
+from verbenamill_platform.logs import log
 
 #: Share of the slots that a cold upstream gets at first.
 _COLD_SHARE = 0.25
@@ -52,6 +54,7 @@
         self._announcement: Announcement | None = None
         self._heard_at = timedelta(0)
         self._ready_at: timedelta | None = None
+        self._is_warm = False
         self._is_draining = False
         self._pool: Pool | None = None
         self._nursery: trio.Nursery | None = None
@@ -91,6 +94,7 @@
             self.admission.shed_waiting()
         elif not was_ready:
             self._ready_at = self._heard_at
+            self._is_warm = False
         else:
             self.admission.admit_waiting()
 
@@ -145,6 +149,7 @@
     async def ask(
         self,
         id: RequestId,
+        key: str | None,
         *,
         deadline: timedelta,
     ) -> Answer | None:
@@ -156,6 +161,9 @@
         may still be on its way here; only then is "not run" true.
         """
         found = self.ledger.find(id, None)
+        if found is None and self.ledger.find(id, key) is not None:
+            # That call did not run, but what its key stands for may have.
+            return unknown('another call with this key came first')
         if found is None and self.ledger.is_full:
             return unknown('too many calls are remembered')
         if found is None:
@@ -292,6 +300,7 @@
                 'the idempotency key was used for another request; '
                 'choose a new one',
             )
+        self.ledger.add_id(call.id, found)
         await self._await_end(found, call.deadline)
         if found.settled.is_set():
             return recall(found.answer)
@@ -323,6 +332,9 @@
         return f'the upstream here is {told.service} {told.version}'
 
     def _shed(self, reason: str) -> Refusal:
+        if self._announcement is not None:
+            service = self._announcement.upstream.service
+            log(Event.OVERLOAD, service=service, reason=reason)
         return refuse(
             HTTPStatus.SERVICE_UNAVAILABLE,
             Fate.NOT_RUN,
@@ -360,8 +372,11 @@
             return 1
         told = self._announcement.upstream
         slots = min(told.slots, told.connections)
+        if self._is_warm:
+            return slots
         age = self.clock.elapsed() - self._ready_at
-        if age >= self.settings.ramp:
+        self._is_warm = age >= self.settings.ramp
+        if self._is_warm:
             return slots
         share = _COLD_SHARE + (1 - _COLD_SHARE) * (age / self.settings.ramp)
         return max(1, math.ceil(slots * share))
--- a/libs/daemon/src/verbenamill_daemon/moving.py
+++ b/libs/daemon/src/verbenamill_daemon/moving.py
@@ -5,8 +5,6 @@
 
 import trio
 
-from verbenamill_daemon.events import Event
-from verbenamill_daemon.logs import log
 from verbenamill_daemon.settling import AuditWriter, Settler
 from verbenamill_mesh import Configuration, Mesh
 from verbenamill_model import Move, VerdictRecord
@@ -20,6 +18,7 @@
     MoveState,
     Note,
     Publish,
+    Send,
     Settle,
     decider_of,
     decode_move_states,
@@ -29,10 +28,12 @@
     shares,
 )
 from verbenamill_platform import Clock
+from verbenamill_platform.events import Event
+from verbenamill_platform.logs import log
 from verbenamill_platform.streams import AuditLine
 
 #: Time between two reports of an owner, and two steps of a decider.
-PERIOD = timedelta(milliseconds=500)
+PERIOD = timedelta(milliseconds=250)
 
 
 class Moving:
@@ -141,13 +142,28 @@
         for action in actions:
             match action:
                 case Publish(move=move, state=state):
+                    self._log_veto(move, state)
                     body = encode_move_state(state)
                     self._mesh.put(TOPIC, move_key(move), body)
+                case Send(to=to, body=report):
+                    self._mesh.send(to, REPORT_KIND, report)
                 case Settle(record=record):
                     nursery.start_soon(self._settler.settle, record)
                 case Note():
                     self._note(action)
 
+    def _log_veto(self, move: Offset, state: MoveState) -> None:
+        if not state.veto:
+            return
+        for known in self.running():
+            if known.id == move:
+                log(
+                    Event.MOVE_VETOED,
+                    move=move,
+                    service=known.service,
+                    text=state.reason,
+                )
+
     def _note(self, note: Note) -> None:
         log(
             Event.MOVE_STAGE,
