--- a/libs/bench/src/verbenamill_bench/main.py
+++ b/libs/bench/src/verbenamill_bench/main.py
@@ -13,7 +13,9 @@
 from verbenamill_bench.demo import run_demo
 from verbenamill_bench.faults import find_faults
 from verbenamill_bench.load_process import run_caller
+from verbenamill_bench.moves import moves_command
 from verbenamill_bench.printing import print_report
+from verbenamill_bench.state_cost import measure_state
 
 app = typer.Typer(
     help='Demo and measurements of verbenamill on real processes.',
@@ -21,6 +23,11 @@
 )
 
 
+#: Up to the two-year sizes.
+STATE_SIZES = [100, 400, 1200]
+MEMBER_SIZES = [1000, 5000, 25_000]
+
+
 @app.callback()
 def root() -> None:
     """Demo and measurements of verbenamill on real processes."""
@@ -97,6 +104,29 @@
         raise typer.Exit(1)
 
 
+@app.command('state')
+def state_command(
+    services: Annotated[
+        list[int] | None,
+        typer.Option(help='Services of a state; may be given again.'),
+    ] = None,
+    members: Annotated[
+        list[int] | None,
+        typer.Option(help='Members of a table; may be given again.'),
+    ] = None,
+    as_json: AsJson = False,
+) -> None:
+    """Measure what a daemon's state costs as it grows, in one process."""
+    report = measure_state(
+        services or STATE_SIZES,
+        members or MEMBER_SIZES,
+    )
+    print_report(report, as_json=as_json)
+
+
+app.command('moves')(moves_command)
+
+
 @app.command('caller', hidden=True)
 def caller_command(spec: Path, calls: Path) -> None:
     """Send the calls of a specification; the benches start it."""
