verbenamill begins at the newest checkpoint

Commands that need only the state and the newest entries begin at the newest checkpoint; the others fold all that the log still has. Tests compare the answers of both ways.

--- a/libs/cli/src/verbenamill_cli/history.py
+++ b/libs/cli/src/verbenamill_cli/history.py
@@ -47,8 +47,7 @@
 class History(Struct, kw_only=True):
     """What the log still tells.
 
-    :param base: state that folding began from; empty unless the head of
-        the log has expired.
+    :param base: state that folding began from: empty, or a checkpoint.
     :param state: state after the last record.
     """
 
@@ -108,14 +107,22 @@
 ) -> Result[History, CliError]:
     """Fold the log up to its end.
 
-    :param farthest: begin at the oldest checkpoint that the log's tail
-        still follows, in place of the newest one.
+    :param farthest: begin as early as the log still allows. Otherwise it
+        begins at the newest checkpoint, which is much less to fold and
+        leads to the same state.
     """
-    match await log.read(CONFIG, Offset(0)):
-        case Success(page):
-            return await _fold(log, State(), page)
-        case Failure(LogError(fault=LogFault.EXPIRED) as expired):
-            return await _resume(log, expired, farthest=farthest)
+    oldest = Offset(0)
+    if farthest:
+        match await log.read(CONFIG, oldest):
+            case Success(page):
+                return await _fold(log, State(), page)
+            case Failure(LogError(fault=LogFault.EXPIRED) as expired):
+                oldest = expired.oldest or oldest
+            case Failure(error):
+                return Failure(unavailable(error))
+    match await _find_base(log, oldest, farthest=farthest):
+        case Success(base):
+            return await _resume(log, base or State())
         case Failure(error):
             return Failure(unavailable(error))
     raise AssertionError('a result is a success or a failure')
@@ -123,38 +130,32 @@
 
 async def _resume(
     log: PatientLog,
-    expired: LogError,
-    *,
-    farthest: bool,
+    base: State,
 ) -> Result[History, CliError]:
-    oldest = expired.oldest or Offset(0)
-    match await _find_base(log, oldest, farthest=farthest):
-        case Success(None):
-            return Failure(
-                CliError(
-                    code=ExitCode.UNAVAILABLE,
-                    message=(
-                        f'records before offset {oldest} have expired, and '
-                        'no checkpoint leads up to it'
-                    ),
-                    action=(
-                        'ask a daemon instead (verbenamill status); a '
-                        'running daemon writes a checkpoint again'
-                    ),
-                ),
-            )
-        case Success(State() as base):
-            start = Offset(base.offset + 1)
-            match await log.read(CONFIG, start):
-                case Success(page):
-                    return await _fold(log, base, page)
-                case Failure(error):
-                    return Failure(unavailable(error))
+    match await log.read(CONFIG, Offset(base.offset + 1)):
+        case Success(page):
+            return await _fold(log, base, page)
+        case Failure(LogError(fault=LogFault.EXPIRED) as expired):
+            return Failure(_expired(expired))
         case Failure(error):
             return Failure(unavailable(error))
     raise AssertionError('a result is a success or a failure')
 
 
+def _expired(expired: LogError) -> CliError:
+    return CliError(
+        code=ExitCode.UNAVAILABLE,
+        message=(
+            f'records before offset {expired.oldest} have expired, and no '
+            'checkpoint leads up to it'
+        ),
+        action=(
+            'ask a daemon instead (verbenamill status); a running daemon '
+            'writes a checkpoint again'
+        ),
+    )
+
+
 async def _fold(
     log: PatientLog,
     base: State,
--- a/libs/cli/src/verbenamill_cli/main.py
+++ b/libs/cli/src/verbenamill_cli/main.py
@@ -37,6 +37,8 @@
     report_verdict,
     report_verdicts,
 )
+from verbenamill_model import AuditEntry, Move
+from verbenamill_model.accept import MAX_HISTORY
 from verbenamill_model.typing import Offset
 from verbenamill_platform import Log
 
@@ -134,7 +136,7 @@
         _follow(context, log, as_json)
 
     async def use(reader: PatientLog) -> Found:
-        history = await read_history(reader, farthest=True)
+        history = await read_history(reader)
         return history.map(lambda known: report_verdicts(known.verdicts()))
 
     finish(run_with_log(context, log, timeout, use), as_json=as_json)
@@ -183,7 +185,8 @@
     """Tell who changed what, when, and by which ticket and move."""
 
     async def use(reader: PatientLog) -> Found:
-        match await read_records(reader):
+        is_deep = last == 0 or last > MAX_HISTORY or ticket or text
+        match await read_records(reader, farthest=bool(is_deep)):
             case Success(Records(history=history, lines=lines)):
                 trail = build_trail(history, lines)
                 wanted = select(trail, ticket=ticket, text=text, last=last)
@@ -211,11 +214,7 @@
     environment = environment_of(context)
 
     async def use(reader: PatientLog) -> Found:
-        match await read_records(reader):
-            case Success(Records(history=history, lines=lines)):
-                story = find_story(history, lines, Offset(move))
-            case Failure(error):
-                return Failure(error)
+        story = await _find_story(reader, Offset(move))
         match story:
             case Success(Story(verdict=None) as running):
                 asked = await _add_running(environment, daemon, running)
@@ -225,6 +224,30 @@
     finish(run_with_log(context, log, timeout, use), as_json=as_json)
 
 
+async def _find_story(
+    reader: PatientLog,
+    move: Offset,
+) -> Result[Story, CliError]:
+    """Look among the newest moves first, then as far back as it goes."""
+    near = await _read_story(reader, move, farthest=False)
+    match near:
+        case Success(Story(move=Move(), opened=AuditEntry())):
+            return near
+    return await _read_story(reader, move, farthest=True)
+
+
+async def _read_story(
+    reader: PatientLog,
+    move: Offset,
+    *,
+    farthest: bool,
+) -> Result[Story, CliError]:
+    records = await read_records(reader, farthest=farthest)
+    return records.bind(
+        lambda known: find_story(known.history, known.lines, move),
+    )
+
+
 async def _add_running(
     environment: Environment,
     url: str,
--- a/libs/cli/src/verbenamill_cli/publish.py
+++ b/libs/cli/src/verbenamill_cli/publish.py
@@ -35,8 +35,8 @@
 class Published(Struct, frozen=True, kw_only=True):
     """An accepted ticket.
 
-    :param offset: where the accepted record stands; ``None`` when it has
-        expired from the log.
+    :param offset: where the accepted record stands; ``None`` when it is
+        long ago.
     :param repeated: whether the change was in force before this command.
     :param moves: moves that it began.
     """
@@ -159,14 +159,8 @@
 
 
 def _repeated(history: History, ticket: Ticket) -> Published:
-    first = next(
-        (
-            step.entry.offset
-            for step in history.steps
-            if isinstance(step.answer, Changed) and ticket_of(step) == ticket
-        ),
-        None,
-    )
+    lines = (line for line in history.audit() if line.ticket == ticket.number)
+    first = next((line.offset for line in lines), None)
     return Published(
         ticket=ticket.number,
         offset=first,
--- a/libs/cli/src/verbenamill_cli/trail.py
+++ b/libs/cli/src/verbenamill_cli/trail.py
@@ -21,9 +21,16 @@
     lines: list[AuditLine]
 
 
-async def read_records(log: PatientLog) -> Result[Records, CliError]:
-    """Read the configuration and the audit stream, as far back as it goes."""
-    match await read_history(log, farthest=True):
+async def read_records(
+    log: PatientLog,
+    *,
+    farthest: bool,
+) -> Result[Records, CliError]:
+    """Read the configuration and the audit stream.
+
+    :param farthest: as far back as the log goes.
+    """
+    match await read_history(log, farthest=farthest):
         case Success(History() as history):
             lines = await read_trail(log)
             return lines.map(
--- a/libs/cli/tests/conftest.py
+++ b/libs/cli/tests/conftest.py
@@ -34,7 +34,7 @@
         self.oldest = {}
         self.failing = []
         self.down = False
-        self.reads = 0
+        self.asked = []
 
     def put(self, stream, *bodies):
         records = self.streams.setdefault(stream, [])
@@ -61,7 +61,7 @@
         return Success(len(self.streams[stream]) - 1)
 
     async def read(self, stream, start, *, limit=500, wait=timedelta(0)):
-        self.reads += 1
+        self.asked.append((stream, start))
         await trio.sleep(0.01 if wait else 0)
         if self.down:
             return self._fail(LogFault.UNAVAILABLE)
--- a/libs/cli/tests/test_history.py
+++ b/libs/cli/tests/test_history.py
@@ -108,6 +108,39 @@
     assert [found['kind'] for found in run_json('verdicts')] == ['done']
 
 
+@pytest.mark.parametrize(
+    'command',
+    [
+        ('verdicts',),
+        ('audit',),
+        ('audit', '--last', '0'),
+        ('move', 'show', '1'),
+        ('move', 'show', '3'),
+        ('ticket', 'show', '2'),
+    ],
+)
+def test_a_checkpoint_changes_no_answer(moved, run_json, command):
+    """The newest checkpoint saves folding a day of records.
+
+    What is told must be the same as from the first record on; only the time
+    from which it is complete may be named.
+    """
+    whole = run_json(*command)
+    moved.checkpoint(2)
+    assert without_since(run_json(*command)) == without_since(whole)
+
+
+def without_since(told):
+    return told | {'since': None} if isinstance(told, dict) else told
+
+
+def test_newest_checkpoint_saves_reading(moved, run_json):
+    moved.checkpoint(2)
+    run_json('verdicts')
+    assert ('config', 3) in moved.asked
+    assert ('config', 0) not in moved.asked
+
+
 def test_expired_without_a_checkpoint_is_said(moved, run):
     moved.oldest['config'] = 3
     outcome = run('verdicts')
