--- a/libs/cli/src/verbenamill_cli/daemons.py
+++ b/libs/cli/src/verbenamill_cli/daemons.py
@@ -55,12 +55,8 @@
     kind: type[Answered],
 ) -> Result[Answered, str]:
     """Ask a daemon; a failure says why in a few words."""
-    match await _get(client, url):
-        case Success(body):
-            return _decode(body, kind)
-        case Failure(reason):
-            return Failure(reason)
-    raise AssertionError('a result is a success or a failure')
+    body = await _get(client, url)
+    return body.bind(lambda found: _decode(found, kind))
 
 
 async def _get(client: httpx.AsyncClient, url: str) -> Result[bytes, str]:
--- a/libs/cli/src/verbenamill_cli/history.py
+++ b/libs/cli/src/verbenamill_cli/history.py
@@ -12,6 +12,7 @@
 
 from verbenamill_cli.errors import CliError, ExitCode
 from verbenamill_cli.patience import PatientLog, unavailable
+from verbenamill_cli.results import and_then
 from verbenamill_mesh import Configuration
 from verbenamill_mesh.checkpoints import CheckpointRecord
 from verbenamill_mesh.newest import read_newest
@@ -120,26 +121,28 @@
                 oldest = expired.oldest or oldest
             case Failure(error):
                 return Failure(unavailable(error))
-    match await _find_base(log, oldest, farthest=farthest):
-        case Success(base):
-            return await _resume(log, base or State())
-        case Failure(error):
-            return Failure(unavailable(error))
-    raise AssertionError('a result is a success or a failure')
+    base = await _find_base(log, oldest, farthest=farthest)
+    return await and_then(
+        base.alt(unavailable),
+        lambda found: _resume(log, found or State()),
+    )
 
 
 async def _resume(
     log: PatientLog,
     base: State,
 ) -> Result[History, CliError]:
-    match await log.read(CONFIG, Offset(base.offset + 1)):
-        case Success(page):
-            return await _fold(log, base, page)
-        case Failure(LogError(fault=LogFault.EXPIRED) as expired):
-            return Failure(_expired(expired))
-        case Failure(error):
-            return Failure(unavailable(error))
-    raise AssertionError('a result is a success or a failure')
+    page = await log.read(CONFIG, Offset(base.offset + 1))
+    return await and_then(
+        page.alt(_unreadable),
+        lambda found: _fold(log, base, found),
+    )
+
+
+def _unreadable(error: LogError) -> CliError:
+    if error.fault is LogFault.EXPIRED:
+        return _expired(error)
+    return unavailable(error)
 
 
 def _expired(expired: LogError) -> CliError:
--- a/libs/cli/src/verbenamill_cli/main.py
+++ b/libs/cli/src/verbenamill_cli/main.py
@@ -26,8 +26,9 @@
     run_on_log,
     run_with_log,
 )
-from verbenamill_cli.output import finish, print_report
+from verbenamill_cli.output import Report, finish, print_report
 from verbenamill_cli.patience import PatientLog
+from verbenamill_cli.results import and_then
 from verbenamill_cli.status import report_status
 from verbenamill_cli.story import Story, ask_daemon, find_story, report_story
 from verbenamill_cli.ticket_commands import app as ticket_app
@@ -39,7 +40,8 @@
 )
 from verbenamill_model import AuditEntry, Move
 from verbenamill_model.accept import MAX_HISTORY
-from verbenamill_model.typing import Offset
+from verbenamill_model.traffic import Member
+from verbenamill_model.typing import Offset, VmId
 from verbenamill_platform import Log
 
 #: Daemons can be asked without the log, so status does not wait for it long.
@@ -112,12 +114,13 @@
     url: str,
 ) -> Result[list[Surveyed], CliError]:
     async with environment.open_client() as client:
-        match await find_members(client, url):
-            case Success(members):
-                return Success(await survey(client, members))
-            case Failure(error):
-                return Failure(error)
-    raise AssertionError('a result is a success or a failure')
+
+        async def ask(
+            members: dict[VmId, Member],
+        ) -> Result[list[Surveyed], CliError]:
+            return Success(await survey(client, members))
+
+        return await and_then(await find_members(client, url), ask)
 
 
 @app.command('verdicts')
@@ -186,14 +189,13 @@
 
     async def use(reader: PatientLog) -> Found:
         is_deep = last == 0 or last > MAX_HISTORY or ticket or text
-        match await read_records(reader, farthest=bool(is_deep)):
-            case Success(Records(history=history, lines=lines)):
-                trail = build_trail(history, lines)
-                wanted = select(trail, ticket=ticket, text=text, last=last)
-                return Success(report_trail(wanted))
-            case Failure(error):
-                return Failure(error)
-        raise AssertionError('a result is a success or a failure')
+        records = await read_records(reader, farthest=bool(is_deep))
+        return records.map(show)
+
+    def show(records: Records) -> Report:
+        trail = build_trail(records.history, records.lines)
+        wanted = select(trail, ticket=ticket, text=text, last=last)
+        return report_trail(wanted)
 
     finish(run_with_log(context, log, timeout, use), as_json=as_json)
 
--- a/libs/cli/src/verbenamill_cli/options.py
+++ b/libs/cli/src/verbenamill_cli/options.py
@@ -7,7 +7,7 @@
 
 import trio
 import typer
-from returns.result import Failure, Result, Success
+from returns.result import Result
 
 from verbenamill_cli.environment import Environment, need_url
 from verbenamill_cli.errors import CliError
@@ -85,9 +85,5 @@
         async with environment.open_log(checked) as log:
             return await use(log)
 
-    match need_url(url, option='--log', variable=LOG_VARIABLE):
-        case Success(checked):
-            return trio.run(run, checked)
-        case Failure(error):
-            return Failure(error)
-    raise AssertionError('a result is a success or a failure')
+    checked = need_url(url, option='--log', variable=LOG_VARIABLE)
+    return checked.bind(lambda good: trio.run(run, good))
--- a/libs/cli/src/verbenamill_cli/publish.py
+++ b/libs/cli/src/verbenamill_cli/publish.py
@@ -13,6 +13,7 @@
 from verbenamill_cli.errors import CliError, ExitCode
 from verbenamill_cli.history import History, Step, read_history
 from verbenamill_cli.patience import PatientLog, unavailable
+from verbenamill_cli.results import and_then
 from verbenamill_model import (
     Answer,
     Changed,
@@ -57,11 +58,16 @@
 
     A ticket that would be refused now is not appended at all.
     """
-    match await read_history(log):
-        case Success(history):
-            known = history
-        case Failure(error):
-            return Failure(error)
+    history = await read_history(log)
+    return await and_then(history, lambda known: _try(log, known, ticket, now))
+
+
+async def _try(
+    log: PatientLog,
+    known: History,
+    ticket: Ticket,
+    now: datetime,
+) -> Result[Published, CliError]:
     match predict(known, ticket, now=now):
         case Refusal() as refusal:
             faults = find_faults(known.state.snapshot, ticket, now)
--- a/libs/cli/src/verbenamill_cli/trail.py
+++ b/libs/cli/src/verbenamill_cli/trail.py
@@ -9,6 +9,7 @@
 from verbenamill_cli.errors import CliError
 from verbenamill_cli.history import History, read_history
 from verbenamill_cli.patience import PatientLog, unavailable
+from verbenamill_cli.results import and_then
 from verbenamill_model.typing import Offset
 from verbenamill_platform import LogError, LogFault
 from verbenamill_platform.streams import AUDIT, AuditLine
@@ -30,15 +31,13 @@
 
     :param farthest: as far back as the log goes.
     """
-    match await read_history(log, farthest=farthest):
-        case Success(History() as history):
-            lines = await read_trail(log)
-            return lines.map(
-                lambda found: Records(history=history, lines=found),
-            )
-        case Failure(error):
-            return Failure(error)
-    raise AssertionError('a result is a success or a failure')
+
+    async def add_lines(history: History) -> Result[Records, CliError]:
+        lines = await read_trail(log)
+        return lines.map(lambda found: Records(history=history, lines=found))
+
+    history = await read_history(log, farthest=farthest)
+    return await and_then(history, add_lines)
 
 
 async def read_trail(log: PatientLog) -> Result[list[AuditLine], CliError]:
