--- a/libs/cli/src/verbenamill_cli/publish.py
+++ b/libs/cli/src/verbenamill_cli/publish.py
@@ -13,6 +13,7 @@
 from verbenamill_cli.errors import CliError, ExitCode
 from verbenamill_cli.history import History, Step, read_history
 from verbenamill_cli.patience import PatientLog, unavailable
+from verbenamill_cli.results import and_then
 from verbenamill_model import (
     Answer,
     Changed,
@@ -35,8 +36,8 @@
 class Published(Struct, frozen=True, kw_only=True):
     """An accepted ticket.
 
-    :param offset: where the accepted record stands; ``None`` when it has
-        expired from the log.
+    :param offset: where the accepted record stands; ``None`` when it is
+        long ago.
     :param repeated: whether the change was in force before this command.
     :param moves: moves that it began.
     """
@@ -57,11 +58,16 @@
 
     A ticket that would be refused now is not appended at all.
     """
-    match await read_history(log):
-        case Success(history):
-            known = history
-        case Failure(error):
-            return Failure(error)
+    history = await read_history(log)
+    return await and_then(history, lambda known: _try(log, known, ticket, now))
+
+
+async def _try(
+    log: PatientLog,
+    known: History,
+    ticket: Ticket,
+    now: datetime,
+) -> Result[Published, CliError]:
     match predict(known, ticket, now=now):
         case Refusal() as refusal:
             faults = find_faults(known.state.snapshot, ticket, now)
@@ -159,14 +165,8 @@
 
 
 def _repeated(history: History, ticket: Ticket) -> Published:
-    first = next(
-        (
-            step.entry.offset
-            for step in history.steps
-            if isinstance(step.answer, Changed) and ticket_of(step) == ticket
-        ),
-        None,
-    )
+    lines = (line for line in history.audit() if line.ticket == ticket.number)
+    first = next((line.offset for line in lines), None)
     return Published(
         ticket=ticket.number,
         offset=first,
