--- a/libs/mesh/src/verbenamill_mesh/gateways.py
+++ b/libs/mesh/src/verbenamill_mesh/gateways.py
@@ -27,6 +27,8 @@
 
 #: Newest records looked at: each availability zone writes one an interval.
 LOOK_BACK = 64
+#: Unknown addresses tried an interval; most are of daemons long replaced.
+MAX_MEETINGS = 5
 #: Addresses in one record.
 MAX_ADDRESSES = 5
 
@@ -79,9 +81,8 @@
     async def find_addresses(self) -> tuple[str, ...]:
         """Addresses that were written lately, in no order."""
         records = await self._read()
-        return tuple(
-            address for record in records for address in record.addresses
-        )
+        found = (address for record in records for address in record.addresses)
+        return tuple(dict.fromkeys(found))
 
     async def _write(self) -> None:
         own = self._peers.own
@@ -101,12 +102,19 @@
             log(Event.LOG_UNAVAILABLE, detail=outcome.failure().detail)
 
     async def _meet_unknown(self) -> None:
-        """Meet zones that no seed and no peer has told of."""
-        own = self._peers.own.availability_zone
-        known = {own, *self._peers.other_zones()}
-        for record in await self._read():
-            if record.availability_zone not in known and record.addresses:
-                await self._meet(self._random.choice(record.addresses))
+        """Meet daemons that no seed and no peer has told of.
+
+        Daemons that started while an availability zone was cut in two find
+        each other, but not those on the far side, and none of the seeds is
+        left. Without this, both would live on as islands for ever.
+        """
+        alive = self._members.alive().values()
+        known = {member.control for member in alive}
+        written = await self.find_addresses()
+        unknown = [address for address in written if address not in known]
+        count = min(len(unknown), MAX_MEETINGS)
+        for address in self._random.sample(unknown, count):
+            await self._meet(address)
 
     async def _read(self) -> list[GatewaysRecord]:
         self._stats.count_log(GATEWAYS)
--- a/libs/mesh/src/verbenamill_mesh/links.py
+++ b/libs/mesh/src/verbenamill_mesh/links.py
@@ -145,6 +145,7 @@
             job: _Job | None = None
             with trio.move_on_after(idle):
                 job = await jobs.receive()
+            job = job or _take_waiting(jobs)
             if job is None:
                 return
             yield job
@@ -195,3 +196,15 @@
             return Failure('the answer cannot be read')
         self._stats.count_received(kind_of(reply), len(body))
         return Success(reply)
+
+
+def _take_waiting(jobs: trio.MemoryReceiveChannel[_Job]) -> _Job | None:
+    """Take a job that was queued while the wait for one was given up.
+
+    Between the deadline and this task's turn others may run. What they
+    queued then would never be done, and who asked would wait for ever.
+    """
+    try:
+        return jobs.receive_nowait()
+    except trio.WouldBlock:
+        return None
--- a/libs/mesh/src/verbenamill_mesh/members.py
+++ b/libs/mesh/src/verbenamill_mesh/members.py
@@ -141,7 +141,7 @@
             # A tombstone of someone unknown needs no spreading, and taking
             # it would bring expired ones back for ever.
             return False
-        if member == self._own.id and self._is_doubt(told):
+        if member == self._own.id and self._is_doubt(update, told):
             self._on_own_doubt(told.incarnation)
             return False
         return self._take(update, told)
@@ -216,9 +216,14 @@
         self._place(told)
         return True
 
-    def _is_doubt(self, told: Record) -> bool:
+    def _is_doubt(self, update: Update, told: Record) -> bool:
         own = self._records.get(self._own.id)
-        return own is not None and told.precedence > own.precedence
+        if own is None or told.precedence < own.precedence:
+            return False
+        # An earlier run of this daemon may have used the same incarnation.
+        # By content alone the older record, with its old address, could
+        # win, and callers would be sent where nobody listens.
+        return update.value != self._store.entries(TOPIC)[self._own.id]
 
     def _displace(self, member: Member) -> None:
         self._zones[member.availability_zone].pop(member.id, None)
--- a/libs/mesh/src/verbenamill_mesh/settings.py
+++ b/libs/mesh/src/verbenamill_mesh/settings.py
@@ -40,7 +40,7 @@
     second_delay: timedelta = timedelta(milliseconds=250)
     offer_delay: timedelta = timedelta(milliseconds=150)
     checkpoint_interval: timedelta = timedelta(minutes=1)
-    gateways_interval: timedelta = timedelta(minutes=1)
+    gateways_interval: timedelta = timedelta(seconds=30)
     lonely_after: timedelta = timedelta(seconds=3)
     transfers_per_second: float = 20
     rumours_per_second: float = 5
--- a/libs/mesh/tests/test_failures.py
+++ b/libs/mesh/tests/test_failures.py
@@ -444,6 +444,28 @@
     run_fleet(scenario, log=MemoryLog(kept=10))
 
 
+def test_islands_find_each_other(run_fleet):
+    """A zone is cut in two, and one half is replaced with stale seeds.
+
+    The fresh daemons know each other and nobody else, and nobody knows
+    them, so no probe would ever join the two.
+    """
+
+    async def scenario(fleet):
+        await start_zone(fleet, 'a', 3, seeds=('a-0',))
+        await wait_until(lambda: fleet.all_know(3))
+        fleet.network.is_lost = lambda source, target: (
+            source.startswith('new') != target.startswith('new')
+        )
+        for place in range(3):
+            await fleet.start(f'new-{place}', zone='a', seeds=('gone', 'new-0'))
+        await wait_until(lambda: fleet.all_know(3))
+        fleet.network.is_lost = lambda *_: False
+        await wait_until(lambda: fleet.all_know(6), within=timedelta(minutes=2))
+
+    run_fleet(scenario)
+
+
 def test_stale_seeds_do_not_keep_a_daemon_out(run_fleet):
     """Every daemon that the seeds name was replaced.
 
--- a/libs/mesh/tests/test_parts.py
+++ b/libs/mesh/tests/test_parts.py
@@ -1,11 +1,13 @@
 """The parts of a daemon's mesh, each by itself."""
 
+from datetime import timedelta
 from random import Random
 
 import trio
 import trio.testing
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec.structs import replace
 from returns.result import Failure, Success
 
 from verbenamill_mesh import MeshSettings, MeshStats
@@ -70,6 +72,39 @@
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
+def test_a_request_is_not_lost_with_an_idle_link():
+    """A request comes in the moment in which its link is given up as idle.
+
+    It stood in the queue of a task that had ended, and its asker waited for
+    ever: a daemon then exchanged nothing any more, though it seemed well.
+    """
+    network = MemoryNetwork(Random(1), delay=timedelta(0))
+    links = Links(
+        own='vm-1',
+        availability_zone='a',
+        transport=network.transport('vm-1'),
+        settings=MeshSettings(idle_link=timedelta(seconds=1)),
+        stats=MeshStats(),
+        is_cut=lambda _: False,
+    )
+
+    async def answer(body):
+        return encode(Done())
+
+    async def main():
+        network.listen('vm-2', answer)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(links.run)
+            for _ in range(50):
+                with trio.move_on_after(10) as scope:
+                    await links.ask('vm-2', Note('k', b''))
+                assert not scope.cancelled_caught
+                await trio.sleep(1)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
 def test_a_tombstone_of_someone_unknown_is_not_taken():
     """Daemons forget the dead at different times.
 
@@ -176,6 +211,25 @@
     assert reached == members
 
 
+def test_a_fast_restart_wins_over_the_record_of_the_run_before():
+    """A daemon restarts on another port, with its id and first incarnation.
+
+    Both records have the same precedence; whichever the bytes favour, the
+    running daemon takes a higher incarnation and its address wins.
+    """
+    for old_port, new_port in (('1', '2'), ('2', '1')):
+        doubts = []
+        before = Members(member('vm-1'), Store(), on_own_doubt=int)
+        old = before.say(own=replace(member('vm-1'), control=old_port))
+        after = Members(member('vm-1'), Store(), on_own_doubt=doubts.append)
+        after.say(own=replace(member('vm-1'), control=new_port))
+        assert not after.learn(old)
+        other = Members(member('vm-2'), Store(), on_own_doubt=int)
+        other.learn(old)
+        other.learn(after.say(above=doubts.pop()))
+        assert other.alive()['vm-1'].control == new_port
+
+
 def test_records_of_one_run_only_get_worse():
     members = Members(member('vm-1'), Store(), on_own_doubt=int)
     members.learn(Members(member('vm-2'), Store(), on_own_doubt=int).say())
