--- a/libs/calls/src/verbenamill_calls/ledger.py
+++ b/libs/calls/src/verbenamill_calls/ledger.py
@@ -72,13 +72,14 @@
     @property
     def is_full(self) -> bool:
         """Whether no further call can be remembered."""
-        self._forget()
+        self._forget(self._clock.elapsed())
         return len(self._by_id) >= self._settings.max_remembered
 
     def complete_for(self) -> timedelta:
         """How far back every call is remembered."""
-        self._forget()
-        return self._clock.elapsed() - self._complete_since
+        now = self._clock.elapsed()
+        self._forget(now)
+        return now - self._complete_since
 
     def find(self, id: RequestId, key: str | None) -> Remembered | None:
         """The call with this id, or the first one with this key."""
@@ -104,6 +105,12 @@
             self._by_key[key] = call
         return call
 
+    def add_id(self, id: RequestId, call: Remembered) -> None:
+        """Know a call under a second id, by which it came again."""
+        if id not in self._by_id:
+            self._by_id[id] = call
+            self._order.append((self._clock.elapsed(), id))
+
     def finish(
         self,
         call: Remembered,
@@ -132,6 +139,15 @@
             self._by_key.pop(call.key)
             call.key = None
 
+    def _forget_call(self, call: Remembered) -> None:
+        if call.key is not None:
+            self._by_key.pop(call.key)
+            call.key = None
+        if isinstance(call.answer, StoredAnswer):
+            self._stored.remove(call)
+            self._stored_bytes -= len(call.answer.body)
+            call.answer = None
+
     def _drop_bodies(self) -> None:
         """Keep the answers within their bytes; the calls stay known."""
         while self._stored_bytes > self._settings.max_stored:
@@ -140,9 +156,9 @@
             self._stored_bytes -= len(call.answer.body)
             call.answer = None
 
-    def _forget(self) -> None:
+    def _forget(self, now: timedelta) -> None:
         """Forget calls that nobody can ask for any more."""
-        oldest = self._clock.elapsed() - self._settings.remember
+        oldest = now - self._settings.remember
         while self._order and self._order[0][0] < oldest:
             began_at, id = self._order[0]
             call = self._by_id[id]
@@ -150,9 +166,5 @@
                 return
             self._order.popleft()
             self._by_id.pop(id)
-            if call.key is not None:
-                self._by_key.pop(call.key)
-            if isinstance(call.answer, StoredAnswer):
-                self._stored.remove(call)
-                self._stored_bytes -= len(call.answer.body)
+            self._forget_call(call)
             self._complete_since = max(self._complete_since, began_at)
