Leave out calls that began on a cold upstream

Change: Evidence takes the clock and leaves out latencies of calls that began before the first eight had ended; the daemon passes its clock.

--- a/libs/bench/src/verbenamill_bench/moves_world.py
+++ b/libs/bench/src/verbenamill_bench/moves_world.py
@@ -175,6 +175,14 @@
                 return self._finish()
         raise AssertionError('a run ends')
 
+    def now(self) -> datetime:
+        """Simulated wall time."""
+        return START + self.elapsed()
+
+    def elapsed(self) -> timedelta:
+        """Simulated time since the move was accepted."""
+        return timedelta(seconds=self._now)
+
     def _is_over(self, deadline: float) -> bool:
         settled = all(zone.service.move is None for zone in self._zones)
         if settled and self._now > deadline:
@@ -248,7 +256,10 @@
             ),
         )
         incarnation = self._random.getrandbits(32)
-        self._evidence[vm] = Evidence(incarnation=incarnation)
+        self._evidence[vm] = Evidence(
+            incarnation=incarnation,
+            clock=self,
+        )
         self._deciders[vm] = self._make_decider(vm, zone)
         self._warm[vm] = 0
 
--- a/libs/daemon/src/verbenamill_daemon/moving.py
+++ b/libs/daemon/src/verbenamill_daemon/moving.py
@@ -59,7 +59,10 @@
         self._audit = audit
         self._clock = clock
         me = member()
-        self._evidence = Evidence(incarnation=me.incarnation)
+        self._evidence = Evidence(
+            incarnation=me.incarnation,
+            clock=clock,
+        )
         self._decider = Decider(
             vm=me.id,
             availability_zone=me.availability_zone,
--- a/libs/moves/src/verbenamill_moves/evidence.py
+++ b/libs/moves/src/verbenamill_moves/evidence.py
@@ -1,11 +1,14 @@
 """Evidence of one owner: what the calls to its upstream came to."""
 
+from datetime import timedelta
+
 import msgspec
 from msgspec import Struct
 
 from verbenamill_model.traffic import Observation, Outcome
 from verbenamill_model.typing import RouteName, ServiceName, VersionName
 from verbenamill_moves.histogram import Histogram, bucket_of
+from verbenamill_platform import Clock
 
 #: Routes of one version that are told apart; the others count together.
 MAX_ROUTES = 16
@@ -78,10 +81,13 @@
     """Counts what an owner sees; bounded in versions, routes and buckets.
 
     :param incarnation: of the owner; differs at each start of the daemon.
+    :param clock: tells which calls began before the upstream was warm.
     """
 
-    def __init__(self, *, incarnation: int) -> None:
+    def __init__(self, *, incarnation: int, clock: Clock) -> None:
         self._incarnation = incarnation
+        self._clock = clock
+        self._warm_since: dict[tuple[ServiceName, VersionName], timedelta] = {}
         self._sequence = 0
         self._versions: list[VersionCounts] = []
 
@@ -101,7 +107,7 @@
         if observation.outcome is Outcome.FAILED:
             counts.failed += 1
             return
-        if version.answered > COLD_CALLS:
+        if self._is_warm(version, observation.latency):
             bucket = bucket_of(observation.latency)
             counts.latencies[bucket] = counts.latencies.get(bucket, 0) + 1
 
@@ -118,6 +124,18 @@
             ),
         )
 
+    def _is_warm(self, version: VersionCounts, latency: timedelta) -> bool:
+        """Whether a call that ends now began on a warm upstream.
+
+        Slow calls of a cold start end after fast ones that began later, so
+        the number of calls that ended is not enough to tell.
+        """
+        if version.answered <= COLD_CALLS:
+            return False
+        now = self._clock.elapsed()
+        place = (version.service, version.version)
+        return now - latency >= self._warm_since.setdefault(place, now)
+
     def _version_of(self, observation: Observation) -> VersionCounts:
         for counts in self._versions:
             if (
@@ -127,6 +145,9 @@
                 return counts
         fresh = VersionCounts(observation.service, observation.version, [])
         self._versions = [*self._versions, fresh][-_MAX_VERSIONS:]
+        kept = {(known.service, known.version) for known in self._versions}
+        for place in set(self._warm_since).difference(kept):
+            self._warm_since.pop(place)
         return fresh
 
 
--- a/libs/moves/src/verbenamill_moves/instances.py
+++ b/libs/moves/src/verbenamill_moves/instances.py
@@ -13,7 +13,7 @@
 #: Share of bad calls in a step from which an instance looks broken.
 _LOOKS_BROKEN = 0.05
 #: Broken steps further apart belong to different faults.
-_EPISODE = timedelta(seconds=5)
+_EPISODE = timedelta(seconds=1)
 #: A crashed instance is gone after this: its lease has lapsed.
 _CRASH = timedelta(seconds=2)
 #: Bad calls that count in any case; too few to condemn a version.
--- a/libs/moves/src/verbenamill_moves/stages.py
+++ b/libs/moves/src/verbenamill_moves/stages.py
@@ -27,10 +27,10 @@
     Stage(share=0, earliest=0, latest=0),
     Stage(share=0.01, earliest=0, latest=0),
     Stage(share=0.05, earliest=0.02, latest=0.02),
-    Stage(share=0.15, earliest=0.3, latest=0.45),
-    Stage(share=0.4, earliest=0.38, latest=0.53),
-    Stage(share=0.7, earliest=0.46, latest=0.6),
-    Stage(share=0.95, earliest=0.55, latest=0.7),
+    Stage(share=0.15, earliest=0.3, latest=0.5),
+    Stage(share=0.4, earliest=0.38, latest=0.57),
+    Stage(share=0.7, earliest=0.46, latest=0.64),
+    Stage(share=0.95, earliest=0.55, latest=0.72),
     Stage(share=1, earliest=1, latest=1),
 )
 CANARY = 2
