--- a/libs/mesh/src/verbenamill_mesh/stats.py
+++ b/libs/mesh/src/verbenamill_mesh/stats.py
@@ -57,15 +57,18 @@
 
     def count_log(self, stream: str) -> None:
         """Count a request to the log."""
-        self.log_requests[stream] = self.log_requests.get(stream, 0) + 1
+        _add(self.log_requests, stream, 1)
 
     def count_entries(self, origin: str, count: int) -> None:
         """Count records by where they came from first."""
-        before = self.entries_first_from.get(origin, 0)
-        self.entries_first_from[origin] = before + count
+        _add(self.entries_first_from, origin, count)
 
 
 def _count(table: dict[str, Traffic], kind: str, size: int) -> None:
     traffic = table.setdefault(kind, Traffic())
     traffic.messages += 1
     traffic.size += size
+
+
+def _add(table: dict[str, int], key: str, count: int) -> None:
+    table[key] = table.get(key, 0) + count
