--- a/libs/bench/src/verbenamill_bench/main.py
+++ b/libs/bench/src/verbenamill_bench/main.py
@@ -9,10 +9,12 @@
 from returns.result import Failure
 
 from verbenamill_bench.calls_bench import measure_calls
+from verbenamill_bench.capacity import render_capacity
 from verbenamill_bench.convergence import measure_convergence
 from verbenamill_bench.demo import run_demo
 from verbenamill_bench.faults import find_faults
 from verbenamill_bench.load_process import run_caller
+from verbenamill_bench.measured import read_reports
 from verbenamill_bench.moves import moves_command
 from verbenamill_bench.printing import print_report
 from verbenamill_bench.state_cost import measure_state
@@ -124,6 +126,22 @@
     print_report(report, as_json=as_json)
 
 
+@app.command('capacity')
+def capacity_command(
+    reports: Annotated[
+        list[Path],
+        typer.Argument(help='JSON of calls, convergence, state and faults.'),
+    ],
+    out: Annotated[Path, typer.Option(help='Page to write.')],
+) -> None:
+    """Write the capacity page from the benches' JSON."""
+    measured = read_reports(reports)
+    if isinstance(measured, Failure):
+        typer.echo(measured.failure(), err=True)
+        raise typer.Exit(1)
+    out.write_text(render_capacity(measured.unwrap()))
+
+
 app.command('moves')(moves_command)
 
 
