A route's timeout is at most a minute; annotated settings show all defaults

Cause: the salon's example asked for 2 minutes, which is as long as owners remember the ids of requests that may not be repeated; a copy that comes later could run a second time. The example of settings names every optional key, and a test compares it with the defaults.

--- a/libs/cli/tests/test_examples.py
+++ b/libs/cli/tests/test_examples.py
@@ -1,8 +1,23 @@
 """Every file in examples/ works as its comments say."""
 
+import tomllib
+
 import pytest
+from msgspec.structs import fields
 
 from verbenamill_cli.errors import ExitCode
+from verbenamill_platform.settings import (
+    CallLimits,
+    LoggingSettings,
+    TestSettings,
+    check_settings,
+)
+
+SECTIONS = {
+    CallLimits: 'calls',
+    LoggingSettings: 'logging',
+    TestSettings: 'test',
+}
 
 
 @pytest.mark.parametrize('customer', ['lone-star', 'siam-mirror'])
@@ -15,6 +30,19 @@
         assert published.exit_code == ExitCode.OK, published.output
 
 
+def test_annotated_settings_show_the_defaults(examples):
+    """A default that was changed in the code is changed there too."""
+    text = (examples / 'daemon.toml').read_text()
+    settings = check_settings(text).unwrap()
+    assert settings.calls == CallLimits()
+    assert settings.logging == LoggingSettings()
+    assert settings.test == TestSettings()
+    keys = tomllib.loads(text)
+    for section in (CallLimits, LoggingSettings, TestSettings):
+        named = keys[SECTIONS[section]]
+        assert set(named) == {field.name for field in fields(section)}
+
+
 def test_settings(run, examples):
     files = sorted(examples.glob('*.toml'))
     assert len(files) >= 3
--- a/libs/model/src/verbenamill_model/checks.py
+++ b/libs/model/src/verbenamill_model/checks.py
@@ -9,6 +9,10 @@
 
 #: Shortest time a move may be given: canary, growing shares and a hold.
 MIN_MOVE = timedelta(seconds=5)
+#: Longest timeout of a route. Owners remember the ids of requests that may
+#: not be repeated for twice as long; a late copy of one that outlived this
+#: memory could run a second time.
+MAX_TIMEOUT = timedelta(minutes=1)
 MAX_NAME = 100
 
 Check = Callable[[Snapshot, Ticket, datetime], Iterator[str]]
@@ -92,6 +96,12 @@
         yield f'prefix {route.prefix!r} of route {route.name} must begin with /'
     if route.timeout <= timedelta(0):
         yield f'timeout of route {route.name} must be above 0 s'
+    if route.timeout > MAX_TIMEOUT:
+        yield (
+            f'timeout of route {route.name} is '
+            f'{route.timeout.total_seconds():g} s; the longest is '
+            f'{MAX_TIMEOUT.total_seconds():g} s'
+        )
 
 
 def _is_name(text: str) -> bool:
--- a/libs/model/tests/test_accept.py
+++ b/libs/model/tests/test_accept.py
@@ -139,3 +139,19 @@
     assert isinstance(answer, Refusal)
     assert state.snapshot == installed.snapshot
     assert state.offset == broken.offset
+
+
+def test_timeout_beyond_the_memory_of_owners_is_refused(installed):
+    """A fee waits longer than its owner remembers its id.
+
+    A copy that comes late would run a second time, and charge twice.
+    """
+    route = Route(
+        name='fees',
+        prefix='/fees',
+        service='entries',
+        timeout=timedelta(minutes=2),
+    )
+    _, answer = publish(installed, number=3, routes=(route,))
+    assert isinstance(answer, Refusal)
+    assert 'the longest is 60 s' in answer.reason
