--- a/libs/mesh/src/verbenamill_mesh/configuration.py
+++ b/libs/mesh/src/verbenamill_mesh/configuration.py
@@ -18,7 +18,7 @@
     encode_state,
     fold,
 )
-from verbenamill_model.accept import assert_consistent
+from verbenamill_model.applying import assert_consistent
 from verbenamill_model.typing import Offset
 
 #: Records kept for peers that lag a little; others get a checkpoint.
--- a/libs/model/src/verbenamill_model/__init__.py
+++ b/libs/model/src/verbenamill_model/__init__.py
@@ -3,7 +3,6 @@
 from verbenamill_model.accept import (
     Answer,
     Changed,
-    Entry,
     Repeated,
     accept,
     fold,
@@ -18,6 +17,7 @@
     encode_state,
 )
 from verbenamill_model.faults import Fault
+from verbenamill_model.entries import Entry
 from verbenamill_model.state import (
     AuditEntry,
     Move,
--- a/libs/model/src/verbenamill_model/accept.py
+++ b/libs/model/src/verbenamill_model/accept.py
@@ -4,38 +4,37 @@
 same answers, so the log's order is the only agreement that is needed.
 """
 
-from collections.abc import Callable
-from datetime import datetime
-from typing import TypeVar
-
 from msgspec import Struct
 from msgspec.structs import replace
 from returns.result import Failure, Result, Success
 
+from verbenamill_model.applying import (
+    apply_ticket,
+    assert_consistent,
+    describe,
+    end_moves,
+    touched,
+)
 from verbenamill_model.checks import find_fault
 from verbenamill_model.codec import decode_record, digest_ticket
+from verbenamill_model.entries import Entry
 from verbenamill_model.state import (
     AuditEntry,
     Move,
     Refusal,
     ServiceState,
-    Snapshot,
     State,
     Verdict,
 )
 from verbenamill_model.tickets import (
     RECORD_VERSION,
-    Route,
-    Service,
+    Record,
     Ticket,
     TicketRecord,
     VerdictRecord,
 )
 from verbenamill_model.typing import (
     ConfigVersion,
-    Offset,
-    RouteName,
-    ServiceName,
     TicketNumber,
     VerdictKind,
 )
@@ -46,14 +45,6 @@
 MAX_HISTORY = 256
 
 
-class Entry(Struct, frozen=True, kw_only=True):
-    """One record of the log with its place and the log's own time stamp."""
-
-    offset: Offset
-    at: datetime
-    body: bytes
-
-
 class Changed(Struct, frozen=True, kw_only=True):
     """The record took effect and made a new snapshot."""
 
@@ -66,9 +57,6 @@
 
 Answer = Changed | Repeated | Refusal
 
-_Name = TypeVar('_Name', bound=str)
-_Resource = TypeVar('_Resource')
-
 
 def accept(state: State, entry: Entry) -> tuple[State, Answer]:
     """Fold one record into a state.
@@ -79,7 +67,7 @@
     """
     assert entry.offset > state.offset, 'a state never goes back'
     moved_on = replace(state, offset=entry.offset)
-    match decode_record(entry.body):
+    match decode_record(entry.body).bind(_check_version):
         case Success(TicketRecord() as record):
             return _accept_ticket(moved_on, entry, record)
         case Success(VerdictRecord() as record):
@@ -89,6 +77,15 @@
     raise AssertionError('every record is a ticket or a verdict')
 
 
+def _check_version(record: Record) -> Result[Record, str]:
+    if record.record_version == RECORD_VERSION:
+        return Success(record)
+    return Failure(
+        f'record version {record.record_version} is unknown, expected '
+        f'{RECORD_VERSION}; publish with a matching tool',
+    )
+
+
 def _refuse(
     state: State,
     entry: Entry,
@@ -111,14 +108,6 @@
     record: TicketRecord,
 ) -> tuple[State, Answer]:
     ticket = record.ticket
-    if record.record_version != RECORD_VERSION:
-        return _refuse(
-            state,
-            entry,
-            f'record version {record.record_version} is unknown, expected '
-            f'{RECORD_VERSION}; publish with a matching tool',
-            ticket.number,
-        )
     digest = digest_ticket(ticket)
     if state.digests.get(ticket.number) == digest:
         # A lost answer makes an operator publish again: the symptom would
@@ -156,38 +145,21 @@
     return None
 
 
-def touched(ticket: Ticket) -> tuple[str, ...]:
-    """Keys of the resources that a ticket gives a new state."""
-    return (
-        *(f'service:{service.name}' for service in ticket.services),
-        *(f'service:{name}' for name in ticket.remove_services),
-        *(f'service:{name}' for name in ticket.aborts),
-        *(f'route:{route.name}' for route in ticket.routes),
-        *(f'route:{name}' for name in ticket.remove_routes),
-    )
-
-
 def _apply_ticket(
     state: State,
     entry: Entry,
     ticket: Ticket,
     digest: str,
 ) -> tuple[State, Answer]:
-    ended = _end_moves(state.snapshot, ticket, entry)
-    version = ConfigVersion(entry.offset)
-    snapshot = Snapshot(
-        version=version,
-        services=_next_services(state.snapshot, ticket, entry),
-        routes=_next_routes(state.snapshot, ticket),
-    )
-    assert_consistent(snapshot)
+    ended = end_moves(state.snapshot, ticket, entry)
+    snapshot = apply_ticket(state.snapshot, ticket, entry)
     numbers = dict.fromkeys(touched(ticket), ticket.number)
     line = AuditEntry(
         offset=entry.offset,
         at=entry.at,
         author=ticket.author,
         ticket=ticket.number,
-        text=_describe(ticket),
+        text=describe(ticket),
     )
     changed = replace(
         state,
@@ -196,7 +168,8 @@
         verdicts=(*state.verdicts, *ended)[-MAX_HISTORY:],
         audit=(*state.audit, line)[-MAX_HISTORY:],
     )
-    return _remember(changed, ticket.number, digest), Changed(version=version)
+    remembered = _remember(changed, ticket.number, digest)
+    return remembered, Changed(version=snapshot.version)
 
 
 def _remember(state: State, number: TicketNumber, digest: str) -> State:
@@ -207,116 +180,14 @@
     # so a forgotten ticket can never be applied a second time.
     lowest = min(digests)
     digests.pop(lowest)
-    return replace(state, digests=digests, floor=lowest)
-
-
-def _describe(ticket: Ticket) -> str:
-    services = ', '.join(
-        f'service {service.name} at {service.version}'
-        for service in ticket.services
-    )
-    routes = ', '.join(f'route {route.name}' for route in ticket.routes)
-    removed = ', '.join((*ticket.remove_services, *ticket.remove_routes))
-    aborted = ', '.join(ticket.aborts)
-    parts = (
-        ticket.note,
-        services,
-        routes,
-        removed and f'removes {removed}',
-        aborted and f'aborts {aborted}',
-    )
-    return '; '.join(part for part in parts if part)
-
-
-def _next_services(
-    before: Snapshot,
-    ticket: Ticket,
-    entry: Entry,
-) -> dict[ServiceName, ServiceState]:
-    services = {
-        name: known
-        for name, known in before.services.items()
-        if name not in ticket.remove_services
-    }
-    for name in ticket.aborts:
-        services[name] = replace(services[name], move=None)
-    for wanted in ticket.services:
-        services[wanted.name] = _next_service(
-            before.services.get(wanted.name),
-            wanted,
-            ticket.number,
-            entry,
-        )
-    return _sort(services)
-
-
-def _next_service(
-    before: ServiceState | None,
-    wanted: Service,
-    number: TicketNumber,
-    entry: Entry,
-) -> ServiceState:
-    if before is None:
-        return ServiceState(service=wanted, version=wanted.version)
-    if before.version == wanted.version or wanted.deadline is None:
-        return ServiceState(service=wanted, version=before.version)
-    move = Move(
-        id=entry.offset,
-        ticket=number,
-        service=wanted.name,
-        old=before.version,
-        new=wanted.version,
-        accepted_at=entry.at,
-        deadline=wanted.deadline,
-        profile=wanted.profile,
-    )
-    return ServiceState(service=wanted, version=before.version, move=move)
-
-
-def _next_routes(
-    before: Snapshot,
-    ticket: Ticket,
-) -> dict[RouteName, Route]:
-    kept = {
-        name: route
-        for name, route in before.routes.items()
-        if name not in ticket.remove_routes
+    # A resource whose number is at or below the floor needs no mark of its
+    # own any more; kept, those of removed ones would grow without bound.
+    numbers = {
+        resource: in_force
+        for resource, in_force in state.numbers.items()
+        if in_force > lowest
     }
-    return _sort(kept | {route.name: route for route in ticket.routes})
-
-
-def _sort(resources: dict[_Name, _Resource]) -> dict[_Name, _Resource]:
-    """Order by name, as a state that was read from a checkpoint is.
-
-    The order shows in the reason of a refusal and in the order of verdicts;
-    readers that started differently would part in these.
-    """
-    return dict(sorted(resources.items()))
-
-
-def _end_moves(
-    before: Snapshot,
-    ticket: Ticket,
-    entry: Entry,
-) -> tuple[Verdict, ...]:
-    """Verdicts of the moves that a ticket ends by touching their service."""
-    endings = {
-        service.name: VerdictKind.SUPERSEDED for service in ticket.services
-    }
-    endings |= dict.fromkeys(ticket.remove_services, VerdictKind.SUPERSEDED)
-    endings |= dict.fromkeys(ticket.aborts, VerdictKind.ABORTED)
-    return tuple(
-        Verdict(
-            move=known.move,
-            kind=endings[name],
-            at=entry.at,
-            offset=entry.offset,
-            decided_by=ticket.author,
-            reason=f'ticket {ticket.number}',
-        )
-        for name, known in before.services.items()
-        if known.move is not None and name in endings
-    )
+    return replace(state, digests=digests, floor=lowest, numbers=numbers)
 
 
 def _accept_verdict(
@@ -345,12 +216,11 @@
     known: ServiceState,
     move: Move,
 ) -> tuple[State, Answer]:
-    version = ConfigVersion(entry.offset)
     running = move.new if record.kind is VerdictKind.DONE else move.old
     settled = replace(known, version=running, move=None)
     snapshot = replace(
         state.snapshot,
-        version=version,
+        version=ConfigVersion(entry.offset),
         services=state.snapshot.services | {record.service: settled},
     )
     assert_consistent(snapshot)
@@ -375,23 +245,7 @@
         verdicts=(*state.verdicts, verdict)[-MAX_HISTORY:],
         audit=(*state.audit, line)[-MAX_HISTORY:],
     )
-    return changed, Changed(version=version)
-
-
-def assert_consistent(snapshot: Snapshot) -> None:
-    """Stop the process when a route points at a service that is missing.
-
-    Acceptance refuses such tickets; this is the last guard before a proxy
-    would answer callers from a broken table.
-    """
-    for route in snapshot.routes.values():
-        assert route.service in snapshot.services, (
-            f'route {route.name} points at missing service {route.service}'
-        )
-
-
-#: What a caller of :func:`fold` is told of each record.
-Listener = Callable[[Entry, Answer], None]
+    return changed, Changed(version=snapshot.version)
 
 
 def fold(state: State, entries: tuple[Entry, ...]) -> Result[State, str]:
--- /dev/null
+++ b/libs/model/src/verbenamill_model/applying.py
@@ -0,0 +1,167 @@
+"""What an accepted ticket makes of a snapshot."""
+
+from typing import TypeVar
+
+from msgspec.structs import replace
+
+from verbenamill_model.entries import Entry
+from verbenamill_model.state import Move, ServiceState, Snapshot, Verdict
+from verbenamill_model.tickets import Route, Service, Ticket
+from verbenamill_model.typing import (
+    ConfigVersion,
+    RouteName,
+    ServiceName,
+    TicketNumber,
+    VerdictKind,
+)
+
+_Name = TypeVar('_Name', bound=str)
+_Resource = TypeVar('_Resource')
+
+
+def apply_ticket(before: Snapshot, ticket: Ticket, entry: Entry) -> Snapshot:
+    """Make the next snapshot.
+
+    :param ticket: has passed all checks against the snapshot before.
+    :param entry: the record that carries it.
+    """
+    snapshot = Snapshot(
+        version=ConfigVersion(entry.offset),
+        services=_next_services(before, ticket, entry),
+        routes=_next_routes(before, ticket),
+    )
+    assert_consistent(snapshot)
+    return snapshot
+
+
+def touched(ticket: Ticket) -> tuple[str, ...]:
+    """Keys of the resources that a ticket gives a new state."""
+    return (
+        *(f'service:{service.name}' for service in ticket.services),
+        *(f'service:{name}' for name in ticket.remove_services),
+        *(f'service:{name}' for name in ticket.aborts),
+        *(f'route:{route.name}' for route in ticket.routes),
+        *(f'route:{name}' for name in ticket.remove_routes),
+    )
+
+
+def describe(ticket: Ticket) -> str:
+    """Say in a line what a ticket changes, for the audit trail."""
+    services = ', '.join(
+        f'service {service.name} at {service.version}'
+        for service in ticket.services
+    )
+    routes = ', '.join(f'route {route.name}' for route in ticket.routes)
+    removed = ', '.join((*ticket.remove_services, *ticket.remove_routes))
+    aborted = ', '.join(ticket.aborts)
+    parts = (
+        ticket.note,
+        services,
+        routes,
+        removed and f'removes {removed}',
+        aborted and f'aborts {aborted}',
+    )
+    return '; '.join(part for part in parts if part)
+
+
+def _next_services(
+    before: Snapshot,
+    ticket: Ticket,
+    entry: Entry,
+) -> dict[ServiceName, ServiceState]:
+    services = {
+        name: known
+        for name, known in before.services.items()
+        if name not in ticket.remove_services
+    }
+    for name in ticket.aborts:
+        services[name] = replace(services[name], move=None)
+    for wanted in ticket.services:
+        services[wanted.name] = _next_service(
+            before.services.get(wanted.name),
+            wanted,
+            ticket.number,
+            entry,
+        )
+    return _sort(services)
+
+
+def _next_service(
+    before: ServiceState | None,
+    wanted: Service,
+    number: TicketNumber,
+    entry: Entry,
+) -> ServiceState:
+    if before is None:
+        return ServiceState(service=wanted, version=wanted.version)
+    if before.version == wanted.version or wanted.deadline is None:
+        return ServiceState(service=wanted, version=before.version)
+    move = Move(
+        id=entry.offset,
+        ticket=number,
+        service=wanted.name,
+        old=before.version,
+        new=wanted.version,
+        accepted_at=entry.at,
+        deadline=wanted.deadline,
+        profile=wanted.profile,
+    )
+    return ServiceState(service=wanted, version=before.version, move=move)
+
+
+def _next_routes(
+    before: Snapshot,
+    ticket: Ticket,
+) -> dict[RouteName, Route]:
+    kept = {
+        name: route
+        for name, route in before.routes.items()
+        if name not in ticket.remove_routes
+    }
+    return _sort(kept | {route.name: route for route in ticket.routes})
+
+
+def _sort(resources: dict[_Name, _Resource]) -> dict[_Name, _Resource]:
+    """Order by name, as a state that was read from a checkpoint is.
+
+    The order shows in the reason of a refusal and in the order of verdicts;
+    readers that started differently would part in these.
+    """
+    return dict(sorted(resources.items()))
+
+
+def end_moves(
+    before: Snapshot,
+    ticket: Ticket,
+    entry: Entry,
+) -> tuple[Verdict, ...]:
+    """Verdicts of the moves that a ticket ends by touching their service."""
+    endings = {
+        service.name: VerdictKind.SUPERSEDED for service in ticket.services
+    }
+    endings |= dict.fromkeys(ticket.remove_services, VerdictKind.SUPERSEDED)
+    endings |= dict.fromkeys(ticket.aborts, VerdictKind.ABORTED)
+    return tuple(
+        Verdict(
+            move=known.move,
+            kind=endings[name],
+            at=entry.at,
+            offset=entry.offset,
+            decided_by=ticket.author,
+            reason=f'ticket {ticket.number}',
+        )
+        for name, known in before.services.items()
+        if known.move is not None and name in endings
+    )
+
+
+def assert_consistent(snapshot: Snapshot) -> None:
+    """Stop the process when a route points at a service that is missing.
+
+    Acceptance refuses such tickets; this is the last guard before a proxy
+    would answer callers from a broken table.
+    """
+    for route in snapshot.routes.values():
+        assert route.service in snapshot.services, (
+            f'route {route.name} points at missing service {route.service}'
+        )
--- a/libs/model/tests/test_accept.py
+++ b/libs/model/tests/test_accept.py
@@ -1,5 +1,6 @@
 """Acceptance of tickets and verdicts, record by record."""
 
+import sys
 from datetime import UTC, datetime, timedelta
 
 import pytest
@@ -155,3 +156,44 @@
     _, answer = publish(installed, number=3, routes=(route,))
     assert isinstance(answer, Refusal)
     assert 'the longest is 60 s' in answer.reason
+
+
+def test_verdict_of_an_unknown_record_version_is_refused(moving):
+    """A decider of a later release writes what this one cannot judge.
+
+    Folded in as if it were understood, it could finish a move that it meant
+    to hold; daemons of the later release would part from this one.
+    """
+    move = moving.snapshot.services['entries'].move
+    later = VerdictRecord(
+        move=move.id,
+        service='entries',
+        kind=VerdictKind.DONE,
+        decided_by='vm-1',
+        record_version=2,
+    )
+    state, answer = accept(moving, entry(moving, later))
+    assert isinstance(answer, Refusal)
+    assert 'record version 2 is unknown' in answer.reason
+    assert state.snapshot == moving.snapshot
+
+
+def test_marks_of_removed_services_do_not_grow_without_bound(monkeypatch):
+    """Services come and go for years, each under a name of its own.
+
+    What is kept of the removed ones must stay bounded, and an old ticket
+    must still not bring one of them back.
+    """
+    module = sys.modules['verbenamill_model.accept']
+    monkeypatch.setattr(module, 'MAX_DIGESTS', 8)
+    state = State()
+    for number in range(1, 101, 2):
+        name = f'fair-{number}'
+        wanted = (Service(name=name, version='v1'),)
+        state, _ = publish(state, number=number, services=wanted)
+        state, _ = publish(state, number=number + 1, remove_services=(name,))
+    assert len(state.numbers) <= 8
+    old = (Service(name='fair-1', version='v1'),)
+    after, answer = publish(state, number=3, services=old)
+    assert isinstance(answer, Refusal)
+    assert after.snapshot == state.snapshot
--- a/libs/platform/src/verbenamill_platform/http_log.py
+++ b/libs/platform/src/verbenamill_platform/http_log.py
@@ -16,7 +16,7 @@
 from msgspec import Struct
 from returns.result import Failure, Result, Success
 
-from verbenamill_model.accept import Entry
+from verbenamill_model.entries import Entry
 from verbenamill_model.typing import Offset
 from verbenamill_platform.log import LogError, LogFault, LogPage
 
--- a/libs/platform/src/verbenamill_platform/log.py
+++ b/libs/platform/src/verbenamill_platform/log.py
@@ -11,7 +11,7 @@
 from msgspec import Struct
 from returns.result import Result
 
-from verbenamill_model.accept import Entry
+from verbenamill_model.entries import Entry
 from verbenamill_model.typing import Offset
 
 
