Metrics: the mesh's counters by kind are messages again

The mesh went back to counters of messages and bytes in one Struct (for the daemon's metrics of then) while the metrics went over to flat ones: GET /metrics answered 500 on every daemon. This takes the latter back.

--- a/libs/daemon/src/verbenamill_daemon/metrics.py
+++ b/libs/daemon/src/verbenamill_daemon/metrics.py
@@ -82,16 +82,16 @@
     return Definition(name, True, text, _plain(part, field))
 
 
-def _traffic(sent: str, received: str) -> Callable[[Figures], Samples]:
+def _traffic(field: str) -> Callable[[Figures], Samples]:
     def read(figures: Figures) -> Samples:
-        directions: dict[str, dict[str, int]] = {
-            'sent': getattr(figures.mesh, sent),
-            'received': getattr(figures.mesh, received),
+        directions = {
+            'sent': figures.mesh.sent,
+            'received': figures.mesh.received,
         }
         return {
-            (direction, kind): number
+            (direction, kind): getattr(traffic, field)
             for direction, by_kind in directions.items()
-            for kind, number in by_kind.items()
+            for kind, traffic in by_kind.items()
         }
 
     return read
@@ -200,14 +200,14 @@
         'mesh_messages',
         True,
         'Messages to and from other daemons.',
-        _traffic('sent', 'received'),
+        _traffic('messages'),
         ('direction', 'kind'),
     ),
     Definition(
         'mesh_bytes',
         True,
         'Bytes of these messages, without those of TCP.',
-        _traffic('sent_bytes', 'received_bytes'),
+        _traffic('size'),
         ('direction', 'kind'),
     ),
     Definition(
