--- a/libs/bench/src/verbenamill_bench/setup.py
+++ b/libs/bench/src/verbenamill_bench/setup.py
@@ -1,12 +1,13 @@
 """Starting a mesh with a service that is ready to take calls."""
 
-from datetime import timedelta
+from datetime import datetime, timedelta
 
+import httpx
 import msgspec
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
-from verbenamill_bench.fleet import Fleet, Upstream
+from verbenamill_bench.fleet import Daemon, Fleet, Upstream
 from verbenamill_model import (
     Route,
     Service,
@@ -25,6 +26,9 @@
 
 SERVICE = ServiceName('entries')
 VERSION = VersionName('v1')
+NEW_VERSION = VersionName('v2')
+#: Services that a run of small changes goes round.
+SERVICES = 50
 CALL_TIMEOUT = timedelta(seconds=5)
 
 
@@ -32,12 +36,20 @@
     offset: int
 
 
+def number_of(daemon: Daemon) -> int:
+    """Place of a daemon in its availability zone, from 1."""
+    return int(daemon.id.rsplit('-', 1)[1])
+
+
 async def publish(fleet: Fleet, ticket: Ticket) -> Result[int, str]:
     """Append a ticket to the log; its offset."""
-    response = await fleet.client.post(
-        f'{fleet.log_url}/streams/config/records',
-        content=encode_record(TicketRecord(ticket=ticket)),
-    )
+    try:
+        response = await fleet.client.post(
+            f'{fleet.log_url}/streams/config/records',
+            content=encode_record(TicketRecord(ticket=ticket)),
+        )
+    except httpx.HTTPError as error:
+        return Failure(f'the log did not answer: {error!r}')
     if response.is_error:
         return Failure(f'the log answered {response.status_code}')
     appended = msgspec.json.decode(response.content, type=_Appended)
@@ -69,6 +81,38 @@
     )
 
 
+def change_ticket(number: int, *, author: str = 'bench') -> Ticket:
+    """One of a run of small changes, to one service and its route."""
+    name = f'service-{number % SERVICES}'
+    return Ticket(
+        number=TicketNumber(number),
+        author=author,
+        note=f'change {number}',
+        services=(Service(name=ServiceName(name), version=VERSION),),
+        routes=(
+            Route(
+                name=RouteName(name),
+                prefix=f'/{name}',
+                service=ServiceName(name),
+            ),
+        ),
+    )
+
+
+def move_ticket(number: int, deadline: datetime) -> Ticket:
+    """The service's move to its new version."""
+    moved = Service(
+        name=SERVICE,
+        version=NEW_VERSION,
+        deadline=deadline,
+    )
+    return Ticket(
+        number=TicketNumber(number),
+        author='bench',
+        services=(moved,),
+    )
+
+
 async def start_mesh(
     fleet: Fleet,
     zones: dict[str, int],
@@ -76,8 +120,13 @@
     behaviour: Behaviour,
     slots: int = 16,
     relayed: bool = False,
+    owners: int | None = None,
 ) -> Result[list[Upstream], str]:
-    """Start a log, daemons, an upstream beside each, and the service."""
+    """Start a log, daemons, upstreams and the service.
+
+    :param owners: daemons of each availability zone with an upstream; all
+        when left out.
+    """
     logged = await fleet.start_log()
     if not is_successful(logged):
         return Failure(logged.failure())
@@ -94,6 +143,7 @@
             slots=slots,
         )
         for daemon in fleet.daemons
+        if owners is None or number_of(daemon) <= owners
     ]
     published = await publish(fleet, first_ticket())
     if not is_successful(published):
--- a/libs/calls/src/verbenamill_calls/server.py
+++ b/libs/calls/src/verbenamill_calls/server.py
@@ -183,27 +183,23 @@
 
     async def _next_request(self, seat: '_Seat') -> RequestHead | Broken:
         connection = seat.connection
-        event = connection.ready()
-        if event is None:
-            seat.waits_since = self._clock.elapsed()
-            event = await connection.receive()
-            seat.waits_since = None
+        event = connection.ready() or await self._wait_for_event(seat)
         if isinstance(event, Broken) and seat.dismissal is not None:
-            event = await self._last_request(seat, seat.dismissal)
+            # A request that came just before its connection was to end, on
+            # a busy loop long before, would be thrown away: its caller sees
+            # the connection close without an answer. It is served instead.
+            if not connection.is_between or connection.is_quiet():
+                return seat.dismissal
+            seat.dismissal = None
+            event = await self._wait_for_event(seat)
         assert isinstance(event, RequestHead | Broken)
         return event
 
-    async def _last_request(
-        self,
-        seat: '_Seat',
-        dismissal: Broken,
-    ) -> Event:
-        """What came between the decision to end a connection and now."""
-        connection = seat.connection
-        if not connection.is_between or connection.is_quiet():
-            return dismissal
-        event = await connection.receive()
-        return dismissal if isinstance(event, Broken) else event
+    async def _wait_for_event(self, seat: '_Seat') -> Event:
+        seat.waits_since = self._clock.elapsed()
+        event = await seat.connection.receive()
+        seat.waits_since = None
+        return event
 
     def _dismiss_slow(self) -> None:
         """End connections that wait for long: longer between requests."""
--- a/libs/cli/src/verbenamill_cli/main.py
+++ b/libs/cli/src/verbenamill_cli/main.py
@@ -26,8 +26,9 @@
     run_on_log,
     run_with_log,
 )
-from verbenamill_cli.output import finish, print_report
+from verbenamill_cli.output import Report, finish, print_report
 from verbenamill_cli.patience import PatientLog
+from verbenamill_cli.results import and_then
 from verbenamill_cli.status import report_status
 from verbenamill_cli.story import Story, ask_daemon, find_story, report_story
 from verbenamill_cli.ticket_commands import app as ticket_app
@@ -37,7 +38,10 @@
     report_verdict,
     report_verdicts,
 )
-from verbenamill_model.typing import Offset
+from verbenamill_model import AuditEntry, Move
+from verbenamill_model.accept import MAX_HISTORY
+from verbenamill_model.traffic import Member
+from verbenamill_model.typing import Offset, VmId
 from verbenamill_platform import Log
 
 #: Daemons can be asked without the log, so status does not wait for it long.
@@ -64,6 +68,10 @@
     daemon: DaemonUrl = '',
     log: LogUrl = '',
     timeout: Timeout = STATUS_TIMEOUT,
+    show_all: Annotated[
+        bool,
+        typer.Option('--all', help='Name every daemon of a large fleet.'),
+    ] = False,
     as_json: AsJson = False,
 ) -> None:
     """Show what every daemon runs, which ones lag, and why."""
@@ -73,7 +81,12 @@
         history, told = _read_log_if_any(context, log, timeout)
         surveyed = trio.run(_survey, environment, url)
         return surveyed.map(
-            lambda found: report_status(found, history, told),
+            lambda found: report_status(
+                found,
+                history,
+                told,
+                show_all=show_all,
+            ),
         )
 
     url = need_url(daemon, option='--daemon', variable=DAEMON_VARIABLE)
@@ -101,12 +114,13 @@
     url: str,
 ) -> Result[list[Surveyed], CliError]:
     async with environment.open_client() as client:
-        match await find_members(client, url):
-            case Success(members):
-                return Success(await survey(client, members))
-            case Failure(error):
-                return Failure(error)
-    raise AssertionError('a result is a success or a failure')
+
+        async def ask(
+            members: dict[VmId, Member],
+        ) -> Result[list[Surveyed], CliError]:
+            return Success(await survey(client, members))
+
+        return await and_then(await find_members(client, url), ask)
 
 
 @app.command('verdicts')
@@ -125,7 +139,7 @@
         _follow(context, log, as_json)
 
     async def use(reader: PatientLog) -> Found:
-        history = await read_history(reader, farthest=True)
+        history = await read_history(reader)
         return history.map(lambda known: report_verdicts(known.verdicts()))
 
     finish(run_with_log(context, log, timeout, use), as_json=as_json)
@@ -174,14 +188,14 @@
     """Tell who changed what, when, and by which ticket and move."""
 
     async def use(reader: PatientLog) -> Found:
-        match await read_records(reader):
-            case Success(Records(history=history, lines=lines)):
-                trail = build_trail(history, lines)
-                wanted = select(trail, ticket=ticket, text=text, last=last)
-                return Success(report_trail(wanted))
-            case Failure(error):
-                return Failure(error)
-        raise AssertionError('a result is a success or a failure')
+        is_deep = last == 0 or last > MAX_HISTORY or ticket or text
+        records = await read_records(reader, farthest=bool(is_deep))
+        return records.map(show)
+
+    def show(records: Records) -> Report:
+        trail = build_trail(records.history, records.lines)
+        wanted = select(trail, ticket=ticket, text=text, last=last)
+        return report_trail(wanted)
 
     finish(run_with_log(context, log, timeout, use), as_json=as_json)
 
@@ -202,11 +216,7 @@
     environment = environment_of(context)
 
     async def use(reader: PatientLog) -> Found:
-        match await read_records(reader):
-            case Success(Records(history=history, lines=lines)):
-                story = find_story(history, lines, Offset(move))
-            case Failure(error):
-                return Failure(error)
+        story = await _find_story(reader, Offset(move))
         match story:
             case Success(Story(verdict=None) as running):
                 asked = await _add_running(environment, daemon, running)
@@ -216,6 +226,30 @@
     finish(run_with_log(context, log, timeout, use), as_json=as_json)
 
 
+async def _find_story(
+    reader: PatientLog,
+    move: Offset,
+) -> Result[Story, CliError]:
+    """Look among the newest moves first, then as far back as it goes."""
+    near = await _read_story(reader, move, farthest=False)
+    match near:
+        case Success(Story(move=Move(), opened=AuditEntry())):
+            return near
+    return await _read_story(reader, move, farthest=True)
+
+
+async def _read_story(
+    reader: PatientLog,
+    move: Offset,
+    *,
+    farthest: bool,
+) -> Result[Story, CliError]:
+    records = await read_records(reader, farthest=farthest)
+    return records.bind(
+        lambda known: find_story(known.history, known.lines, move),
+    )
+
+
 async def _add_running(
     environment: Environment,
     url: str,
--- a/libs/mesh/src/verbenamill_mesh/gateways.py
+++ b/libs/mesh/src/verbenamill_mesh/gateways.py
@@ -5,7 +5,6 @@
 no peer looks there.
 """
 
-import logging
 from random import Random
 
 import msgspec
@@ -23,11 +22,13 @@
 from verbenamill_model import Entry
 from verbenamill_model.typing import AvailabilityZone
 from verbenamill_platform import Log
-
-_logger = logging.getLogger(__name__)
+from verbenamill_platform.events import Event
+from verbenamill_platform.logs import log
 
 #: Newest records looked at: each availability zone writes one an interval.
 LOOK_BACK = 64
+#: Unknown addresses tried an interval; most are of daemons long replaced.
+MAX_MEETINGS = 5
 #: Addresses in one record.
 MAX_ADDRESSES = 5
 
@@ -48,7 +49,7 @@
     def __init__(
         self,
         *,
-        log: Log,
+        platform_log: Log,
         members: Members,
         peers: Peers,
         meet: Meet,
@@ -56,7 +57,7 @@
         random: Random,
         stats: MeshStats,
     ) -> None:
-        self._log = log
+        self._log = platform_log
         self._members = members
         self._peers = peers
         self._meet = meet
@@ -80,9 +81,8 @@
     async def find_addresses(self) -> tuple[str, ...]:
         """Addresses that were written lately, in no order."""
         records = await self._read()
-        return tuple(
-            address for record in records for address in record.addresses
-        )
+        found = (address for record in records for address in record.addresses)
+        return tuple(dict.fromkeys(found))
 
     async def _write(self) -> None:
         own = self._peers.own
@@ -99,15 +99,22 @@
         )
         if isinstance(outcome, Failure):
             # A record that stands twice, or an interval late, does no harm.
-            _logger.info('M305 addresses not written: %s', outcome.failure())
+            log(Event.LOG_UNAVAILABLE, detail=outcome.failure().detail)
 
     async def _meet_unknown(self) -> None:
-        """Meet zones that no seed and no peer has told of."""
-        own = self._peers.own.availability_zone
-        known = {own, *self._peers.other_zones()}
-        for record in await self._read():
-            if record.availability_zone not in known and record.addresses:
-                await self._meet(self._random.choice(record.addresses))
+        """Meet daemons that no seed and no peer has told of.
+
+        Daemons that started while an availability zone was cut in two find
+        each other, but not those on the far side, and none of the seeds is
+        left. Without this, both would live on as islands for ever.
+        """
+        alive = self._members.alive().values()
+        known = {member.control for member in alive}
+        written = await self.find_addresses()
+        unknown = [address for address in written if address not in known]
+        count = min(len(unknown), MAX_MEETINGS)
+        for address in self._random.sample(unknown, count):
+            await self._meet(address)
 
     async def _read(self) -> list[GatewaysRecord]:
         self._stats.count_log(GATEWAYS)
@@ -122,5 +129,5 @@
     try:
         return _decoder.decode(entry.body)
     except msgspec.MsgspecError:
-        _logger.warning('M306 record %d holds no addresses', entry.offset)
+        log(Event.MESSAGE_UNKNOWN, kind=f'{GATEWAYS} {entry.offset}')
         return None
--- a/libs/mesh/src/verbenamill_mesh/links.py
+++ b/libs/mesh/src/verbenamill_mesh/links.py
@@ -18,6 +18,8 @@
 from verbenamill_mesh.stats import MeshStats
 from verbenamill_mesh.transport import Link, Transport
 from verbenamill_model.typing import AvailabilityZone, VmId
+from verbenamill_platform.events import Event
+from verbenamill_platform.logs import log
 
 #: Requests that wait for one peer; more are given up.
 MAX_WAITING = 64
@@ -145,6 +147,7 @@
             job: _Job | None = None
             with trio.move_on_after(idle):
                 job = await jobs.receive()
+            job = job or _take_waiting(jobs)
             if job is None:
                 return
             yield job
@@ -163,16 +166,22 @@
         new one before the peer is called unreachable.
         """
         worked_before = link is not None
+        is_lost = False
         for _ in range(2 if worked_before else 1):
             if trio.current_time() >= job.expires:
                 return link
             link = link or self._transport.dial(address)
             job.reply = await self._try(address, link, job)
             if isinstance(job.reply, Success):
+                if is_lost:
+                    log(Event.PEER_RECOVERED, peer=address)
                 return link
             link.close()
             link = None
             self._stats.links_replaced += 1
+            if worked_before and not is_lost:
+                is_lost = True
+                log(Event.PEER_LOST, peer=address, reason=job.reply.failure())
         return None
 
     async def _try(
@@ -195,3 +204,15 @@
             return Failure('the answer cannot be read')
         self._stats.count_received(kind_of(reply), len(body))
         return Success(reply)
+
+
+def _take_waiting(jobs: trio.MemoryReceiveChannel[_Job]) -> _Job | None:
+    """Take a job that was queued while the wait for one was given up.
+
+    Between the deadline and this task's turn others may run. What they
+    queued then would never be done, and who asked would wait for ever.
+    """
+    try:
+        return jobs.receive_nowait()
+    except trio.WouldBlock:
+        return None
--- a/libs/moves/src/verbenamill_moves/evidence.py
+++ b/libs/moves/src/verbenamill_moves/evidence.py
@@ -1,11 +1,14 @@
 """Evidence of one owner: what the calls to its upstream came to."""
 
+from datetime import timedelta
+
 import msgspec
 from msgspec import Struct
 
 from verbenamill_model.traffic import Observation, Outcome
 from verbenamill_model.typing import RouteName, ServiceName, VersionName
 from verbenamill_moves.histogram import Histogram, bucket_of
+from verbenamill_platform import Clock
 
 #: Routes of one version that are told apart; the others count together.
 MAX_ROUTES = 16
@@ -37,6 +40,11 @@
     version: VersionName
     routes: list[RouteCounts]
 
+    @property
+    def answered(self) -> int:
+        """Calls on all routes."""
+        return sum(counts.answered for counts in self.routes)
+
 
 class Report(Struct, array_like=True):
     """Cumulative evidence of one owner.
@@ -64,14 +72,22 @@
         return None
 
 
+def encode_report(report: Report) -> bytes:
+    """Encode a report."""
+    return msgspec.msgpack.encode(report)
+
+
 class Evidence:
     """Counts what an owner sees; bounded in versions, routes and buckets.
 
     :param incarnation: of the owner; differs at each start of the daemon.
+    :param clock: tells which calls began before the upstream was warm.
     """
 
-    def __init__(self, *, incarnation: int) -> None:
+    def __init__(self, *, incarnation: int, clock: Clock) -> None:
         self._incarnation = incarnation
+        self._clock = clock
+        self._warm_since: dict[tuple[ServiceName, VersionName], timedelta] = {}
         self._sequence = 0
         self._versions: list[VersionCounts] = []
 
@@ -82,7 +98,8 @@
         """
         if observation.outcome is Outcome.CANCELLED:
             return
-        counts = self._counts_of(observation)
+        version = self._version_of(observation)
+        counts = _counts_of(version.routes, observation.route)
         if observation.outcome is Outcome.SHED:
             counts.shed += 1
             return
@@ -90,7 +107,7 @@
         if observation.outcome is Outcome.FAILED:
             counts.failed += 1
             return
-        if counts.answered > COLD_CALLS:
+        if self._is_warm(version, observation.latency):
             bucket = bucket_of(observation.latency)
             counts.latencies[bucket] = counts.latencies.get(bucket, 0) + 1
 
@@ -99,7 +116,7 @@
         if not self._versions:
             return None
         self._sequence += 1
-        return msgspec.msgpack.encode(
+        return encode_report(
             Report(
                 incarnation=self._incarnation,
                 sequence=self._sequence,
@@ -107,30 +124,43 @@
             ),
         )
 
-    def _counts_of(self, observation: Observation) -> RouteCounts:
-        routes = self._routes_of(observation.service, observation.version)
-        known = _find_route(routes, observation.route)
-        if known is not None:
-            return known
-        name = observation.route
-        if len(routes) >= MAX_ROUTES:
-            name = OTHER_ROUTES
-        counts = _find_route(routes, name) or RouteCounts(name)
-        if counts not in routes:
-            routes.append(counts)
-        return counts
-
-    def _routes_of(
-        self,
-        service: ServiceName,
-        version: VersionName,
-    ) -> list[RouteCounts]:
+    def _is_warm(self, version: VersionCounts, latency: timedelta) -> bool:
+        """Whether a call that ends now began on a warm upstream.
+
+        Slow calls of a cold start end after fast ones that began later, so
+        the number of calls that ended is not enough to tell.
+        """
+        if version.answered <= COLD_CALLS:
+            return False
+        now = self._clock.elapsed()
+        place = (version.service, version.version)
+        return now - latency >= self._warm_since.setdefault(place, now)
+
+    def _version_of(self, observation: Observation) -> VersionCounts:
         for counts in self._versions:
-            if (counts.service, counts.version) == (service, version):
-                return counts.routes
-        fresh = VersionCounts(service, version, [])
+            if (
+                counts.service == observation.service
+                and counts.version == observation.version
+            ):
+                return counts
+        fresh = VersionCounts(observation.service, observation.version, [])
         self._versions = [*self._versions, fresh][-_MAX_VERSIONS:]
-        return fresh.routes
+        kept = {(known.service, known.version) for known in self._versions}
+        for place in set(self._warm_since).difference(kept):
+            self._warm_since.pop(place)
+        return fresh
+
+
+def _counts_of(routes: list[RouteCounts], name: RouteName) -> RouteCounts:
+    known = _find_route(routes, name)
+    if known is not None:
+        return known
+    if len(routes) >= MAX_ROUTES:
+        name = OTHER_ROUTES
+    counts = _find_route(routes, name) or RouteCounts(name)
+    if counts not in routes:
+        routes.append(counts)
+    return counts
 
 
 def _find_route(
