--- a/libs/mesh/tests/test_failures.py
+++ b/libs/mesh/tests/test_failures.py
@@ -517,6 +517,24 @@
     run_fleet(scenario, log=MemoryLog(kept=40))
 
 
+def test_checkpoints_stay_fresh_while_nothing_changes(run_fleet):
+    """No ticket comes for long, and the only checkpoint expires as well.
+
+    A fresh daemon would then find neither records nor a checkpoint.
+    """
+
+    async def scenario(fleet):
+        await start_two_zones(fleet, size=2)
+        fleet.publish()
+        await trio.sleep(300)
+        written = fleet.log.records(CHECKPOINTS)
+        age = TrioClock(EPOCH).now() - written[-1].at
+        assert age < timedelta(minutes=2)
+        assert len(written) < 8, 'one writer, not one a daemon or zone'
+
+    run_fleet(scenario)
+
+
 def test_expired_records_are_never_skipped(run_fleet):
     """The oldest records have expired and there is no checkpoint.
 
