Hold a version back that sheds, and one that comes too late

Cause: a version without room for its calls would have got more of them, and one that came seconds before the deadline all of them after a canary of two steps. A cautious move was completed while the version's calls failed, since the old one had too few calls to tell whose fault it was. A decider keeps only the members that own the moved service.

--- a/libs/moves/src/verbenamill_moves/decider.py
+++ b/libs/moves/src/verbenamill_moves/decider.py
@@ -5,6 +5,7 @@
 
 from msgspec import Struct
 
+from verbenamill_model.checks import MIN_MOVE
 from verbenamill_model.state import Move, Snapshot
 from verbenamill_model.tickets import VerdictRecord
 from verbenamill_model.traffic import Member
@@ -115,6 +116,8 @@
     finding: Finding | None
     calls: int
     call_rate: float
+    sheds: bool
+    worsened: bool
     caution: Caution
 
     @property
@@ -137,8 +140,11 @@
 
     @property
     def suspicious(self) -> bool:
-        """Whether the new version looks bad, if not for certain."""
-        return self.finding is not None and self.finding.weight > _SUSPICIOUS
+        """Whether more calls might not do the new version good."""
+        looks_bad = (
+            self.finding is not None and self.finding.weight > _SUSPICIOUS
+        )
+        return looks_bad or self.sheds
 
 
 class _Growth(Struct, frozen=True):
@@ -186,7 +192,11 @@
         self._stepped_at: datetime | None = None
 
     def receive(self, sender: VmId, report: bytes) -> None:
-        """Take an owner's report; unreadable ones are left out."""
+        """Take a report; unreadable ones are left out.
+
+        From another availability zone only its decider is heard: two that
+        both hold themselves chosen would have the zone's calls count twice.
+        """
         told = read_report(report)
         if told is None:
             return
@@ -201,7 +211,7 @@
         members: Mapping[VmId, Member],
         now: datetime,
     ) -> tuple[Action, ...]:
-        """Decide on every running move; to be called twice a second.
+        """Decide on every running move; to be called a few times a second.
 
         :param states: what the mesh knows of the moves.
         :param members: daemons that are alive, this one included.
@@ -210,11 +220,11 @@
         self._follow(snapshot, members, now)
         actions: list[Action] = []
         for move in self._moves.values():
-            if decider_of(move, self._zone, members) != self._vm:
+            if decider_of(move, self._zone, self._members) != self._vm:
                 self._progress.pop(move.id, None)
                 continue
             state = states.get(move.id, MoveState())
-            actions.extend(self._decide(move, state, members, now))
+            actions.extend(self._decide(move, state, now))
         return tuple(actions)
 
     def _receive_on(
@@ -230,11 +240,13 @@
         for move in self._moves.values():
             if move.service != service or move.id not in self._progress:
                 continue
-            chosen = decider_of(move, zone, self._members)
-            if zone != self._zone and sender != chosen:
-                # Two deciders of a zone would have its calls counted twice.
-                continue
-            self._progress[move.id].tally.receive(sender, zone, report)
+            if zone == self._zone or sender == decider_of(
+                move,
+                zone,
+                self._members,
+            ):
+                tally = self._progress[move.id].tally
+                tally.receive(sender, zone, report)
 
     def _follow(
         self,
@@ -243,7 +255,6 @@
         now: datetime,
     ) -> None:
         """Take in what changed since the last step."""
-        self._members = members
         me = members.get(self._vm)
         running = (known.move for known in snapshot.services.values())
         self._moves = {
@@ -251,11 +262,18 @@
             for move in running
             if move and me and owns(me, move.service)
         }
+        services = {move.service for move in self._moves.values()}
+        # A zone has many members and few of them own the moved service.
+        self._members = {
+            vm: member
+            for vm, member in members.items()
+            if member.upstream and member.upstream.service in services
+        }
         for move_id in set(self._progress).difference(self._moves):
             self._progress.pop(move_id)
         paused = self._stepped_at and now - self._stepped_at > _PAUSE
         for progress in self._progress.values():
-            progress.tally.keep_owners(members)
+            progress.tally.keep_owners(self._members)
             if paused:
                 # After a pause the clock says "next stage", while what the
                 # owners saw meanwhile is still on its way.
@@ -279,7 +297,6 @@
         self,
         move: Move,
         state: MoveState,
-        members: Mapping[VmId, Member],
         now: datetime,
     ) -> Iterator[Action]:
         progress = self._progress_of(move, now)
@@ -287,11 +304,13 @@
         view = _View(
             move=move,
             state=state,
-            members=members,
+            members=self._members,
             now=now,
             finding=progress.tally.find(),
             calls=progress.tally.new_calls,
             call_rate=progress.tally.call_rate,
+            sheds=progress.tally.sheds,
+            worsened=progress.tally.worsened,
             caution=self._cautions[move.profile],
         )
         if progress.first_ready is None and view.ready_zones:
@@ -418,7 +437,7 @@
         return f'no upstream of {move.new} was ready before the deadline'
     plan = plan_move(move, first_ready=first_ready or view.now)
     if view.now >= plan.settle and 0 < begun < FULL:
-        return _find_doubt(view)
+        return _find_doubt(view) or _find_lateness(view, first_ready, begun)
     return None
 
 
@@ -427,6 +446,11 @@
     finding = view.finding
     if finding is not None and finding.weight >= view.caution.doubtful:
         return f'doubt at the deadline: {finding.describe()}'
+    if view.move.profile is Profile.CAUTIOUS:
+        if view.sheds:
+            return f'{view.move.new} sheds load at the deadline'
+        if view.worsened:
+            return f'calls of {view.move.new} fail at the deadline'
     wanted = view.caution.calls_wanted
     if view.calls < wanted:
         return (
@@ -436,6 +460,27 @@
     return None
 
 
+def _find_lateness(
+    view: _View,
+    first_ready: datetime | None,
+    begun: int,
+) -> str | None:
+    """Why a version that came late is not to get all calls at once.
+
+    Its canary was too short to tell anything; the symptom of going on would
+    be a bad version with all of the traffic.
+    """
+    move = view.move
+    latest = move.deadline - MIN_MOVE
+    if begun > CANARY or first_ready is None or first_ready <= latest:
+        return None
+    left = (move.deadline - first_ready).total_seconds()
+    return (
+        f'{move.new} was ready only {left:.1f} s before the deadline, '
+        f'expected {MIN_MOVE.total_seconds():.0f}'
+    )
+
+
 def _find_due(
     view: _View,
     plan: Plan,
--- a/libs/moves/src/verbenamill_moves/tally.py
+++ b/libs/moves/src/verbenamill_moves/tally.py
@@ -47,6 +47,14 @@
 _SLOW_MEMORY = 2000
 #: What is left of a step's calls after the next in what findings show.
 _SHOWN_MEMORY = 0.8
+#: Share and number of failed calls that leave a version in doubt.
+_WORSE = 0.1
+_WORSE_CALLS = 3
+#: Share of shed calls, above the old version's, that holds a move back; the
+#: calls it is taken from, and calls that steady it.
+_SHEDS = 0.15
+_SHED_MEMORY = 200
+_SHED_CALLS = 10
 #: What is left of the measured call rate after a second.
 _RATE_MEMORY = 0.9
 #: Old calls of each zone that allow weighting by zone.
@@ -234,6 +242,18 @@
             self._slow_beyond = usual + buckets_for(_SLOW_FACTOR)
 
 
+class _Shed(Struct):
+    """Calls and shed ones of one version, older ones counted in part."""
+
+    calls: float = 0
+    shed: float = 0
+
+    @property
+    def share(self) -> float:
+        """Share of the calls that were shed."""
+        return self.shed / (self.calls + _SHED_CALLS)
+
+
 class _Received(Struct, kw_only=True):
     """What one report added on one route."""
 
@@ -272,12 +292,36 @@
         self._new_calls = 0
         self._call_rate = float(0)
         self._advanced_at = now
+        self._shed = {version: _Shed() for version in (move.new, move.old)}
 
     @property
     def call_rate(self) -> float:
         """Calls a second of both versions, lately and in all zones."""
         return self._call_rate
 
+    @property
+    def worsened(self) -> bool:
+        """Whether lately more calls of the new version go bad than usual.
+
+        It may be a fault of both versions that the old one, with few calls,
+        has not shown yet.
+        """
+        return any(
+            trial.shown.new_bad >= _WORSE_CALLS
+            and trial.shown.new_bad > _WORSE * trial.shown.new
+            for fault, _, trial in self._routes[_TOTAL].weigh()
+            if fault is Fault.FAILURES
+        )
+
+    @property
+    def sheds(self) -> bool:
+        """Whether the new version lately sheds more load than the old one.
+
+        That is no failure, but more calls would only be shed as well.
+        """
+        new = self._shed[self._move.new].share
+        return new - self._shed[self._move.old].share > _SHEDS
+
     @property
     def new_calls(self) -> int:
         """Calls of the new version, in all zones that are heard."""
@@ -317,6 +361,8 @@
     def advance(self, now: datetime) -> None:
         """Judge what came in since the last step."""
         self._measure_rate(now)
+        for received in self._received:
+            _add_shed(self._shed[received.version], received.counts)
         broken = self._find_broken(now)
         for received in self._received:
             if received.sender not in broken:
@@ -456,6 +502,14 @@
     add_histogram(side.latencies, counts.latencies)
 
 
+def _add_shed(total: _Shed, counts: RouteCounts) -> None:
+    if total.calls > _SHED_MEMORY:
+        total.calls /= 2
+        total.shed /= 2
+    total.calls += counts.answered + counts.shed
+    total.shed += counts.shed
+
+
 def _add_sums(sums: RouteCounts, counts: RouteCounts) -> None:
     sums.answered += counts.answered
     sums.failed += counts.failed
--- a/libs/moves/tests/conftest.py
+++ b/libs/moves/tests/conftest.py
@@ -64,6 +64,7 @@
         self.failing = lambda version, zone, second: 0
         self.latency = lambda version, zone, second: 0.02
         self.bad_route = None
+        self.shedding = 0
         self._random = Random(5)
 
     @property
@@ -141,11 +142,14 @@
         spared = self.bad_route not in {None, route}
         failed = not spared and self._random.random() < self.failing(*place)
         latency = self.latency(*place) * self._random.lognormvariate(0, 0.5)
+        outcome = Outcome.FAILED if failed else Outcome.OK
+        if place[0] == 'v2' and self._random.random() < self.shedding:
+            outcome = Outcome.SHED
         return Observation(
             service='entries',
             version=member.upstream.version,
             route=route,
-            outcome=Outcome.FAILED if failed else Outcome.OK,
+            outcome=outcome,
             latency=timedelta(seconds=latency),
         )
 
--- a/libs/moves/tests/test_decider.py
+++ b/libs/moves/tests/test_decider.py
@@ -238,3 +238,31 @@
     moved.entry = encode_move_state(MoveState(veto=True, reason='zone b'))
     moved.run(1)
     assert_taken_back(moved)
+
+
+def test_version_ready_at_the_last_moment_gets_no_flood(fleet):
+    """Its upstreams come two seconds before the deadline.
+
+    The canary would last a step or two; all calls after it would make a bad
+    version's first minute everybody's.
+    """
+    moved = fleet()
+    upstream = moved.members.pop('a-v2')
+    moved.run(58)
+    moved.members['a-v2'] = upstream
+    moved.run(4)
+    assert_taken_back(moved)
+    assert max(moved.state.stages.values(), default=0) <= 2
+
+
+def test_version_that_sheds_gets_no_more_calls(fleet):
+    """Shed load is no failure, so nothing is taken back; but a version that
+    has no room for its calls must not be given more of them."""
+    moved = fleet()
+    moved.shedding = 0.4
+    moved.run(40)
+    assert not moved.state.veto
+    assert max(moved.state.stages.values()) <= 3
+    moved.shedding = 0
+    moved.run(20)
+    assert_done(moved)
