--- a/libs/moves/src/verbenamill_moves/__init__.py
+++ b/libs/moves/src/verbenamill_moves/__init__.py
@@ -1,16 +1,8 @@
 """Evidence, stages and verdicts of moves between upstream versions."""
 
+from verbenamill_moves.actions import Action, Note, Publish, Send, Settle
 from verbenamill_moves.choice import decider_of
-from verbenamill_moves.decider import (
-    CAUTIONS,
-    Action,
-    Caution,
-    Decider,
-    Note,
-    Publish,
-    Send,
-    Settle,
-)
+from verbenamill_moves.decider import Decider
 from verbenamill_moves.evidence import Evidence
 from verbenamill_moves.split import shares
 from verbenamill_moves.state import (
@@ -22,6 +14,7 @@
     merge_states,
     move_key,
 )
+from verbenamill_moves.view import CAUTIONS, Caution
 
 __all__ = (
     'REPORT_KIND',
