--- a/libs/bench/src/verbenamill_bench/fault_kinds.py
+++ b/libs/bench/src/verbenamill_bench/fault_kinds.py
@@ -70,12 +70,16 @@
     away = random.uniform(1, 4)
 
     async def trouble(fleet: Fleet) -> Result[None, str]:
-        process = random.choice(fleet.upstreams).process
-        process.kill()
-        await process.wait(STOP_LIMIT)
+        upstream = random.choice(fleet.upstreams)
+        upstream.process.kill()
+        await upstream.process.wait(STOP_LIMIT)
         await trio.sleep(away)
-        process.restart()
-        return OK
+        upstream.process.restart()
+        # One that is asked to stop before it runs ends by the signal.
+        return await fleet.wait_answers(
+            upstream.process,
+            f'http://{upstream.address}/control',
+        )
 
     return trouble
 
