--- a/libs/cli/src/verbenamill_cli/ticket_commands.py
+++ b/libs/cli/src/verbenamill_cli/ticket_commands.py
@@ -4,6 +4,7 @@
 
 import typer
 
+from verbenamill_cli.differences import diff
 from verbenamill_cli.history import History, read_history
 from verbenamill_cli.options import (
     DEFAULT_TIMEOUT,
@@ -18,12 +19,11 @@
 from verbenamill_cli.output import Report, finish
 from verbenamill_cli.patience import PatientLog
 from verbenamill_cli.publish import publish
+from verbenamill_cli.published import show
 from verbenamill_cli.tickets import (
     check_form,
-    diff,
     load_ticket,
     report_published,
-    show,
     validate,
 )
 from verbenamill_model import Ticket
