--- a/libs/mesh/src/verbenamill_mesh/__init__.py
+++ b/libs/mesh/src/verbenamill_mesh/__init__.py
@@ -3,7 +3,7 @@
 from verbenamill_mesh.configuration import Configuration, Head
 from verbenamill_mesh.mesh import Mesh
 from verbenamill_mesh.settings import MeshSettings
-from verbenamill_mesh.stats import MeshStats, Traffic
+from verbenamill_mesh.stats import MeshStats
 from verbenamill_mesh.streams import CHECKPOINTS, CONFIG, GATEWAYS
 from verbenamill_mesh.transport import Link, PynngTransport, Transport
 
@@ -18,6 +18,5 @@
     'MeshSettings',
     'MeshStats',
     'PynngTransport',
-    'Traffic',
     'Transport',
 )
--- a/libs/mesh/src/verbenamill_mesh/stats.py
+++ b/libs/mesh/src/verbenamill_mesh/stats.py
@@ -3,18 +3,13 @@
 from msgspec import Struct
 
 
-class Traffic(Struct):
-    """Messages of one kind and their bytes, without pynng's and TCP's own."""
-
-    messages: int = 0
-    size: int = 0
-
-
 class MeshStats(Struct, kw_only=True):
     """What the mesh has done since the daemon started.
 
     :param sent: requests and answers sent, by kind.
+    :param sent_bytes: their bytes, without those of pynng and TCP.
     :param received: requests and answers received, by kind.
+    :param received_bytes: their bytes.
     :param log_requests: reads and appends at the log, by stream.
     :param entries_first_from: records taken, by where each came from first:
         ``log``, ``push`` or ``pull``.
@@ -31,8 +26,10 @@
     :param ready: whether the configuration is known to be caught up.
     """
 
-    sent: dict[str, Traffic] = {}
-    received: dict[str, Traffic] = {}
+    sent: dict[str, int] = {}
+    sent_bytes: dict[str, int] = {}
+    received: dict[str, int] = {}
+    received_bytes: dict[str, int] = {}
     log_requests: dict[str, int] = {}
     entries_first_from: dict[str, int] = {}
     links: int = 0
@@ -49,11 +46,13 @@
 
     def count_sent(self, kind: str, size: int) -> None:
         """Count a message that went out."""
-        _count(self.sent, kind, size)
+        _add(self.sent, kind, 1)
+        _add(self.sent_bytes, kind, size)
 
     def count_received(self, kind: str, size: int) -> None:
         """Count a message that came in."""
-        _count(self.received, kind, size)
+        _add(self.received, kind, 1)
+        _add(self.received_bytes, kind, size)
 
     def count_log(self, stream: str) -> None:
         """Count a request to the log."""
@@ -64,11 +63,5 @@
         _add(self.entries_first_from, origin, count)
 
 
-def _count(table: dict[str, Traffic], kind: str, size: int) -> None:
-    traffic = table.setdefault(kind, Traffic())
-    traffic.messages += 1
-    traffic.size += size
-
-
 def _add(table: dict[str, int], key: str, count: int) -> None:
     table[key] = table.get(key, 0) + count
