Calls: the list of owners follows the members' changes

Change: members are compared and only the changed ones placed; a version without owners leaves the list.

--- a/libs/calls/src/verbenamill_calls/peers.py
+++ b/libs/calls/src/verbenamill_calls/peers.py
@@ -47,6 +47,10 @@
 _SPILL = 0.75
 
 
+#: Service and version by which an owner is looked for.
+Place = tuple[ServiceName, VersionName]
+
+
 class Peer:
     """One owner of an upstream, as this daemon knows it."""
 
@@ -55,6 +59,7 @@
         self.pool = pool
         self.in_flight = 0
         self.version = VersionName('')
+        self.place: Place | None = None
         self._slots = 1
         self._reported = 0
         self._reported_at = -_REPORT_AGE
@@ -132,7 +137,7 @@
         self._peers: dict[VmId, Peer] = {}
         self._services: dict[ServiceName, dict[VersionName, Tiers]] = {}
         self._built_at: timedelta | None = None
-        self._members = 0
+        self._seen: dict[VmId, Member] = {}
         self._retired: list[Pool] = []
         self._hosts: dict[str, timedelta] = {}
 
@@ -266,54 +271,84 @@
     def _refresh(self) -> None:
         now = self._context.clock.elapsed()
         if self._built_at is not None:
-            age = _REFRESH_PER_MEMBER * self._members
+            age = _REFRESH_PER_MEMBER * len(self._seen)
             if now - self._built_at < max(_REFRESH, age):
                 return
-        members = self._context.members()
         self._built_at = now
-        self._members = len(members)
-        self._build(members)
-
-    def _build(self, members: dict[VmId, Member]) -> None:
+        members = self._context.members()
+        # Members are replaced whole, so equal ones are mostly the same ones
+        # and a large fleet is compared without being read.
+        if members != self._seen:
+            self._update(members)
         own = self._context.member()
-        services: dict[ServiceName, dict[VersionName, Tiers]] = {}
-        kept: dict[VmId, Peer] = {}
-        for member in members.values():
-            upstream = member.upstream
-            if member.id == own.id:
-                upstream = self._local.upstream()
-            if upstream is None or upstream.state is not UpstreamState.READY:
-                continue
-            peer = self._peer_of(member, upstream)
-            kept[member.id] = peer
-            versions = services.setdefault(upstream.service, {})
-            tiers = versions.setdefault(upstream.version, ([], [], []))
-            tiers[_distance(own, member)].append(peer)
-        for id, peer in self._peers.items():
-            if kept.get(id) is not peer:
-                self._retired.append(peer.pool)
-        self._peers = kept
-        self._services = services
-
-    def _peer_of(self, member: Member, upstream: Upstream) -> Peer:
+        self._place(own, self._local.upstream())
+
+    def _update(self, members: dict[VmId, Member]) -> None:
+        """Take in the members that have changed, come or gone."""
+        own = self._context.member().id
+        for id, member in members.items():
+            if self._seen.get(id) is not member and id != own:
+                self._place(member, member.upstream)
+        for gone in self._seen.keys() - members.keys():
+            self._remove(gone)
+        self._seen = dict(members)
+
+    def _place(self, member: Member, upstream: Upstream | None) -> None:
+        """Put an owner where calls look for it, or take it away."""
+        if upstream is None or upstream.state is not UpstreamState.READY:
+            self._remove(member.id)
+            return
         known = self._peers.get(member.id)
         if known is None or known.pool.address != member.calls:
-            pool = Pool(
-                member.calls,
-                limit=self._settings.peer_connections,
-                max_idle=PEER_IDLE,
-                reserve=_ASK_RESERVE,
-                settings=self._settings,
-            )
-            known = Peer(member.id, pool)
+            self._remove(member.id)
+            known = Peer(member.id, self._make_pool(member.calls))
+            self._peers[member.id] = known
+        place = (upstream.service, upstream.version)
+        if known.place != place:
+            self._take_out(known)
+            self._put_in(known, place, self._distance(member))
         known.update(upstream)
-        return known
 
+    def _put_in(self, peer: Peer, place: Place, distance: int) -> None:
+        service, version = place
+        versions = self._services.setdefault(service, {})
+        tiers = versions.setdefault(version, ([], [], []))
+        tiers[distance].append(peer)
+        peer.place = place
 
-def _distance(own: Member, other: Member) -> int:
-    if own.availability_zone == other.availability_zone:
-        return 0
-    return 1 if own.region == other.region else 2
+    def _take_out(self, peer: Peer) -> None:
+        if peer.place is None:
+            return
+        service, version = peer.place
+        peer.place = None
+        tiers = self._services[service][version]
+        for tier in tiers:
+            if peer in tier:
+                tier.remove(peer)
+        # A version without owners must not be picked.
+        if not any(tiers):
+            self._services[service].pop(version)
+
+    def _remove(self, id: VmId) -> None:
+        peer = self._peers.pop(id, None)
+        if peer is not None:
+            self._take_out(peer)
+            self._retired.append(peer.pool)
+
+    def _make_pool(self, address: str) -> Pool:
+        return Pool(
+            address,
+            limit=self._settings.peer_connections,
+            max_idle=PEER_IDLE,
+            reserve=_ASK_RESERVE,
+            settings=self._settings,
+        )
+
+    def _distance(self, other: Member) -> int:
+        own = self._context.member()
+        if own.availability_zone == other.availability_zone:
+            return 0
+        return 1 if own.region == other.region else 2
 
 
 def _host(address: str) -> str:
