Calls: an owner out of reach costs no retry, and keeps its keys

Read over beside it: a key whose owner was out of reach was told not run, though its first call may have run. Change: such a try is free, three at most as before; a key's call is then unknown and goes nowhere else, with a test.

--- a/libs/calls/src/verbenamill_calls/attempts.py
+++ b/libs/calls/src/verbenamill_calls/attempts.py
@@ -241,12 +241,9 @@
 def refusal_of(fault: Fault) -> Refusal:
     """What a caller is told of a fault."""
     if fault.kind is FaultKind.NOT_SENT:
-        return refuse(
-            HTTPStatus.BAD_GATEWAY,
-            Fate.NOT_RUN,
-            fault.reason,
-            retry_after=timedelta(seconds=1),
-        )
+        # Without a hint: another owner may do at once, and to learn that this
+        # one cannot be reached has cost no upstream anything.
+        return refuse(HTTPStatus.BAD_GATEWAY, Fate.NOT_RUN, fault.reason)
     if fault.kind is FaultKind.TOO_LATE:
         return refuse(
             HTTPStatus.GATEWAY_TIMEOUT,
--- a/libs/calls/src/verbenamill_calls/ingress.py
+++ b/libs/calls/src/verbenamill_calls/ingress.py
@@ -230,9 +230,11 @@
 
     def _may_reroute(self, call: Call, refusal: Refusal) -> bool:
         if refusal.retry_after is None:
-            # It is leaving, and nothing was spent on the call there.
-            return True
-        # The owner of a key knows of its first call; no other one does.
+            # It is leaving or out of reach, and nothing was spent there. A
+            # key goes on only from one that leaves and will not come back:
+            # no other owner knows what ran under it.
+            is_leaving = refusal.status == HTTPStatus.SERVICE_UNAVAILABLE
+            return call.key is None or is_leaving
         return call.key is None and self._budget.spend()
 
     def _quantile(self, route: RouteName) -> LatencyQuantile:
--- a/libs/calls/src/verbenamill_calls/remote.py
+++ b/libs/calls/src/verbenamill_calls/remote.py
@@ -4,7 +4,7 @@
 from http import HTTPStatus
 
 from verbenamill_calls.asking import Asked, ask, ask_once, read_report
-from verbenamill_calls.attempts import refusal_of
+from verbenamill_calls.attempts import refusal_of, unknown
 from verbenamill_calls.body import Relayed
 from verbenamill_calls.call import Answer, Call, Fate, Refusal, Reply, refuse
 from verbenamill_calls.connection import HttpConnection
@@ -183,6 +183,9 @@
             now = self._clock.elapsed()
             self.peer.fail(points, now, self._links.context.random)
         self.abandon()
+        if fault.kind is FaultKind.NOT_SENT and self.call.key is not None:
+            # This call did not run, but an earlier one of its key may have.
+            return unknown('the owner of the key cannot be reached')
         return refusal_of(fault)
 
     def _judge(self, head: ResponseHead) -> None:
--- a/libs/calls/tests/test_once.py
+++ b/libs/calls/tests/test_once.py
@@ -252,3 +252,30 @@
         assert owner.upstream.targets.count(b'/entries/fee') == 1
 
     fleet(check, 2)
+
+
+def test_key_does_not_move_on_from_an_owner_out_of_reach(fleet):
+    """A fee ran; its owner dies, and the family presses "pay" again.
+
+    The other owner would run it once more, and "not run" would be taken for
+    the fee and not for this call.
+    """
+
+    async def check(daemons, nursery):
+        ingress = daemons[0]
+        ingress.stand_aside()
+        await trio.sleep(1)
+        pay = partial(
+            ingress.call,
+            'POST',
+            '/entries/fee',
+            b'100',
+            idempotency_key='k',
+        )
+        assert (await pay()).status == 200
+        ran = [one for one in daemons if one.upstream.targets]
+        ran[0].server_scope.cancel()
+        assert (await pay()).outcome == b'unknown'
+        assert runs(daemons) == 1
+
+    fleet(check, 3)
