--- a/libs/moves/src/verbenamill_moves/tally.py
+++ b/libs/moves/src/verbenamill_moves/tally.py
@@ -39,12 +39,11 @@
 #: Share and number of failed calls that leave a version in doubt.
 _WORSE = 0.1
 _WORSE_CALLS = 3
-#: Share of shed calls, above the old version's, that holds a move back; the
-#: calls it is taken from, and calls that steady it.
+#: Share of shed calls, above the old version's, that holds a move back, and
+#: calls that steady it.
 _SHEDS = 0.15
-_SHED_MEMORY = 200
 _SHED_CALLS = 10
-#: What is left of the measured call rate after a second.
+#: What is left of the measured call rate and of shed calls after a second.
 _RATE_MEMORY = 0.9
 
 
@@ -226,6 +225,9 @@
             return
         calls = sum(received.counts.answered for received in self._received)
         kept = _RATE_MEMORY**elapsed
+        for shed in self._shed.values():
+            shed.calls *= kept
+            shed.shed *= kept
         self._call_rate *= kept
         self._call_rate += (1 - kept) * calls / elapsed
 
@@ -280,9 +282,6 @@
 
 
 def _add_shed(total: _Shed, counts: RouteCounts) -> None:
-    if total.calls > _SHED_MEMORY:
-        total.calls /= 2
-        total.shed /= 2
     total.calls += counts.answered + counts.shed
     total.shed += counts.shed
 
--- a/libs/moves/src/verbenamill_moves/view.py
+++ b/libs/moves/src/verbenamill_moves/view.py
@@ -41,7 +41,7 @@
 #: Doubt by profile; the figures behind them are in docs/design/moves.md.
 CAUTIONS: Mapping[Profile, Caution] = {
     Profile.ON_TIME: Caution(alpha=0.001, doubtful=7, calls_wanted=0),
-    Profile.CAUTIOUS: Caution(alpha=0.005, doubtful=3, calls_wanted=40),
+    Profile.CAUTIOUS: Caution(alpha=0.005, doubtful=4, calls_wanted=25),
 }
 
 
