Zones take turns with the verdict within the time that is left

Change: the wait is a part of the time left. The verdict is at 14.5 s now, in place of 15.0; that zone's traffic still follows only when it is in force. Tested with each zone in turn without decider.

--- a/libs/moves/src/verbenamill_moves/decider.py
+++ b/libs/moves/src/verbenamill_moves/decider.py
@@ -32,8 +32,9 @@
 _SETTLE_IN = timedelta(milliseconds=1500)
 #: Between two tries to append a verdict.
 _REPEAT = timedelta(seconds=2)
-#: By how much each further availability zone waits with the verdict.
-_STAGGER = timedelta(seconds=1)
+#: Part of the time from the last call to the deadline by which each further
+#: availability zone waits with the verdict.
+_STAGGER = 0.25
 
 
 class _Progress(Struct, kw_only=True):
@@ -258,7 +259,9 @@
         if progress.settled_at is None:
             # All zones come to the same verdict at about the same time; the
             # later ones only write when the first could not.
-            progress.settled_at = view.now + _STAGGER * self._rank(view)
+            left = view.move.deadline - view.plan.last_call
+            wait = left * _STAGGER * self._rank(view)
+            progress.settled_at = view.now + wait
         if view.now < progress.settled_at:
             return
         progress.settled_at = view.now + _REPEAT
--- a/libs/moves/tests/test_decider.py
+++ b/libs/moves/tests/test_decider.py
@@ -266,3 +266,18 @@
     moved.shedding = 0
     moved.run(20)
     assert_done(moved)
+
+
+@pytest.mark.parametrize('zone', ('a', 'b', 'c'))
+def test_zone_without_decider_does_not_make_the_verdict_late(fleet, zone):
+    """The deciders of one zone die shortly before the deadline.
+
+    That zone stays at 95 %; the others wait for it, and for the zone whose
+    turn it is to write, which may be the same. The verdict has to be on the
+    log in time all the same.
+    """
+    moved = fleet(zones=('a', 'b', 'c'), window=15)
+    moved.run(11.5)
+    moved.run(3.5, paused={f'{zone}-v1', f'{zone}-v2'})
+    assert_done(moved)
+    assert moved.settled[0][0] <= 14.5
