--- a/libs/cli/tests/test_bad_files.py
+++ b/libs/cli/tests/test_bad_files.py
@@ -69,3 +69,34 @@
         outcome = run(*command, tmp_path)
         assert outcome.exit_code == ExitCode.FAULTY
         assert 'cannot be read' in outcome.stderr
+
+
+def test_ticket_that_reads_well_but_cannot_be(run, examples, tmp_path):
+    """All reasons at once, each with what to do about it."""
+    run('ticket', 'publish', examples / 'lone-star/1-entries.toml')
+    file = tmp_path / 'bad.toml'
+    file.write_text(
+        'number = 2\nauthor = " "\nremove_services = ["entries", "x"]\n'
+        'aborts = ["entries"]\n[[services]]\nname = "cata log"\n'
+        'version = "v1"\n[[routes]]\nname = "fees"\nprefix = "/e"\n'
+        'service = "nope"\n[[routes]]\nname = "e"\nprefix = "/e"\n'
+        'service = "nope"\ntimeout = "5m"\n',
+    )
+    outcome = run('ticket', 'validate', file)
+    assert outcome.exit_code == ExitCode.FAULTY
+    assert outcome.stderr.splitlines()[1:-1] == [
+        '  - author is empty; say who answers for the change',
+        "  - service name or version 'cata log' is not a name of up to 100 "
+        'letters, digits, ".", "_" and "-"',
+        '  - timeout of route e is 300 s; the longest is 60 s',
+        '  - service entries is touched 2 times; say it once',
+        '  - service x does not exist',
+        '  - service entries has no running move to abort',
+        '  - route class-lists points at service entries, which does not '
+        'exist; add it in the same ticket or first',
+        '  - route fees points at service nope, which does not exist; '
+        'add it in the same ticket or first',
+        '  - route e points at service nope, which does not exist; '
+        'add it in the same ticket or first',
+        '  - prefix /e has 2 routes; keep one',
+    ]
--- a/libs/model/src/verbenamill_model/checks.py
+++ b/libs/model/src/verbenamill_model/checks.py
@@ -14,6 +14,7 @@
 #: memory could run a second time.
 MAX_TIMEOUT = timedelta(minutes=1)
 MAX_NAME = 100
+NAME_FORM = f'a name of up to {MAX_NAME} letters, digits, ".", "_" and "-"'
 
 Check = Callable[[Snapshot, Ticket, datetime], Iterator[str]]
 
@@ -81,7 +82,7 @@
 def _check_service(service: Service) -> Iterator[str]:
     for text in (service.name, service.version):
         if not _is_name(text):
-            yield f'service name or version {text!r} is not a name'
+            yield f'service name or version {text!r} is not {NAME_FORM}'
     if service.deadline is not None and service.deadline.tzinfo is None:
         yield (
             f'deadline {service.deadline} of {service.name} has no offset; '
@@ -91,7 +92,7 @@
 
 def _check_route(route: Route) -> Iterator[str]:
     if not _is_name(route.name):
-        yield f'route name {route.name!r} is not a name'
+        yield f'route name {route.name!r} is not {NAME_FORM}'
     if not route.prefix.startswith('/') or not route.prefix.isprintable():
         yield f'prefix {route.prefix!r} of route {route.name} must begin with /'
     if route.timeout <= timedelta(0):
