--- a/libs/cli/tests/test_docs.py
+++ b/libs/cli/tests/test_docs.py
@@ -31,6 +31,14 @@
             assert anchor in anchors(aim), f'{page.name}: {target}{anchor}'
 
 
+def test_every_operators_page_is_in_the_index():
+    folder = ROOT / 'docs/operators'
+    index = (folder / 'README.md').read_text()
+    pages = {page.name for page in folder.glob('*.md')} - {'README.md'}
+    missing = {page for page in pages if f'({page})' not in index}
+    assert not missing
+
+
 def find_command(words):
     """The command that the words begin with, and the words after it."""
     command = get_command(app)
