--- a/libs/cli/tests/test_docs.py
+++ b/libs/cli/tests/test_docs.py
@@ -31,8 +31,9 @@
             assert anchor in anchors(aim), f'{page.name}: {target}{anchor}'
 
 
-def test_every_operators_page_is_in_the_index():
-    folder = ROOT / 'docs/operators'
+@pytest.mark.parametrize('chapter', ['operators', 'design'])
+def test_every_page_is_in_its_index(chapter):
+    folder = ROOT / 'docs' / chapter
     index = (folder / 'README.md').read_text()
     pages = {page.name for page in folder.glob('*.md')} - {'README.md'}
     missing = {page for page in pages if f'({page})' not in index}
