Moves: a decider's bytes stay bounded with many owners and zones

Cause: all owners of a zone reported, and all zones were told sums, in each of four periods a second; worked out from the measured sizes, a service in 21 zones would have a decider send 43 KB/s, with 8 KB/s allowed. Change: six owners of a zone report in a period and three zones are told at a step; the others take turns. Cumulative counts make waiting harmless. Figures (worked out from reports of 250 B and sums of 546 B): at most about 12 KB/s in and 7 KB/s out, while the own service moves. Conclusion: bounded at any size; the peak is still above 8 KB/s.

--- a/libs/daemon/src/verbenamill_daemon/moving.py
+++ b/libs/daemon/src/verbenamill_daemon/moving.py
@@ -26,6 +26,7 @@
     encode_move_state,
     merge_states,
     move_key,
+    reports_now,
     shares,
 )
 from verbenamill_platform import Clock
@@ -68,6 +69,7 @@
             vm=me.id,
             availability_zone=me.availability_zone,
         )
+        self._period = 0
         self._encoded: dict[str, bytes] = {}
         self._states: dict[Offset, MoveState] = {}
         self._find_running = cache_last(_find_running)
@@ -124,11 +126,12 @@
         )
         if service is None or service.move is None:
             return
-        decider = decider_of(
-            service.move,
-            member.availability_zone,
-            self._owners(),
-        )
+        zone = member.availability_zone
+        owners = self._owners()
+        self._period += 1
+        if not reports_now(member.id, zone, owners, period=self._period):
+            return
+        decider = decider_of(service.move, zone, owners)
         report = self._evidence.report()
         if decider is not None and report is not None:
             self._mesh.send(decider, REPORT_KIND, report)
--- a/libs/moves/src/verbenamill_moves/__init__.py
+++ b/libs/moves/src/verbenamill_moves/__init__.py
@@ -1,7 +1,7 @@
 """Evidence, stages and verdicts of moves between upstream versions."""
 
 from verbenamill_moves.actions import Action, Note, Publish, Send, Settle
-from verbenamill_moves.choice import decider_of
+from verbenamill_moves.choice import decider_of, reports_now
 from verbenamill_moves.decider import Decider
 from verbenamill_moves.evidence import Evidence
 from verbenamill_moves.split import shares
@@ -34,5 +34,6 @@
     'encode_move_state',
     'merge_states',
     'move_key',
+    'reports_now',
     'shares',
 )
--- a/libs/moves/src/verbenamill_moves/choice.py
+++ b/libs/moves/src/verbenamill_moves/choice.py
@@ -11,6 +11,9 @@
 from verbenamill_model.traffic import Member
 from verbenamill_model.typing import AvailabilityZone, Offset, ServiceName, VmId
 
+#: Owners of an availability zone that report in one period.
+REPORTS_A_PERIOD = 6
+
 
 def decider_of(
     move: Move,
@@ -39,6 +42,34 @@
     return member.upstream is not None and member.upstream.service == service
 
 
+def reports_now(
+    vm: VmId,
+    availability_zone: AvailabilityZone,
+    owners: Mapping[VmId, Member],
+    *,
+    period: int,
+) -> bool:
+    """Whether an owner sends its evidence in a period.
+
+    The reports of all owners of a zone meet at one decider. Were each sent
+    in every period, a service with many upstreams would take that daemon
+    over its bytes a second; with so many the evidence gathers fast anyway,
+    and a report is cumulative, so waiting a turn loses nothing.
+
+    :param owners: daemons with an upstream of the service.
+    :param period: counts up by one.
+    """
+    mates = sorted(
+        name
+        for name, member in owners.items()
+        if member.availability_zone == availability_zone
+    )
+    if vm not in mates:
+        return False
+    turns = -(-len(mates) // REPORTS_A_PERIOD)
+    return (mates.index(vm) + period) % turns == 0
+
+
 def weigh(move: Offset, name: str) -> bytes:
     """Weight of a name for a move; the highest one wins."""
     return hashlib.blake2b(f'{move}/{name}'.encode(), digest_size=8).digest()
--- a/libs/moves/src/verbenamill_moves/decider.py
+++ b/libs/moves/src/verbenamill_moves/decider.py
@@ -35,6 +35,8 @@
 #: Part of the time from the last call to the deadline by which each further
 #: availability zone waits with the verdict.
 _STAGGER = 0.25
+#: Zones that are told this one's sums at each step.
+_RELAYS_A_STEP = 3
 
 
 class _Progress(Struct, kw_only=True):
@@ -43,6 +45,7 @@
     :param listening_since: evidence is complete from a little after it.
     :param stage: stage at the last step.
     :param stage_began_with: calls of the new version when it began.
+    :param relays: steps at which other zones were told sums.
     """
 
     tally: MoveTally
@@ -51,6 +54,7 @@
     stage: int = 0
     stage_began_with: int = 0
     settled_at: datetime | None = None
+    relays: int = 0
 
 
 class Decider:
@@ -282,11 +286,16 @@
         A service with few calls shows a bad version soon enough only when
         the calls of all zones are judged together.
         """
-        others = view.zones - {self._zone}
+        others = sorted(view.zones - {self._zone})
         body = progress.tally.relay() if others else None
         if body is None:
             return
-        for zone in sorted(others):
+        # With many zones, sums to all of them at each step would take this
+        # daemon over its bytes a second; they are cumulative, so a zone
+        # whose turn comes later misses nothing.
+        progress.relays += 1
+        first = progress.relays * _RELAYS_A_STEP % len(others)
+        for zone in (*others[first:], *others[:first])[:_RELAYS_A_STEP]:
             to = decider_of(view.move, zone, view.members)
             if to is not None:
                 yield Send(to=to, body=body)
