--- a/libs/bench/src/verbenamill_bench/capacity.py
+++ b/libs/bench/src/verbenamill_bench/capacity.py
@@ -37,9 +37,10 @@
 _METHOD = """\
 ## How the figures are worked out
 
-* Control bytes: the line of idle bytes over daemons a zone, at a zone of
-  1,190; plus the bytes of a change and of four news a restart. The bytes are
-  those of the daemons' messages, without TCP's own and without the log's.
+* Control bytes and messages: the line of the idle figures over daemons a
+  zone, at a zone of 1,190, or the highest measured where it falls; plus the
+  bytes of a change and of four news a restart. The bytes are those of the
+  daemons' messages, without TCP's own and without the log's.
 * Control processor time: the lowest idle share measured, plus the measured
   times of folding in a change with its digest (at 1,200 services) and of
   taking a member's news (at 25,000 members), at the peak rates.
@@ -290,7 +291,13 @@
             for run in report.runs
         ),
     )
-    return f'### Faults, two at a time\n\n{table}'
+    what = [
+        f'* seed {run.seed}: {broken.splitlines()[0]}'
+        for report in measured.faults
+        for run in report.runs
+        for broken in run.broken
+    ]
+    return '\n'.join(('### Faults, two at a time\n', table, *what, ''))
 
 
 def _spread(latencies: Latencies) -> str:
--- a/libs/bench/src/verbenamill_bench/estimates.py
+++ b/libs/bench/src/verbenamill_bench/estimates.py
@@ -76,15 +76,11 @@
     largest = fleets[-1]
     bare = min(one.idle.rss_max for one in fleets)
     return Control(
-        bytes_idle=fit(
-            list(zip(mates, [one.bytes_sent for one in idle], strict=True)),
-        ).at(zone_size),
+        bytes_idle=_extend(mates, [one.bytes_sent for one in idle], zone_size),
         bytes_changes=changes * largest.bytes_per_change
         # A restart is told as four news: gone, back, and its upstream twice.
         + 4 * restarts * value.slope,
-        messages=fit(
-            list(zip(mates, [one.messages for one in idle], strict=True)),
-        ).at(zone_size),
+        messages=_extend(mates, [one.messages for one in idle], zone_size),
         cpu_idle=min(one.cpu for one in idle),
         cpu_changes=(changes * change_ms + 4 * restarts * news_ms) / 1000,
         memory=bare
@@ -124,6 +120,16 @@
     return sorted(fleets, key=_daemons_of)
 
 
+def _extend(sizes: list[float], values: list[float], wanted: float) -> float:
+    """Value on the line at a size, or the highest measured.
+
+    A figure that falls over small fleets would be put below 0 at a large
+    one; that it goes on falling is not what was measured.
+    """
+    line = fit(list(zip(sizes, values, strict=True)))
+    return max(line.at(wanted), *values, 0)
+
+
 def _daemons_of(fleet: FleetFigures) -> int:
     return fleet.daemons
 
--- a/libs/bench/tests/test_capacity.py
+++ b/libs/bench/tests/test_capacity.py
@@ -101,6 +101,13 @@
     assert control.bytes_idle == pytest.approx(96 + 25_000 / 21)
 
 
+def test_a_figure_that_falls_is_not_extended_below_what_was_measured():
+    control = estimate_control(
+        measured(fleet(8, idle_bytes=150), fleet(32, idle_bytes=110))
+    )
+    assert control.bytes_idle == 150
+
+
 def test_a_target_that_is_not_met_is_said_plainly():
     good = render_capacity(measured(fleet(8, idle_bytes=100)))
     assert 'CPU: met' in good
--- a/libs/standins/src/verbenamill_standins/upstream_server.py
+++ b/libs/standins/src/verbenamill_standins/upstream_server.py
@@ -1,5 +1,6 @@
 """A stand-in upstream: answers calls and counts what it ran."""
 
+import logging
 from collections import Counter
 from random import Random
 from typing import BinaryIO
@@ -22,6 +23,7 @@
 REQUEST_ID = 'x-request-id'
 #: Header that tells which upstream answered.
 UPSTREAM = 'x-upstream'
+_logger = logging.getLogger(__name__)
 _JSON = {'content-type': 'application/json'}
 
 
@@ -116,8 +118,10 @@
         try:
             async with stream:
                 await self._serve_requests(stream)
-        except trio.BrokenResourceError:
-            return
+        except* trio.BrokenResourceError:
+            # A killed daemon resets its connections; raised in a task of
+            # the nursery it comes in a group, and would end the upstream.
+            _logger.debug('a connection was reset')
         finally:
             counters.connections -= 1
 
--- a/libs/standins/tests/test_upstream.py
+++ b/libs/standins/tests/test_upstream.py
@@ -1,6 +1,8 @@
 """The stand-in upstream and caller over real sockets."""
 
 import json
+import socket
+import struct
 from contextlib import asynccontextmanager
 from random import Random
 
@@ -152,3 +154,26 @@
                 nursery.cancel_scope.cancel()
 
     trio.run(main)
+
+
+def test_reset_connection_does_not_end_the_upstream():
+    """A daemon is killed with a call on its way, and its socket resets.
+
+    The upstream must go on serving others.
+    """
+
+    async def main():
+        async with serving(latency_ms=100) as (target, caller):
+            host, port = target.split(':')
+            stream = await trio.open_tcp_stream(host, int(port))
+            await stream.send_all(b'GET /x HTTP/1.1\r\nhost: x\r\n\r\n')
+            await trio.sleep(0.02)
+            linger = struct.pack('ii', 1, 0)
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            await trio.aclose_forcefully(stream)
+            await trio.sleep(0.2)
+            reply = await caller.call(target, 'GET', '/x', headers={})
+            assert reply.message.status == 200
+            await caller.aclose()
+
+    trio.run(main)
