--- a/libs/bench/src/verbenamill_bench/capacity.py
+++ b/libs/bench/src/verbenamill_bench/capacity.py
@@ -291,10 +291,10 @@
             for run in report.runs
         ),
     )
+    runs = [run for report in measured.faults for run in report.runs]
     what = [
         f'* seed {run.seed}: {broken.splitlines()[0]}'
-        for report in measured.faults
-        for run in report.runs
+        for run in runs
         for broken in run.broken
     ]
     return '\n'.join(('### Faults, two at a time\n', table, *what, ''))
