Daemon: calls are taken once the configuration is known

Cause: a fresh daemon opened its port at once and answered 404, then 503, until it had configuration and members; seen as bursts of 17 to 33 refusals of about 4,960 calls in rolling restarts. A taken address ended the daemon with a traceback. Change: the port opens, and the upstream is told to others, once the mesh is ready; readiness says both. Addresses are tried first and reported like any other fault of the settings.

--- a/libs/daemon/src/verbenamill_daemon/daemon.py
+++ b/libs/daemon/src/verbenamill_daemon/daemon.py
@@ -36,6 +36,10 @@
 #: Time for the other daemons to hear that this one is leaving. They stop
 #: sending within 3 s at the latest; most hear of it at once.
 LEAVE_GRACE = timedelta(seconds=1)
+READY_POLL = timedelta(milliseconds=20)
+#: How long a daemon that has the configuration waits to hear of another one
+#: before it takes itself for the only one.
+ALONE_LIMIT = timedelta(seconds=2)
 #: Time for the last lines of the audit trail to reach the log.
 FLUSH_LIMIT = timedelta(seconds=2)
 
@@ -45,6 +49,8 @@
     """The parts of one daemon, and the order in which they start and stop.
 
     Made by :func:`build_daemon`.
+
+    :ivar is_open: whether it takes calls.
     """
 
     settings: Settings
@@ -54,6 +60,7 @@
     server: CallServer
     moving: Moving
     audit: AuditWriter
+    is_open: bool = False
 
     async def run(self, stopping: trio.Event) -> None:
         """Serve until told to stop, then stop without cutting a request.
@@ -63,7 +70,7 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(self._run_mesh)
             await nursery.start(self._run_admin)
-            await nursery.start(self._run_calls)
+            nursery.start_soon(self._open_calls)
             nursery.start_soon(self.moving.run)
             nursery.start_soon(self.audit.run)
             nursery.start_soon(self._watch_upstream)
@@ -85,7 +92,7 @@
             offset=state.offset,
             version=state.snapshot.version,
             digest=self.configuration.head().digest,
-            ready=self.mesh.ready,
+            ready=self.mesh.ready and self.is_open,
             members=len(self.mesh.members()),
             moves=len(self.moving.running()),
         )
@@ -97,14 +104,23 @@
     ) -> None:
         await self.mesh.run(task_status=task_status)
 
-    async def _run_calls(
-        self,
-        *,
-        task_status: trio.TaskStatus[list[trio.SocketListener]],
-    ) -> None:
+    async def _open_calls(self) -> None:
+        # A fresh daemon has no routes and knows no upstream. Open at once,
+        # it would answer 404 or "no upstream" to calls that any other one
+        # answers; a port that is closed sends its callers there.
+        await self._wait_ready()
         host, port = split_address(self.settings.listen.calls)
         listeners = await trio.open_tcp_listeners(port, host=host)
-        await self.server.serve(listeners, task_status=task_status)
+        self.is_open = True
+        self._tell_upstream()
+        await self.server.serve(listeners)
+
+    async def _wait_ready(self) -> None:
+        while not self.mesh.ready:
+            await trio.sleep(READY_POLL.total_seconds())
+        with trio.move_on_after(ALONE_LIMIT.total_seconds()):
+            while len(self.mesh.members()) == 1:
+                await trio.sleep(READY_POLL.total_seconds())
 
     async def _run_admin(
         self,
@@ -139,7 +155,7 @@
         self._tell_upstream()
 
     def _tell_upstream(self) -> None:
-        upstream = self.local.upstream()
+        upstream = self.local.upstream() if self.is_open else None
         if upstream != self.mesh.own.upstream:
             _log_upstream(upstream)
             self.mesh.announce(upstream)
@@ -163,7 +179,6 @@
         # them first and serves on until they have heard.
         await self.mesh.leave()
         await trio.sleep(LEAVE_GRACE.total_seconds())
-        await self.local.drain()
         await self.server.stop()
         await self.audit.flush(FLUSH_LIMIT)
 
--- a/libs/daemon/src/verbenamill_daemon/main.py
+++ b/libs/daemon/src/verbenamill_daemon/main.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Success
 
 from verbenamill_daemon.daemon import build_daemon
+from verbenamill_daemon.listening import find_unusable
 from verbenamill_daemon.settings import (
     LoggingSettings,
     Settings,
@@ -31,12 +32,19 @@
     """Run the daemon beside an upstream until SIGTERM or SIGINT."""
     match load_settings(config):
         case Success(settings):
+            _end_if_any(find_unusable(settings.listen), config)
             _run(settings)
         case Failure(faults):
-            set_up_logs(LoggingSettings())
-            for fault in faults:
-                log(Event.SETTINGS_FAULT, path=config, fault=fault)
-            raise typer.Exit(BAD_SETTINGS)
+            _end_if_any(faults, config)
+
+
+def _end_if_any(faults: tuple[str, ...], config: Path) -> None:
+    if not faults:
+        return
+    set_up_logs(LoggingSettings())
+    for fault in faults:
+        log(Event.SETTINGS_FAULT, path=config, fault=fault)
+    raise typer.Exit(BAD_SETTINGS)
 
 
 def _run(settings: Settings) -> None:
--- a/libs/daemon/tests/test_daemon.py
+++ b/libs/daemon/tests/test_daemon.py
@@ -4,9 +4,11 @@
 from random import Random
 
 import httpx
+import pytest
 import trio
 
 from verbenamill_daemon.daemon import build_daemon
+from verbenamill_daemon.listening import find_unusable
 from verbenamill_daemon.settings import Settings
 from verbenamill_mesh.testing import MemoryLog, wait_until
 from verbenamill_model import (
@@ -66,7 +68,7 @@
         with trio.fail_after(30):
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(daemon.run, stopping)
-                await wait_until(lambda: daemon.mesh.ready)
+                await wait_until(lambda: daemon.status().ready)
                 base = f'http://{daemon.settings.listen.admin}'
                 async with httpx.AsyncClient(base_url=base) as client:
                     await scenario(daemon, log, client)
@@ -126,3 +128,41 @@
         assert answer.status_code == 403
 
     run(scenario)
+
+
+def test_fresh_daemon_takes_no_calls_before_it_has_the_configuration():
+    """A daemon is replaced while the log is away and no peer is there.
+
+    Open at once, it answered 404 to calls that any other daemon answers;
+    closed, its callers go to the others.
+    """
+
+    async def scenario():
+        log = MemoryLog()
+        log.is_down = True
+        daemon = build(log)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(daemon.run, trio.Event())
+            await trio.sleep(1)
+            host, _, port = daemon.settings.listen.calls.rpartition(':')
+            with pytest.raises(OSError):
+                await trio.open_tcp_stream(host, int(port))
+            assert not daemon.status().ready
+            log.is_down = False
+            with trio.fail_after(30):
+                await wait_until(lambda: daemon.status().ready)
+            await (await trio.open_tcp_stream(host, int(port))).aclose()
+            nursery.cancel_scope.cancel()
+
+    trio.run(scenario)
+
+
+def test_taken_address_is_a_fault_of_the_settings():
+    """Two daemons are started with one settings file."""
+    with socket.create_server(('127.0.0.1', 0)) as taken:
+        address = f'127.0.0.1:{taken.getsockname()[1]}'
+        control, admin = free_addresses(2)
+        listen = ListenSettings(calls=address, control=control, admin=admin)
+        (fault,) = find_unusable(listen)
+    assert fault.startswith(f'listen.calls = "{address}": cannot be')
+    assert not find_unusable(listen)
