--- a/libs/daemon/src/verbenamill_daemon/daemon.py
+++ b/libs/daemon/src/verbenamill_daemon/daemon.py
@@ -275,6 +275,7 @@
     configuration = Configuration()
     mesh = Mesh(
         member=member,
+        listen=settings.listen.control,
         seeds=settings.mesh.seeds,
         clock=clock,
         configuration=configuration,
--- a/libs/daemon/tests/test_daemon.py
+++ b/libs/daemon/tests/test_daemon.py
@@ -45,11 +45,16 @@
     return [f'127.0.0.1:{port}' for port in ports]
 
 
-def build(log):
+def build(log, **told):
     calls, control, admin = free_addresses(3)
     settings = Settings(
         vm=VmSettings(id='vm-1', availability_zone='az-1', region='r-1'),
-        listen=ListenSettings(calls=calls, control=control, admin=admin),
+        listen=ListenSettings(
+            calls=calls,
+            control=control,
+            admin=admin,
+            **told,
+        ),
         log=LogServiceSettings(url='http://127.0.0.1:9'),
     )
     return build_daemon(
@@ -166,3 +171,24 @@
         (fault,) = find_unusable(listen)
     assert fault.startswith(f'listen.calls = "{address}": cannot be')
     assert not find_unusable(listen)
+
+
+def test_daemon_listens_where_it_is_told_and_tells_another_address():
+    """Its VM is reached through another address than it listens on.
+
+    Bound to the one that others are told, which is not its own, the daemon
+    would not start at all.
+    """
+
+    async def scenario():
+        daemon = build(MemoryLog(), advertise_control='203.0.113.7:7001')
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(daemon.run, trio.Event())
+            with trio.fail_after(30):
+                await wait_until(lambda: daemon.mesh.ready)
+            assert daemon.mesh.own.control == '203.0.113.7:7001'
+            host, _, port = daemon.settings.listen.control.rpartition(':')
+            await (await trio.open_tcp_stream(host, int(port))).aclose()
+            nursery.cancel_scope.cancel()
+
+    trio.run(scenario)
--- a/libs/mesh/src/verbenamill_mesh/__init__.py
+++ b/libs/mesh/src/verbenamill_mesh/__init__.py
@@ -4,13 +4,9 @@
 from verbenamill_mesh.mesh import Mesh
 from verbenamill_mesh.settings import MeshSettings
 from verbenamill_mesh.stats import MeshStats
-from verbenamill_mesh.streams import CHECKPOINTS, CONFIG, GATEWAYS
 from verbenamill_mesh.transport import Link, PynngTransport, Transport
 
 __all__ = (
-    'CHECKPOINTS',
-    'CONFIG',
-    'GATEWAYS',
     'Configuration',
     'Head',
     'Link',
--- a/libs/mesh/src/verbenamill_mesh/checkpoints.py
+++ b/libs/mesh/src/verbenamill_mesh/checkpoints.py
@@ -19,7 +19,7 @@
 from verbenamill_mesh.newest import read_newest
 from verbenamill_mesh.settings import MeshSettings
 from verbenamill_mesh.stats import MeshStats
-from verbenamill_mesh.streams import CHECKPOINTS
+from verbenamill_platform.streams import CHECKPOINTS
 from verbenamill_model import Entry
 from verbenamill_model.typing import Offset
 from verbenamill_platform import Clock, Log
--- a/libs/mesh/src/verbenamill_mesh/gateways.py
+++ b/libs/mesh/src/verbenamill_mesh/gateways.py
@@ -18,7 +18,7 @@
 from verbenamill_mesh.peers import Peers
 from verbenamill_mesh.settings import MeshSettings
 from verbenamill_mesh.stats import MeshStats
-from verbenamill_mesh.streams import GATEWAYS
+from verbenamill_platform.streams import GATEWAYS
 from verbenamill_model import Entry
 from verbenamill_model.typing import AvailabilityZone
 from verbenamill_platform import Log
--- a/libs/mesh/src/verbenamill_mesh/mesh.py
+++ b/libs/mesh/src/verbenamill_mesh/mesh.py
@@ -42,6 +42,8 @@
     :param member: this daemon; ``control`` is where it listens.
     :param seeds: addresses of other daemons; only hints.
     :param settings: periods and bounds, altered by tests and benches.
+    :param listen: where it differs from ``control`` of the member, which
+        the others are told.
     :param transport: how daemons reach each other; pynng unless given.
     """
 
@@ -54,9 +56,11 @@
         configuration: Configuration,
         log: Log,
         random: Random,
+        listen: str | None = None,
         settings: MeshSettings | None = None,
         transport: Transport | None = None,
     ) -> None:
+        self._listen = listen or member.control
         self._configuration = configuration
         self._settings = settings or MeshSettings()
         self._transport = transport or PynngTransport()
@@ -168,15 +172,14 @@
     ) -> None:
         """Take part in the mesh until cancelled.
 
-        :raises NNGException: when ``control`` of the member is no address
-            to listen at.
+        :raises NNGException: when the address cannot be listened at.
         """
         async with trio.open_nursery() as nursery:
             await nursery.start(self._links.run)
             await nursery.start(self._answers.run)
             await nursery.start(
                 self._transport.serve,
-                self._members.own.control,
+                self._listen,
                 self._answers.answer,
             )
             nursery.start_soon(self._broadcaster.run)
--- a/libs/mesh/src/verbenamill_mesh/reader.py
+++ b/libs/mesh/src/verbenamill_mesh/reader.py
@@ -17,7 +17,7 @@
 from verbenamill_mesh.peers import Peers
 from verbenamill_mesh.settings import MeshSettings
 from verbenamill_mesh.stats import MeshStats
-from verbenamill_mesh.streams import CONFIG
+from verbenamill_platform.streams import CONFIG
 from verbenamill_model import Entry
 from verbenamill_model.typing import Offset
 from verbenamill_platform import Log, LogError, LogFault, LogPage, full_jitter
--- a/libs/mesh/tests/conftest.py
+++ b/libs/mesh/tests/conftest.py
@@ -7,7 +7,8 @@
 import trio.testing
 from trio._core import _run
 
-from verbenamill_mesh import CONFIG, Configuration, Mesh, MeshSettings
+from verbenamill_mesh import Configuration, Mesh, MeshSettings
+from verbenamill_platform.streams import CONFIG
 from verbenamill_mesh.testing import EPOCH, MemoryLog, MemoryNetwork
 from verbenamill_model import (
     Route,
--- a/libs/mesh/tests/test_failures.py
+++ b/libs/mesh/tests/test_failures.py
@@ -6,7 +6,8 @@
 import trio
 from returns.result import Failure, Success
 
-from verbenamill_mesh import CHECKPOINTS, CONFIG, Configuration, MeshSettings
+from verbenamill_mesh import Configuration, MeshSettings
+from verbenamill_platform.streams import CHECKPOINTS, CONFIG
 from verbenamill_mesh.checkpoints import CheckpointRecord
 from verbenamill_mesh.messages import (
     Busy,
--- a/libs/mesh/tests/test_mesh.py
+++ b/libs/mesh/tests/test_mesh.py
@@ -4,7 +4,8 @@
 
 import trio
 
-from verbenamill_mesh import CONFIG, Configuration, Mesh
+from verbenamill_mesh import Configuration, Mesh
+from verbenamill_platform.streams import CONFIG
 from verbenamill_mesh.testing import MemoryLog, wait_until
 from verbenamill_model.traffic import Member, Upstream
 from verbenamill_platform import SystemClock
--- a/libs/platform/src/verbenamill_platform/streams.py
+++ b/libs/platform/src/verbenamill_platform/streams.py
@@ -12,6 +12,8 @@
 AUDIT = 'audit'
 #: States of ``config``, for readers that come after its head has expired.
 CHECKPOINTS = 'checkpoints'
+#: Addresses of daemons in each availability zone.
+GATEWAYS = 'gateways'
 
 
 class AuditLine(Struct, frozen=True, kw_only=True):
