One Status of a daemon for the API, the tool and the bench

Cause: three libraries each described the answer of GET /status; a field that was renamed in one would have been read as missing by the others. Change: the message stands in model.

--- a/libs/bench/src/verbenamill_bench/demo.py
+++ b/libs/bench/src/verbenamill_bench/demo.py
@@ -22,12 +22,12 @@
 )
 from verbenamill_bench.fleet import (
     Fleet,
-    Status,
     Upstream,
     keep_files,
     open_fleet,
     poll,
 )
+from verbenamill_model.status import Status
 from verbenamill_bench.load import Load, LoadSpec
 from verbenamill_bench.process import BIN
 from verbenamill_standins import Behaviour
--- a/libs/bench/src/verbenamill_bench/fleet.py
+++ b/libs/bench/src/verbenamill_bench/fleet.py
@@ -16,6 +16,7 @@
 
 from verbenamill_bench.ports import free_ports
 from verbenamill_bench.process import Process
+from verbenamill_model.status import Status
 from verbenamill_standins import Behaviour, Relay
 
 #: Longest that a process may take to stop when asked, in seconds: a little
@@ -51,17 +52,6 @@
 """
 
 
-class Status(Struct, kw_only=True):
-    """What a bench reads of a daemon's ``GET /status``."""
-
-    id: str
-    availability_zone: str
-    offset: int
-    version: int
-    digest: str
-    ready: bool
-
-
 class _Plan(Struct, kw_only=True, frozen=True):
     id: str
     availability_zone: str
--- a/libs/cli/src/verbenamill_cli/daemons.py
+++ b/libs/cli/src/verbenamill_cli/daemons.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from verbenamill_cli.errors import CliError, ExitCode
+from verbenamill_model.status import Status
 from verbenamill_model.traffic import Member
 from verbenamill_model.typing import AvailabilityZone, VmId
 
@@ -22,26 +23,6 @@
 Answered = TypeVar('Answered')
 
 
-class Status(Struct, frozen=True, kw_only=True):
-    """What a daemon says of itself.
-
-    :param offset: last record of the log that it folded in.
-    :param version: offset of the record that made its snapshot.
-    :param digest: digest of its state at ``offset``.
-    :param members: daemons that it knows, itself included.
-    :param moves: moves that run.
-    """
-
-    id: VmId
-    availability_zone: AvailabilityZone
-    offset: int
-    version: int
-    digest: str
-    ready: bool
-    members: int
-    moves: int
-
-
 class Surveyed(Struct, frozen=True, kw_only=True):
     """One daemon, and its answer or why there is none."""
 
--- a/libs/cli/src/verbenamill_cli/status.py
+++ b/libs/cli/src/verbenamill_cli/status.py
@@ -5,7 +5,8 @@
 
 from msgspec import Struct
 
-from verbenamill_cli.daemons import Status, Surveyed
+from verbenamill_cli.daemons import Surveyed
+from verbenamill_model.status import Status
 from verbenamill_cli.errors import ExitCode
 from verbenamill_cli.history import History
 from verbenamill_cli.output import Report, table
--- a/libs/daemon/src/verbenamill_daemon/admin.py
+++ b/libs/daemon/src/verbenamill_daemon/admin.py
@@ -15,6 +15,7 @@
 from returns.result import Failure, Success
 
 from verbenamill_model import State, as_plain
+from verbenamill_model.status import Status
 from verbenamill_model.traffic import Member
 from verbenamill_model.typing import AvailabilityZone, VmId
 from verbenamill_platform import Announcement, read_announcement
@@ -25,26 +26,6 @@
 MAX_BODY = 64 * 1024
 
 
-class Status(Struct, frozen=True, kw_only=True):
-    """What ``GET /status`` answers.
-
-    :param offset: last record of the log that was folded in.
-    :param version: offset of the record that made the snapshot in force.
-    :param digest: digest of the state at ``offset``.
-    :param members: daemons known, this one included.
-    :param moves: running moves.
-    """
-
-    id: VmId
-    availability_zone: AvailabilityZone
-    offset: int
-    version: int
-    digest: str
-    ready: bool
-    members: int
-    moves: int
-
-
 class Cut(Struct, frozen=True, forbid_unknown_fields=True):
     """Availability zones whose links this daemon drops, for tests."""
 
--- a/libs/daemon/src/verbenamill_daemon/daemon.py
+++ b/libs/daemon/src/verbenamill_daemon/daemon.py
@@ -14,7 +14,6 @@
 )
 from verbenamill_daemon.admin import (
     AdminContext,
-    Status,
     build_app,
     serve_admin,
 )
@@ -25,6 +24,7 @@
 from verbenamill_daemon.settling import AuditWriter, Settler
 from verbenamill_mesh import Configuration, Mesh
 from verbenamill_model import State
+from verbenamill_model.status import Status
 from verbenamill_model.traffic import Member, Upstream
 from verbenamill_model.typing import UpstreamState
 from verbenamill_platform import Announcement, Clock, Log
