An announced address is checked, and IPv6 works wherever settings allow it

Cause: an upstream that announced an address that is none ended the daemon with the first call to it; addresses of IPv6 passed the settings and failed in calls, which split them their own way. Found by reading. Change: one parser reads addresses everywhere; a bad one is refused with its reason. A host that is no member costs no parsing of all members' addresses. Conclusion: bad announcements have a test; IPv6 was not run on a machine.

--- a/libs/calls/src/verbenamill_calls/peers.py
+++ b/libs/calls/src/verbenamill_calls/peers.py
@@ -163,7 +163,8 @@
         if checked_at is not None and now - checked_at < _HOST_AGE:
             return True
         members = self._context.members().values()
-        is_member = any(_host(member.calls) == host for member in members)
+        start = _start_of(host)
+        is_member = any(member.calls.startswith(start) for member in members)
         if is_member:
             self._hosts[host] = now
         return is_member
@@ -357,8 +358,9 @@
         return 1 if own.region == other.region else 2
 
 
-def _host(address: str) -> str:
-    return address.rpartition(':')[0]
+def _start_of(host: str) -> str:
+    """How the addresses on a host begin."""
+    return f'[{host}]:' if ':' in host else f'{host}:'
 
 
 def _hash(text: str) -> bytes:
--- a/libs/calls/src/verbenamill_calls/pool.py
+++ b/libs/calls/src/verbenamill_calls/pool.py
@@ -6,6 +6,7 @@
 
 from verbenamill_calls.connection import HttpConnection
 from verbenamill_calls.settings import CallSettings
+from verbenamill_platform.addresses import parse_address
 
 #: Idle time after which a connection to an upstream is not used again, in
 #: seconds. Servers commonly close idle ones after 5 s; a call must not race
@@ -119,11 +120,11 @@
         return None
 
     async def _connect(self) -> HttpConnection | None:
-        address = self.address.rsplit(':', 1)
+        address = parse_address(self.address)
         stream = None
         with trio.move_on_after(self._settings.connect_timeout.total_seconds()):
             try:
-                stream = await trio.open_tcp_stream(address[0], int(address[1]))
+                stream = await trio.open_tcp_stream(address.host, address.port)
             except OSError:
                 return None
         if stream is None:
--- a/libs/daemon/src/verbenamill_daemon/daemon.py
+++ b/libs/daemon/src/verbenamill_daemon/daemon.py
@@ -28,6 +28,7 @@
 from verbenamill_model.traffic import Member, Upstream
 from verbenamill_model.typing import UpstreamState
 from verbenamill_platform import Announcement, Clock, Log
+from verbenamill_platform.addresses import parse_address
 from verbenamill_platform.events import Event
 from verbenamill_platform.logs import log
 
@@ -109,8 +110,11 @@
         # it would answer 404 or "no upstream" to calls that any other one
         # answers; a port that is closed sends its callers there.
         await self._wait_ready()
-        host, port = split_address(self.settings.listen.calls)
-        listeners = await trio.open_tcp_listeners(port, host=host)
+        address = parse_address(self.settings.listen.calls)
+        listeners = await trio.open_tcp_listeners(
+            address.port,
+            host=address.host,
+        )
         self.is_open = True
         self._tell_upstream()
         await self.server.serve(listeners)
@@ -247,12 +251,6 @@
             )
 
 
-def split_address(address: str) -> tuple[str, int]:
-    """Split ``host:port``; the settings have checked its form."""
-    host, _, port = address.rpartition(':')
-    return host, int(port)
-
-
 def build_daemon(
     settings: Settings,
     *,
--- a/libs/daemon/src/verbenamill_daemon/listening.py
+++ b/libs/daemon/src/verbenamill_daemon/listening.py
@@ -3,6 +3,7 @@
 import socket
 
 from verbenamill_daemon.settings import ListenSettings
+from verbenamill_platform.addresses import parse_address
 
 
 def find_unusable(listen: ListenSettings) -> tuple[str, ...]:
@@ -24,13 +25,14 @@
     )
 
 
-def _try(address: str) -> str:
-    host, _, port = address.rpartition(':')
-    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+def _try(text: str) -> str:
+    address = parse_address(text)
+    is_ipv6 = ':' in address.host
+    family = socket.AF_INET6 if is_ipv6 else socket.AF_INET
     with socket.socket(family) as probe:
         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
-            probe.bind((host.strip('[]'), int(port)))
+            probe.bind((address.host, address.port))
             probe.listen()
         except OSError as error:
             return error.strerror or repr(error)
--- a/libs/daemon/tests/test_daemon.py
+++ b/libs/daemon/tests/test_daemon.py
@@ -125,6 +125,22 @@
     run(scenario)
 
 
+def test_announced_address_that_is_none_is_refused():
+    """An upstream announces itself under a name, or a port is left out.
+
+    Taken as it is, the first call to it ended the whole daemon.
+    """
+
+    async def scenario(daemon, log, client):
+        for address in ('localhost:80', '127.0.0.1', 'x', '[::1'):
+            told = UPSTREAM | {'address': address}
+            answer = await client.put('/upstream', json=told)
+            assert answer.status_code == 400
+            assert 'no IP number and port' in answer.json()['error']
+
+    run(scenario)
+
+
 def test_link_switch_needs_the_setting():
     """A switch that cuts links must not be open in production."""
 
--- a/libs/platform/src/verbenamill_platform/announcements.py
+++ b/libs/platform/src/verbenamill_platform/announcements.py
@@ -12,6 +12,7 @@
 
 from verbenamill_model.traffic import Upstream
 from verbenamill_model.typing import UpstreamState
+from verbenamill_platform.addresses import parse_address
 
 #: An upstream that was not heard of for this long has left.
 LEASE = timedelta(seconds=2)
@@ -43,6 +44,14 @@
         told = msgspec.json.decode(body, type=_Body)
     except msgspec.MsgspecError as error:
         return Failure(f'announcement cannot be read: {error}')
+    try:
+        parse_address(told.address)
+    except ValueError:
+        # Taken as it is, it would end the daemon with its first call.
+        return Failure(
+            f'address {told.address!r} is no IP number and port; write it '
+            'like "10.0.0.5:8080"',
+        )
     if told.slots < 1 or told.connections < 1:
         return Failure('slots and connections must be at least 1')
     return Success(
