Calls: a refused connection is no failure of a version

Ruled out: the two operators, whose second ticket was refused as it should be, and the rule for single broken instances, which needs ten calls of others in the zone and had none. Change: a call that was never sent counts as shed, which it is; growth is held back for it, and nothing is condemned. Conclusion: a test holds the outcome; a version that dies of its calls still shows in the calls that are lost.

--- a/libs/calls/src/verbenamill_calls/attempts.py
+++ b/libs/calls/src/verbenamill_calls/attempts.py
@@ -143,11 +143,8 @@
         self._suspect_silence()
         is_gone = kind is FaultKind.CALLER_GONE
         is_late = kind is FaultKind.TIMED_OUT
-        is_unsent = kind is FaultKind.TOO_LATE
-        is_own_haste = is_late and self._call.is_shortened
-        is_blameless = is_gone or is_unsent or is_own_haste
         self._end(
-            Outcome.CANCELLED if is_blameless else Outcome.FAILED,
+            _outcome_of_fault(kind, is_shortened=self._call.is_shortened),
             is_cancelled=is_gone or is_late,
         )
         refusal = refusal_of(fault)
@@ -272,6 +269,20 @@
         ledger.finish(call, refusal)
 
 
+def _outcome_of_fault(kind: FaultKind, *, is_shortened: bool) -> Outcome:
+    if kind in {FaultKind.CALLER_GONE, FaultKind.TOO_LATE}:
+        return Outcome.CANCELLED
+    if kind is FaultKind.TIMED_OUT and is_shortened:
+        return Outcome.CANCELLED
+    if kind is FaultKind.NOT_SENT:
+        # A dead upstream refuses connections until it is missed. Counted as
+        # failures, three of these took back a good version whose only VM in
+        # a zone had died. Nothing ran, so nothing was seen of the version;
+        # one that dies of its calls shows in those that were lost.
+        return Outcome.SHED
+    return Outcome.FAILED
+
+
 def _outcome(head: ResponseHead) -> Outcome:
     if head.status == HTTPStatus.TOO_MANY_REQUESTS:
         return Outcome.SHED
--- a/libs/calls/tests/test_path.py
+++ b/libs/calls/tests/test_path.py
@@ -80,3 +80,22 @@
         assert answer.status == 200
 
     fleet(check, 2)
+
+
+def test_connection_that_a_dead_upstream_refuses_is_no_failed_call(fleet):
+    """The only VM of a new version in a zone dies in the middle of its move.
+
+    Until that is known, calls to it find its port closed and go elsewhere.
+    Told as failures of the version, three of them had a good move taken
+    back (faults, seed 11).
+    """
+
+    async def check(daemons, nursery):
+        daemon = daemons[0]
+        daemon.upstream_port = 9
+        daemon.announce()
+        answer = await daemon.call('POST', '/entries', b'fee')
+        assert answer.outcome == b'not-run'
+        assert set(daemon.outcomes) == {'shed'}
+
+    fleet(check, 1)
--- a/libs/model/src/verbenamill_model/traffic.py
+++ b/libs/model/src/verbenamill_model/traffic.py
@@ -55,7 +55,8 @@
 class Outcome(str, Enum):
     """How a call to an upstream ended, as the evidence of a move counts it.
 
-    ``SHED`` is load refused before it ran and no failure of the version.
+    ``SHED`` is a call that an upstream refused before it ran, also with a
+    closed port, and no failure of the version.
     """
 
     OK = 'ok'
