--- a/libs/bench/tests/test_capacity.py
+++ b/libs/bench/tests/test_capacity.py
@@ -129,3 +129,11 @@
     assert read.states == known.states
     assert read.convergence == known.convergence
     assert isinstance(read_reports(paths[:1]), Failure)
+
+
+def test_report_that_is_cut_short_is_named(tmp_path):
+    """The page is made while a bench still writes its report."""
+    cut = tmp_path / 'faults.json'
+    cut.write_text('{"runs": [')
+    outcome = read_reports([cut])
+    assert 'faults.json is no whole report' in outcome.failure()
