Moves: a version that refuses its calls is never declared done

Cause: shed calls are no failures, so a version whose port is closed, or that sheds all it gets, gathered no evidence; on-time completed it at the deadline with 0 calls answered. Found in the read-through. Change: a version that sheds most calls lately, or all it ever got, does not grow and is taken back at the deadline, under both profiles. Conclusion: a test holds it for both profiles at 5 and 200 calls/s.

--- a/libs/moves/src/verbenamill_moves/decider.py
+++ b/libs/moves/src/verbenamill_moves/decider.py
@@ -222,6 +222,7 @@
             calls=tally.new_calls,
             call_rate=tally.call_rate,
             sheds=tally.sheds,
+            refuses=tally.refuses,
             worsened=tally.worsened,
             caution=self._cautions[move.profile],
         )
--- a/libs/moves/src/verbenamill_moves/doubt.py
+++ b/libs/moves/src/verbenamill_moves/doubt.py
@@ -25,11 +25,18 @@
     finding = view.finding
     if finding is not None and finding.weight >= view.caution.doubtful:
         return f'doubt at the deadline: {finding.describe()}'
-    if view.move.profile is Profile.CAUTIOUS:
-        if view.sheds:
-            return f'{view.move.new} sheds load at the deadline'
-        if view.worsened:
-            return f'calls of {view.move.new} fail at the deadline'
+    if view.refuses:
+        # A version whose port is closed fails no call and answers none.
+        # Completed for want of evidence, it would refuse all of them.
+        return f'{view.move.new} refuses most of its calls at the deadline'
+    if view.move.profile is Profile.CAUTIOUS and view.sheds:
+        return f'{view.move.new} sheds load at the deadline'
+    if view.move.profile is Profile.CAUTIOUS and view.worsened:
+        return f'calls of {view.move.new} fail at the deadline'
+    return _find_few_calls(view)
+
+
+def _find_few_calls(view: View) -> str | None:
     wanted = view.caution.calls_wanted
     if view.calls < wanted:
         return (
--- a/libs/moves/src/verbenamill_moves/growth.py
+++ b/libs/moves/src/verbenamill_moves/growth.py
@@ -64,7 +64,7 @@
 
 
 def _has_to_wait(view: View, plan: Plan, stage: int) -> bool:
-    if view.suspicious and _can_wait(view, plan):
+    if view.refuses or (view.suspicious and _can_wait(view, plan)):
         return True
     control = view.call_rate * (1 - STAGES[stage].share)
     late = view.now >= plan.time_of(_CONTROL_UNTIL)
--- a/libs/moves/src/verbenamill_moves/tally.py
+++ b/libs/moves/src/verbenamill_moves/tally.py
@@ -39,6 +39,9 @@
 #: Share and number of failed calls that leave a version in doubt.
 _WORSE = 0.1
 _WORSE_CALLS = 3
+#: Shed calls, older ones counted in part, from which the new version may be
+#: said to refuse its calls.
+_REFUSES = 1
 #: Share of shed calls, above the old version's, that holds a move back, and
 #: calls that steady it.
 _SHEDS = 0.15
@@ -95,6 +98,7 @@
         self._sums: dict[tuple[VersionName, RouteName], RouteCounts] = {}
         self._sequence = 0
         self._new_calls = 0
+        self._new_sheds = 0
         self._call_rate = float(0)
         self._advanced_at = now
         self._shed = {version: _Shed() for version in (move.new, move.old)}
@@ -127,6 +131,18 @@
         new = self._shed[self._move.new].share
         return new - self._shed[self._move.old].share > _SHEDS
 
+    @property
+    def refuses(self) -> bool:
+        """Whether the new version sheds most calls lately, or ever did all.
+
+        With few calls the lately shed ones fade between two of them; that
+        nothing was ever answered does not.
+        """
+        new = self._shed[self._move.new]
+        if not self._new_calls and self._new_sheds:
+            return True
+        return new.shed >= _REFUSES and new.shed > new.calls / 2
+
     @property
     def new_calls(self) -> int:
         """Calls of the new version, in all zones that are heard."""
@@ -264,6 +280,7 @@
             return
         if received.version == self._move.new:
             self._new_calls += counts.answered
+            self._new_sheds += counts.shed
         self._received.append(received)
         if received.zone == self._zone:
             place = (received.version, counts.route)
--- a/libs/moves/src/verbenamill_moves/view.py
+++ b/libs/moves/src/verbenamill_moves/view.py
@@ -52,6 +52,8 @@
     :param first_ready: when an upstream of the new version was first ready.
     :param calls: calls of the new version, in all zones that are heard.
     :param call_rate: calls a second of both versions.
+    :param sheds: whether the new version sheds more than the old one.
+    :param refuses: whether it sheds most of its calls.
     """
 
     move: Move
@@ -64,6 +66,7 @@
     calls: int
     call_rate: float
     sheds: bool
+    refuses: bool
     worsened: bool
     caution: Caution
 
--- a/libs/moves/tests/test_decider.py
+++ b/libs/moves/tests/test_decider.py
@@ -281,3 +281,19 @@
     moved.run(3.5, paused={f'{zone}-v1', f'{zone}-v2'})
     assert_done(moved)
     assert moved.settled[0][0] <= 14.5
+
+
+@pytest.mark.parametrize('profile', tuple(Profile))
+@pytest.mark.parametrize('rate', (5, 200))
+def test_version_that_refuses_all_calls_is_not_done(fleet, profile, rate):
+    """Its upstreams announce themselves, but their port is closed.
+
+    Refused calls are no failures, so no evidence gathers. Completed at the
+    deadline with no call answered, it would refuse every call.
+    """
+    moved = fleet(profile=profile)
+    moved.rate = rate
+    moved.shedding = 1
+    moved.run(62)
+    assert_taken_back(moved)
+    assert max(moved.state.stages.values()) <= 2
