--- a/libs/policy/src/verbenamill_policy/heartbeats.py
+++ b/libs/policy/src/verbenamill_policy/heartbeats.py
@@ -3,6 +3,7 @@
 from enum import Enum, unique
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from verbenamill_model.typing import (
     ServiceName,
@@ -139,15 +140,7 @@
     def _set_state(self, state: UpstreamState) -> None:
         current = self._current
         assert current is not None
-        self._current = UpstreamRecord(
-            instance=current.instance,
-            born=current.born,
-            heartbeat=current.heartbeat,
-            service=current.service,
-            version=current.version,
-            state=state,
-            slots=current.slots,
-        )
+        self._current = replace(current, state=state)
 
 
 def _follows(current: UpstreamRecord, beat: Heartbeat) -> bool:
@@ -159,11 +152,4 @@
 
 
 def _same_facts(one: UpstreamRecord, other: UpstreamRecord) -> bool:
-    return (
-        one.instance == other.instance
-        and one.born == other.born
-        and one.state is other.state
-        and one.service == other.service
-        and one.version == other.version
-        and one.slots == other.slots
-    )
+    return replace(one, heartbeat=other.heartbeat) == other
--- a/libs/policy/src/verbenamill_policy/placement.py
+++ b/libs/policy/src/verbenamill_policy/placement.py
@@ -1,5 +1,6 @@
 """Which daemon's upstream a request goes to."""
 
+import math
 from collections.abc import Collection, Sequence
 from random import Random
 
@@ -108,7 +109,7 @@
         age = now - self.told_at
         if age <= _LOAD_HALVES:
             return self.load
-        return self.load * 0.5 ** (age / _LOAD_HALVES)
+        return self.load * _halved(age, _LOAD_HALVES)
 
 
 class Wish(Struct, kw_only=True):
@@ -125,11 +126,15 @@
     reach: float
 
 
+def _halved(age: float, half_life: float) -> float:
+    return math.pow(2, -age / half_life)
+
+
 def expect_time(owner: Owner, wish: Wish, now: float) -> float:
     """Expected time until an owner's answer, in seconds."""
     load = owner.expect_load(now)
     slots = owner.slots
-    trust = 0.5 ** (max(now - owner.told_at, 0) / _BELIEF_HALVES)
+    trust = _halved(max(now - owner.told_at, 0), _BELIEF_HALVES)
     service = wish.usual * (1 + (owner.pace - 1) * trust)
     crowded = 1 + _CROWDING * min(load / slots, 1) ** 2
     queue = max(load + 1 - slots, 0) / slots
--- a/libs/policy/src/verbenamill_policy/routes.py
+++ b/libs/policy/src/verbenamill_policy/routes.py
@@ -122,5 +122,5 @@
         for place, split in enumerate(splits):
             credits[place] += split.weight
         best = max(range(len(splits)), key=credits.__getitem__)
-        credits[best] -= sum(split.weight for split in splits)
+        credits[best] -= sum(part.weight for part in splits)
         return splits[best].service
--- a/libs/runtime/src/verbenamill_runtime/settings.py
+++ b/libs/runtime/src/verbenamill_runtime/settings.py
@@ -17,15 +17,14 @@
 from verbenamill_runtime.settings_types import (
     CallLimits,
     ListenSettings,
-    LogFormat,
     LoggingSettings,
-    LogLevel,
     LogServiceSettings,
     MeshSettings,
     Settings,
     TestSettings,
     VmSettings,
 )
+from verbenamill_telemetry.forms import LogFormat, LogLevel
 
 __all__ = (
     'CallLimits',
--- a/libs/sidecar/src/verbenamill_sidecar/daemon.py
+++ b/libs/sidecar/src/verbenamill_sidecar/daemon.py
@@ -10,7 +10,7 @@
 from returns.result import Success
 
 from verbenamill_http.addresses import parse_address
-from verbenamill_http.server import HttpServer, ServerLimits
+from verbenamill_http.server import Handler, HttpServer, ServerLimits
 from verbenamill_http.sockets import listen
 from verbenamill_model.typing import UpstreamState
 from verbenamill_policy.heartbeats import Heartbeat
@@ -201,15 +201,12 @@
             limits=self._daemon_limits,
             on_fault=_tell_fault,
         )
-        local = [
-            HttpServer(
-                handler,
-                limits=lambda: _DEFAULTS,
-                on_fault=_tell_fault,
-            )
-            for handler in (announcements.handle, health.handle)
-        ]
-        return self._callers, self._daemons, *local
+        return (
+            self._callers,
+            self._daemons,
+            _make_local_server(announcements.handle),
+            _make_local_server(health.handle),
+        )
 
     def _caller_limits(self) -> ServerLimits:
         table = self._wishes.table
@@ -360,6 +357,14 @@
         }
 
 
+def _make_local_server(handler: Handler) -> HttpServer:
+    return HttpServer(
+        handler,
+        limits=lambda: _DEFAULTS,
+        on_fault=_tell_fault,
+    )
+
+
 def _tell_fault(error: BaseException) -> None:
     while isinstance(error, BaseExceptionGroup):
         error = error.exceptions[0]
--- a/libs/sidecar/src/verbenamill_sidecar/following.py
+++ b/libs/sidecar/src/verbenamill_sidecar/following.py
@@ -114,8 +114,8 @@
             case Success(published):
                 self._recover()
                 self._position = published.next
-                for fault in published.faults:
-                    log(Event.RECORD_UNREADABLE, reason=fault)
+                for unreadable in published.faults:
+                    log(Event.RECORD_UNREADABLE, reason=unreadable)
                 if published.configuration is not None:
                     self._wishes.take_configuration(
                         published.configuration,
--- a/libs/sidecar/src/verbenamill_sidecar/gossip.py
+++ b/libs/sidecar/src/verbenamill_sidecar/gossip.py
@@ -10,13 +10,14 @@
 from collections.abc import Callable, Iterable
 from functools import lru_cache
 from random import Random
+from typing import TypeVar
 
 import msgspec
 import trio
 from msgspec import Struct
 
 from verbenamill_http.addresses import Address, parse_address
-from verbenamill_model.typing import VmId
+from verbenamill_model.typing import ServiceName, VmId
 from verbenamill_policy.evidence import Tally
 from verbenamill_policy.members import (
     BUCKETS,
@@ -98,6 +99,17 @@
         self.rounds = rounds
 
 
+_Key = TypeVar('_Key')
+
+
+def _cool(hot: dict[_Key, _Rumour]) -> None:
+    """Count a round, and drop what has been passed on often enough."""
+    for key, rumour in list(hot.items()):
+        rumour.rounds -= 1
+        if rumour.rounds <= 0:
+            hot.pop(key)
+
+
 class Gossip:
     """Keeps the tables of all daemons alike.
 
@@ -128,7 +140,7 @@
         self._counted = counted
         self._sock: socket.socket | None = None
         self._hot_members: dict[VmId, _Rumour] = {}
-        self._hot_progress: dict[str, _Rumour] = {}
+        self._hot_progress: dict[ServiceName, _Rumour] = {}
         self._asked_at: dict[VmId, float] = {}
         self.sent = 0
         self.received = 0
@@ -273,11 +285,8 @@
         ]
         for peer in self._some_peers(FANOUT):
             self._send_records(peer.record, members, progress)
-        for hot in (self._hot_members, self._hot_progress):
-            for key, rumour in list(hot.items()):
-                rumour.rounds -= 1
-                if rumour.rounds <= 0:
-                    hot.pop(key)
+        _cool(self._hot_members)
+        _cool(self._hot_progress)
 
     def _send_records(
         self,
--- a/libs/sidecar/src/verbenamill_sidecar/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/ingress.py
@@ -24,6 +24,7 @@
     RouteName,
     ServiceName,
     VersionName,
+    VmId,
 )
 from verbenamill_policy.budget import RetryBudget
 from verbenamill_policy.placement import Owner, Wish, choose
@@ -420,7 +421,7 @@
     """
 
     def __init__(self) -> None:
-        self.vms: set[str] = set()
+        self.vms: set[VmId] = set()
         self.hops = 0
         self.reached = 0
         self.wants_target: bool | None = None
--- a/libs/sidecar/src/verbenamill_sidecar/metrics.py
+++ b/libs/sidecar/src/verbenamill_sidecar/metrics.py
@@ -15,12 +15,14 @@
 from verbenamill_sidecar.stats import BOUNDS, CallStats
 
 
+#: Help and value by name.
+GaugeValues = dict[str, tuple[str, float]]
+
+
 class Gauges:
     """Values of now, each with its name and help."""
 
-    def __init__(
-        self, read: Callable[[], dict[str, tuple[str, float]]]
-    ) -> None:
+    def __init__(self, read: Callable[[], GaugeValues]) -> None:
         self.read = read
 
 
--- a/libs/sidecar/src/verbenamill_sidecar/owner.py
+++ b/libs/sidecar/src/verbenamill_sidecar/owner.py
@@ -1,6 +1,6 @@
 """The upstream that this daemon owns: all work for it passes through here."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from functools import partial
 
 import trio
@@ -140,9 +140,11 @@
         :param instance: the upstream that it is meant for.
         """
         upstream = self.register.current
-        refusal = self._find_refusal(upstream, instance, version)
-        if refusal is not None or upstream is None:
-            return refusal or not_run('no upstream')
+        if upstream is None:
+            return not_run('no upstream is known')
+        reason = next(self._find_refusals(upstream, instance, version), '')
+        if reason:
+            return not_run(reason)
         self.in_hand += 1
         try:
             return await self._run(call, upstream)
@@ -165,23 +167,20 @@
             self._admission.shed_all()
         self._context.changed()
 
-    def _find_refusal(
+    def _find_refusals(
         self,
-        upstream: UpstreamRecord | None,
+        upstream: UpstreamRecord,
         instance: str,
         version: VersionName,
-    ) -> Outcome | None:
+    ) -> Iterator[str]:
         if self.is_stopping:
-            return not_run('the daemon stops')
-        if upstream is None:
-            return not_run('no upstream is known')
+            yield 'the daemon stops'
         if upstream.state is not UpstreamState.READY:
-            return not_run(f'the upstream is {upstream.state.value}')
+            yield f'the upstream is {upstream.state.value}'
         if upstream.instance != instance or upstream.version != version:
-            return not_run('another upstream is here')
+            yield 'another upstream is here'
         if not self._context.allows(upstream):
-            return not_run('the version gets no requests')
-        return None
+            yield 'the version gets no requests'
 
     async def _run(self, call: Call, upstream: UpstreamRecord) -> Outcome:
         admission = self._admission
@@ -210,10 +209,20 @@
             took = outcome.took
             return outcome
         finally:
-            now = trio.current_time()
-            if started is not None and took is None:
-                took = self._slow_time(admission, call, now - started)
-            admission.leave(ticket, now, took=took)
+            self._free(admission, ticket, call, started, took)
+
+    def _free(
+        self,
+        admission: Admission,
+        ticket: Ticket,
+        call: Call,
+        started: float | None,
+        took: float | None,
+    ) -> None:
+        now = trio.current_time()
+        if started is not None and took is None:
+            took = self._slow_time(admission, call, now - started)
+        admission.leave(ticket, now, took=took)
 
     def _is_withdrawn(self, upstream: UpstreamRecord) -> bool:
         """Whether the upstream left while the request waited."""
@@ -259,6 +268,7 @@
         if left < _LEAST_TIME:
             return not_run('the deadline has passed')
         max_idle = MAX_IDLE if call.is_idempotent else MAX_IDLE_UNSAFE
+        fault = Fault.LOST
         for _ in range(2):
             connection = await self._pool.take(max_idle=max_idle)
             if connection is None:
@@ -272,13 +282,14 @@
             # A kept connection may be dead without a sign. Nothing has run
             # on it then; for a request that must not be repeated, only a
             # send that the kernel refused proves that.
-            is_safe = result is Fault.UNSENT or call.is_idempotent
+            fault = result
+            is_safe = fault is Fault.UNSENT or call.is_idempotent
             if not (was_kept and is_safe and took < _WAS_DEAD):
                 break
         self._count(call, failed=True, took=None)
-        if result is Fault.UNSENT:
+        if fault is Fault.UNSENT:
             return not_run('the upstream closed the connection')
-        return unknown(f'the answer was {result.value}')
+        return unknown(f'the answer was {fault.value}')
 
     async def _exchange(
         self,
--- a/libs/sidecar/src/verbenamill_sidecar/stats.py
+++ b/libs/sidecar/src/verbenamill_sidecar/stats.py
@@ -21,7 +21,7 @@
         """Count one call."""
         if service not in self.counts and len(self.counts) >= MAX_SERVICES:
             return
-        buckets = self.counts.setdefault(service, [0] * (len(BOUNDS) + 1))
+        buckets = self.counts.setdefault(service, [0, *(0 for _ in BOUNDS)])
         buckets[bisect_left(BOUNDS, seconds)] += 1
         self.sums[service] = self.sums.get(service, 0) + seconds
 
--- a/libs/telemetry/src/verbenamill_telemetry/forms.py
+++ b/libs/telemetry/src/verbenamill_telemetry/forms.py
@@ -32,3 +32,10 @@
     @property
     def format(self) -> LogFormat:
         """Form of a written event."""
+
+
+class Sink(Protocol):
+    """Where lines are written."""
+
+    def write(self, text: str, /) -> object:
+        """Write a line."""
--- a/libs/telemetry/src/verbenamill_telemetry/logs.py
+++ b/libs/telemetry/src/verbenamill_telemetry/logs.py
@@ -5,13 +5,13 @@
 from collections.abc import Callable
 from datetime import UTC, datetime, timedelta
 from time import monotonic
-from typing import Any, TextIO
+from typing import Any
 
 import msgspec
 from msgspec import Struct
 
 from verbenamill_telemetry.events import Event
-from verbenamill_telemetry.forms import LogForm, LogFormat
+from verbenamill_telemetry.forms import LogForm, LogFormat, Sink
 
 #: Events of one code that may be written at once, and the time after which
 #: one more may.
@@ -47,7 +47,7 @@
 def set_up_logs(
     settings: LogForm,
     *,
-    stream: TextIO = sys.stderr,
+    stream: Sink = sys.stderr,
     elapsed: Callable[[], timedelta] = lambda: timedelta(seconds=monotonic()),
 ) -> None:
     """Send all logging of the process to a stream.
--- a/libs/telemetry/src/verbenamill_telemetry/streams.py
+++ b/libs/telemetry/src/verbenamill_telemetry/streams.py
@@ -1,6 +1,5 @@
 """Standard output that never stops the daemon."""
 
-import io
 import os
 from select import POLLOUT, poll
 
@@ -8,7 +7,7 @@
 PIPE_BUF = 4096
 
 
-class BoundedStream(io.TextIOBase):
+class BoundedStream:
     """Writes lines to a descriptor, and drops those it would wait for.
 
     A reader of the logs that stops would otherwise stop the daemon with the
@@ -18,7 +17,6 @@
     """
 
     def __init__(self, descriptor: int) -> None:
-        super().__init__()
         self._descriptor = descriptor
         self._poll = poll()
         self._poll.register(descriptor, POLLOUT)
@@ -33,7 +31,7 @@
         """Write at once or not at all."""
         data = text.encode('utf-8', 'replace')
         if len(data) > PIPE_BUF:
-            data = data[: PIPE_BUF - 1] + b'\n'
+            data = b'%b\n' % data[: PIPE_BUF - 1]
         try:
             if self._poll.poll(0):
                 os.write(self._descriptor, data)
