--- /dev/null
+++ b/libs/policy/tests/test_admission.py
@@ -0,0 +1,112 @@
+"""Slots, order and refusals of one upstream's queue, on a clock of its own."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from verbenamill_policy.admission import Admission, Entry, Ticket
+
+
+class Waiting:
+    """A request in the queue, and how it was settled."""
+
+    def __init__(self, priority, *, now=0, objective=1, deadline=2):
+        self.entry = None
+        self.ticket = Ticket(
+            route='r',
+            priority=priority,
+            arrived=now,
+            objective=now + objective,
+            deadline=now + deadline,
+            settle=self._settle,
+        )
+
+    def _settle(self, entry):
+        assert self.entry is None
+        self.entry = entry
+
+
+def make_admission(slots, mean):
+    admission = Admission(slots=slots)
+    admission.times.add('r', mean)
+    return admission
+
+
+def enter(admission, priority=0, now=0, **times):
+    waiting = Waiting(priority, now=now, **times)
+    entry = admission.enter(waiting.ticket, now)
+    if entry is not None:
+        waiting.entry = entry
+    return waiting
+
+
+def test_urgent_requests_get_the_next_slot():
+    # A fee waits behind lookups that came first. Its deadline does not
+    # care; it goes in front of all of them.
+    admission = make_admission(1, 0.1)
+    first = enter(admission, 2)
+    lookup = enter(admission, 2)
+    fee = enter(admission, 1)
+    admission.leave(first.ticket, 0.1, took=0.1)
+    assert fee.entry is Entry.ADMITTED
+    assert lookup.entry is None
+
+
+def test_who_cannot_be_served_in_time_is_refused_at_once():
+    admission = make_admission(1, 0.3)
+    enter(admission)
+    assert enter(admission, objective=0.8).entry is None
+    assert enter(admission, objective=0.8).entry is Entry.SHED
+
+
+def test_who_is_overtaken_is_refused_when_that_is_known():
+    # A lookup waits with little time to spare. Urgent requests come and push
+    # it back; held on, it would be refused only when its time is over.
+    admission = make_admission(1, 0.2)
+    enter(admission)
+    lookup = enter(admission, 2, objective=0.5)
+    assert lookup.entry is None
+    enter(admission, 1)
+    assert lookup.entry is Entry.SHED
+
+
+def test_a_late_request_is_measured_by_its_deadline():
+    admission = make_admission(1, 0.2)
+    enter(admission)
+    assert enter(admission, objective=0.1, deadline=1).entry is None
+    assert enter(admission, objective=0.1, deadline=0.3).entry is Entry.SHED
+
+
+def test_a_leaving_upstream_refuses_all_who_wait():
+    admission = make_admission(1, 0.1)
+    enter(admission)
+    waiting = [enter(admission) for _ in range(3)]
+    admission.shed_all()
+    assert {one.entry for one in waiting} == {Entry.SHED}
+    assert not admission.waiting
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    st.integers(1, 4),
+    st.lists(st.tuples(st.integers(0, 2), st.booleans()), max_size=60),
+)
+def test_slots_are_never_exceeded_and_nobody_is_forgotten(slots, steps):
+    admission = make_admission(slots, 0.05)
+    present = []
+    now = 0
+    for priority, ends in steps:
+        now += 0.01
+        if ends:
+            running = [one for one in present if one.entry is Entry.ADMITTED]
+            if running:
+                present.remove(running[0])
+                admission.leave(running[0].ticket, now, took=0.05)
+        else:
+            present.append(enter(admission, priority, now))
+        present = [one for one in present if one.entry is not Entry.SHED]
+        running = [one for one in present if one.entry is Entry.ADMITTED]
+        waiting = [one for one in present if one.entry is None]
+        assert len(running) == admission.running <= slots
+        assert len(waiting) == admission.waiting
+        # An idle slot never stands beside a request that waits.
+        assert not waiting or len(running) == slots
--- /dev/null
+++ b/libs/policy/tests/test_heartbeats.py
@@ -0,0 +1,126 @@
+"""Late, repeated and foreign heartbeats of the own upstream."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from verbenamill_model.typing import UpstreamState
+from verbenamill_policy.heartbeats import (
+    Belief,
+    Heartbeat,
+    UpstreamRegister,
+)
+
+ADDRESS = '10.0.0.1:80'
+
+
+def beat(sequence, *, instance='i1', born=100, state=UpstreamState.READY):
+    return Heartbeat(
+        instance=instance,
+        address=ADDRESS,
+        service='s',
+        version='v1',
+        slots=4,
+        state=state,
+        sequence=sequence,
+        born=born,
+    )
+
+
+DRAINING = UpstreamState.DRAINING
+
+
+def test_a_late_heartbeat_does_not_undo_a_drain():
+    # The upstream says that it drains and is acknowledged. A heartbeat from
+    # before arrives afterwards; believed, callers would be sent to an
+    # upstream that is about to end.
+    register = UpstreamRegister(ADDRESS)
+    assert register.take(beat(1)) is Belief.NEWS
+    assert register.take(beat(3, state=DRAINING)) is Belief.NEWS
+    assert register.take(beat(2)) is Belief.STALE
+    assert register.current.state is DRAINING
+
+
+def test_a_late_heartbeat_does_not_bring_back_one_that_left():
+    register = UpstreamRegister(ADDRESS)
+    register.take(beat(1))
+    assert register.leave('i1', 0)
+    assert register.take(beat(9)) is Belief.STALE
+    assert register.current.state is UpstreamState.GONE
+
+
+def test_a_successor_under_the_same_id_begins_anew():
+    # The upstream crashed and started again under its id; its numbers begin
+    # at 1. A heartbeat of the crashed one, held up by a partition, comes
+    # with a higher number and must not win.
+    register = UpstreamRegister(ADDRESS)
+    register.take(beat(50))
+    assert register.take(beat(1, born=200)) is Belief.NEWS
+    assert register.take(beat(51)) is Belief.STALE
+    assert register.current.born == 200
+
+
+def test_a_crashed_upstream_does_not_displace_another():
+    register = UpstreamRegister(ADDRESS)
+    register.take(beat(50))
+    assert register.take(beat(1, instance='i2', born=200)) is Belief.NEWS
+    assert register.take(beat(51)) is Belief.STALE
+    assert register.current.instance == 'i2'
+
+
+def test_a_heartbeat_from_elsewhere_is_none_of_the_own_upstream():
+    register = UpstreamRegister('10.0.0.2:80')
+    assert register.take(beat(1)) is Belief.ELSEWHERE
+    assert register.current is None
+
+
+def test_what_others_remember_of_a_drain_counts_after_a_restart():
+    # The daemon acknowledged a drain, told the others and was killed. Its
+    # successor hears a heartbeat from before the drain first.
+    before = UpstreamRegister(ADDRESS)
+    before.take(beat(1))
+    before.take(beat(3, state=DRAINING))
+    register = UpstreamRegister(ADDRESS)
+    register.recall(before.current)
+    assert register.take(beat(2)) is Belief.STALE
+    assert register.take(beat(4, state=DRAINING)) is Belief.NEWS
+
+
+def test_what_others_remember_comes_second():
+    register = UpstreamRegister(ADDRESS)
+    before = UpstreamRegister(ADDRESS)
+    before.take(beat(3, state=DRAINING))
+    register.take(beat(2))
+    register.recall(before.current)
+    assert register.current.state is DRAINING
+
+
+def test_one_that_could_not_be_reached_comes_back_with_a_heartbeat():
+    register = UpstreamRegister(ADDRESS)
+    register.take(beat(1))
+    register.lose('i1')
+    assert register.current.state is UpstreamState.GONE
+    assert register.take(beat(2)) is Belief.NEWS
+    assert register.current.state is UpstreamState.READY
+
+
+@settings(derandomize=True, deadline=None)
+@given(
+    st.lists(
+        st.builds(
+            beat,
+            st.integers(1, 6),
+            born=st.sampled_from((100, 200)),
+            state=st.sampled_from((UpstreamState.READY, DRAINING)),
+        ),
+    ),
+)
+def test_the_current_one_never_goes_back(beats):
+    register = UpstreamRegister(ADDRESS)
+    newest = (0, 0)
+    for one in beats:
+        register.take(one)
+        order = (register.current.born, register.current.heartbeat)
+        assert order >= newest
+        newest = order
+    if beats:
+        assert newest == max((one.born, one.sequence) for one in beats)
--- /dev/null
+++ b/libs/policy/tests/test_placement.py
@@ -0,0 +1,79 @@
+"""Placement: own zone first, then by expected time, around failures."""
+
+from random import Random
+
+from verbenamill_policy.placement import Owner, Wish, choose
+
+
+def make_owner(vm, zone='a', slots=10):
+    return Owner(vm=vm, availability_zone=zone, slots=slots)
+
+
+def pick(owners, *, now=0, left=0.3, excluded=(), seed=1, reach=0.5):
+    return choose(
+        owners,
+        Wish(usual=0.1, left=left, reach=reach),
+        zone='a',
+        excluded=excluded,
+        now=now,
+        random=Random(seed),
+    )
+
+
+def test_the_own_zone_goes_first_while_it_is_fast_enough():
+    owners = [make_owner('near'), make_owner('far', 'b')]
+    assert pick(owners).vm == 'near'
+
+
+def test_a_full_zone_spills_to_another():
+    near = make_owner('near')
+    near.tell_load(30, 0)
+    assert pick([near, make_owner('far', 'b')]).vm == 'far'
+
+
+def test_a_zone_without_others_keeps_what_it_can():
+    near = make_owner('near')
+    near.tell_load(30, 0)
+    assert pick([near]).vm == 'near'
+
+
+def test_a_slow_upstream_gets_less():
+    slow = make_owner('slow')
+    for _ in range(20):
+        slow.tell_time(0.5, 0.1)
+    slow.tell_load(0, 0)
+    chosen = [
+        pick([slow, make_owner('quick')], seed=seed).vm for seed in range(50)
+    ]
+    assert chosen.count('slow') < 5
+
+
+def test_a_failing_upstream_is_avoided_and_tried_again_later():
+    # An upstream fails half of its answers while its health is good. Callers
+    # see errors as long as it is chosen; when it has recovered, only a
+    # request can show it.
+    grey = make_owner('grey')
+    for place in range(20):
+        grey.tell_outcome(failed=place % 2 == 0)
+    grey.tell_load(0, 0)
+    owners = [grey, make_owner('well')]
+    soon = [pick(owners, seed=seed).vm for seed in range(50)]
+    late = [pick(owners, now=30, seed=seed).vm for seed in range(50)]
+    assert soon.count('grey') == 0
+    assert late.count('grey') > 5
+
+
+def test_one_out_of_reach_gets_nothing_until_its_pause_is_over():
+    down = make_owner('down')
+    down.mark_down(0)
+    assert pick([down]) is None
+    assert pick([down], now=0.3).vm == 'down'
+    down.mark_down(0.3)
+    assert pick([down], now=0.6) is None
+
+
+def test_load_that_was_told_long_ago_is_not_believed():
+    owner = make_owner('one')
+    owner.tell_load(40, 0)
+    assert owner.expect_load(0.1) == 40
+    assert owner.expect_load(5) < 1
--- /dev/null
+++ b/libs/policy/tests/test_rollouts.py
@@ -0,0 +1,207 @@
+"""Moves: shares, merges and decisions on good and bad versions."""
+
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from verbenamill_policy.deciding import Situation, decide
+from verbenamill_policy.evidence import Evidence, OwnCounts
+from verbenamill_policy.rollouts import (
+    LAST_STAGE,
+    STAGES,
+    Order,
+    Progress,
+    Settled,
+    Verdict,
+    VersionCounter,
+    find_shares,
+    merge_progress,
+)
+
+ORDER = Order(id=7, service='s', target='v2', window=14)
+progresses = st.builds(
+    Progress,
+    st.just('s'),
+    st.integers(1, 3),
+    st.integers(0, LAST_STAGE),
+    st.booleans(),
+)
+
+
+@settings(derandomize=True, deadline=None)
+@given(progresses, progresses, progresses)
+def test_progress_merges_in_any_order(one, other, third):
+    assert merge_progress(one, other) == merge_progress(other, one)
+    left = merge_progress(merge_progress(one, other), third)
+    assert left == merge_progress(one, merge_progress(other, third))
+    assert merge_progress(one, one) == one
+
+
+def test_a_veto_wins_over_every_stage():
+    vetoed = Progress('s', 7, 1, vetoed=True)
+    merged = merge_progress(Progress('s', 7, LAST_STAGE), vetoed)
+    assert find_shares(ORDER, None, merged).share == 0
+
+
+def test_an_order_without_a_stage_gives_the_new_version_nothing():
+    shares = find_shares(ORDER, None, None)
+    assert not shares.allows('v2')
+    assert shares.allows('v1')
+
+
+@pytest.mark.parametrize(
+    ('verdict', 'share'),
+    [(Verdict.DONE, 1), (Verdict.TAKEN_BACK, 0)],
+)
+def test_a_verdict_needs_nothing_else(verdict, share):
+    settled = Settled(order=7, service='s', target='v2', verdict=verdict)
+    assert find_shares(None, settled, None).share == share
+    assert find_shares(ORDER, settled, None).share == share
+
+
+def test_an_old_verdict_says_nothing_of_a_new_order():
+    settled = Settled(
+        order=3,
+        service='s',
+        target='v2',
+        verdict=Verdict.TAKEN_BACK,
+    )
+    progress = Progress('s', 7, LAST_STAGE)
+    assert find_shares(ORDER, settled, progress).share == 1
+
+
+def test_the_share_is_spread_evenly():
+    counter = VersionCounter()
+    hits = [counter.wants_target('s', 0.1) for _ in range(100)]
+    assert sum(hits) == 10
+
+
+class World:
+    """Owners of both versions, with errors and times as they are told."""
+
+    def __init__(self, *, seed, speeds=(0.7, 1, 1.5)):
+        self.random = Random(seed)
+        self.owners = {}
+        for version in ('v1', 'v2'):
+            for place, speed in enumerate(speeds):
+                counts = OwnCounts()
+                counts.begin(f'{version}{place}')
+                self.owners[version, place] = (counts, speed)
+
+    def serve(self, version, requests, *, failing, slower=1, route='r'):
+        places = [key for key in self.owners if key[0] == version]
+        for _ in range(requests):
+            counts, speed = self.owners[self.random.choice(places)]
+            took = self.random.lognormvariate(0, 0.5) * 0.1 * slower / speed
+            failed = self.random.random() < failing
+            counts.add(route, failed=failed, took=None if failed else took)
+
+    def tallies(self):
+        return [
+            counts.tally(f'{version}{place}', 's', version)
+            for (version, place), (counts, _) in self.owners.items()
+        ]
+
+
+def play(world, *, per_step, at):
+    """Steps of 0.1 s; returns the moment of the veto, or ``None``."""
+    evidence = Evidence('v2')
+    for step in range(100):
+        moment = step / 10
+        world.serve('v1', per_step * 9, failing=0.01)
+        world.serve('v2', per_step, **at(moment))
+        evidence.update(world.tallies())
+        if evidence.finding().is_conclusive:
+            return moment
+    return None
+
+
+@pytest.mark.parametrize('seed', range(10))
+def test_a_good_version_is_left_alone(seed):
+    assert (
+        play(World(seed=seed), per_step=3, at=lambda _: {'failing': 0.01})
+        is None
+    )
+
+
+@pytest.mark.parametrize('seed', range(10))
+@pytest.mark.parametrize(
+    'bad',
+    [{'failing': 0.5}, {'failing': 0.25}, {'failing': 0, 'slower': 6}],
+)
+def test_a_bad_version_is_found_within_seconds(bad, seed):
+    assert play(World(seed=seed), per_step=2, at=lambda _: bad) < 3
+
+
+@pytest.mark.parametrize('seed', range(10))
+def test_a_version_that_turns_bad_late_is_found_as_soon(seed):
+    found = play(
+        World(seed=seed),
+        per_step=3,
+        at=lambda moment: {'failing': 0.5 if moment > 6 else 0.01},
+    )
+    assert 6 < found < 8
+
+
+def test_one_sick_upstream_does_not_condemn_its_version():
+    # One VM of the new version is broken and fails half of its requests; the
+    # other two are well. Callers are served by those once the sick one is
+    # avoided, so the move must go on.
+    world = World(seed=3)
+    evidence = Evidence('v2')
+    for _ in range(30):
+        world.serve('v1', 20, failing=0.01)
+        counts, _ = world.owners['v2', 0]
+        counts.add('r', failed=True, took=None)
+        for place in (1, 2):
+            counts, _ = world.owners['v2', place]
+            for _ in range(3):
+                counts.add('r', failed=False, took=0.1)
+        evidence.update(world.tallies())
+    assert not evidence.finding().is_conclusive
+
+
+def situation(elapsed, stage, evidence, **more):
+    return Situation(
+        window=14,
+        elapsed=elapsed,
+        in_stage=more.get('in_stage', 3),
+        progress=Progress('s', 7, stage),
+        target_ready=more.get('target_ready', True),
+        calls=more.get('calls', 100),
+        finding=evidence.finding(),
+    )
+
+
+def test_a_good_version_is_done_before_its_deadline():
+    evidence = Evidence('v2')
+    stage = 0
+    elapsed = 0
+    while elapsed < 14:
+        decision = decide(situation(elapsed, stage, evidence))
+        if decision.done:
+            break
+        stage = decision.stage
+        elapsed += 0.1
+    assert decision.done
+    assert elapsed < 13
+
+
+def test_a_version_that_never_shows_is_given_up():
+    evidence = Evidence('v2')
+    early = decide(situation(1, 0, evidence, target_ready=False))
+    late = decide(situation(13.9, 0, evidence, target_ready=False))
+    assert not early.veto
+    assert late.veto
+
+
+def test_stages_keep_the_exposure_bound_until_the_last_one():
+    # A version that is bad under load only shows in a large stage. What it
+    # got before has to leave room below a tenth of the window's requests.
+    before = sum(
+        stage.share * (following.begins - stage.begins)
+        for stage, following in zip(STAGES, STAGES[1:], strict=False)
+    )
+    assert before < 0.07
