Gossip: echoes of what is known are no news

A newcomer that nobody had heard of was not told to anyone by itself either. Ruled out: copies of the configuration between daemons (2 MB at the store). Change: what is known already changes nothing; a daemon makes itself known when it meets others. Slowness is judged above 2.6 times the old version: under all requests a good version was found slow at 1.9 and taken back.

--- a/libs/policy/src/verbenamill_policy/evidence.py
+++ b/libs/policy/src/verbenamill_policy/evidence.py
@@ -26,12 +26,14 @@
 #: Rate of failures of a good version at least, and of a bad one.
 _USUAL_FAILURES = 0.03
 _BAD_FAILURES = 0.15
-#: Slower than this many times the old version is slow; upstreams of one
-#: version differ by a factor of up to about 1.5 from their mean.
-_SLOW = 1.9
+#: Slower than this many times the old version is slow. Upstreams of one
+#: version differ by a factor of up to about 1.5 from their mean, and are
+#: about as much slower again while most of their slots are taken, as they
+#: are when the new version has just got all requests.
+_SLOW = 2.6
 #: A single time counts as at most this many times the old version's mean
 #: (logarithm), so that no single one decides.
-_SLOWEST = 1.5
+_SLOWEST = 1.8
 #: Calls of the old version without which its mean says nothing.
 _FEW = 5
 #: Part of the old version's counts that is kept at each step.
--- a/libs/policy/src/verbenamill_policy/heartbeats.py
+++ b/libs/policy/src/verbenamill_policy/heartbeats.py
@@ -111,23 +111,28 @@
         if self._current is not None and self._current.instance == instance:
             self._set_state(UpstreamState.GONE)
 
-    def recall(self, record: UpstreamRecord) -> None:
-        """Heed what other daemons remember of the own upstream.
+    def recall(self, record: UpstreamRecord) -> bool:
+        """Heed what other daemons remember; tells whether it was news.
 
         A daemon that was killed right after it acknowledged a drain forgot
         it. A late heartbeat from before would then bring the upstream back.
         """
         if record.state is UpstreamState.READY:
-            return
+            return False
         known = self._left.get(record.instance, (-1, -1))
         order = (record.born, record.heartbeat)
         if order > known:
             self._left[record.instance] = order
             self._trim()
         current = self._current
-        if current is not None and current.instance == record.instance:
-            if (current.born, current.heartbeat) <= order:
-                self._set_state(record.state)
+        if current is None or current.instance != record.instance:
+            return False
+        if (current.born, current.heartbeat) > order:
+            return False
+        if current.state is record.state:
+            return False
+        self._set_state(record.state)
+        return True
 
     def _remember(self, instance: str, born: int) -> None:
         self._left[instance] = (born, 1 << 62)
--- a/libs/policy/tests/test_heartbeats.py
+++ b/libs/policy/tests/test_heartbeats.py
@@ -94,6 +94,14 @@
     assert register.current.state is DRAINING
 
 
+def test_what_is_known_already_is_no_news():
+    # Others echo what this daemon told them. If each echo counted as a
+    # change, it would be told again, and the echoes would never end.
+    register = UpstreamRegister(ADDRESS)
+    register.take(beat(3, state=DRAINING))
+    assert not register.recall(register.current)
+
+
 def test_one_that_could_not_be_reached_comes_back_with_a_heartbeat():
     register = UpstreamRegister(ADDRESS)
     register.take(beat(1))
--- a/libs/sidecar/src/verbenamill_sidecar/gossip.py
+++ b/libs/sidecar/src/verbenamill_sidecar/gossip.py
@@ -163,6 +163,12 @@
         sock.bind((address.host, address.port))
         self._sock = sock
 
+    def close(self) -> None:
+        """Close the socket."""
+        if self._sock is not None:
+            self._sock.close()
+            self._sock = None
+
     async def run(self) -> None:
         """Send and receive until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -179,6 +185,8 @@
     ) -> None:
         """Tell something new of this daemon, at once."""
         own = self._own
+        if own.upstream == upstream and own.leaving == leaving:
+            return
         self._renew(own.incarnation, upstream=upstream, leaving=leaving)
         self._pass_on()
 
@@ -194,6 +202,8 @@
     def meet(self, records: Iterable[MemberRecord]) -> None:
         """Take in what the store has, and greet some of those there."""
         self.take_members(records)
+        # Those there have not heard of this daemon, and cannot answer it.
+        self._hot_members[self._own.vm] = _Rumour(self._rounds())
         self._pass_on()
         for peer in self._some_peers(FANOUT):
             self._send(peer.record, self._summary(is_reply=False))
@@ -235,9 +245,13 @@
         If the clock was put back since, the earlier start looks later, and
         nobody would believe this one; so it overtakes.
         """
-        if record.upstream is not None:
-            self._recall(record.upstream)
         own = self._own
+        if (
+            record.upstream is not None
+            and record.incarnation != own.incarnation
+        ):
+            self._recall(record.upstream)
+            own = self._own
         if record.age <= own.age:
             return
         self._renew(
--- a/libs/sidecar/src/verbenamill_sidecar/owner.py
+++ b/libs/sidecar/src/verbenamill_sidecar/owner.py
@@ -111,9 +111,7 @@
 
     def recall(self, record: UpstreamRecord) -> None:
         """Heed what the other daemons remember."""
-        before = self.register.current
-        self.register.recall(record)
-        if self.register.current is not before:
+        if self.register.recall(record):
             self._adopt()
 
     def stop(self) -> None:
--- /dev/null
+++ b/libs/sidecar/tests/test_gossip.py
@@ -0,0 +1,160 @@
+"""Gossip between some daemons, with real datagrams on loopback."""
+
+from random import Random
+
+import pytest
+import trio
+
+from verbenamill_http.addresses import parse_address
+from verbenamill_model.typing import UpstreamState
+from verbenamill_policy.members import (
+    MemberRecord,
+    MemberTable,
+    UpstreamRecord,
+)
+from verbenamill_policy.rollouts import Progress
+from verbenamill_policy.routes import Configuration, Limits
+from verbenamill_sidecar.gossip import Gossip
+from verbenamill_sidecar.knowledge import Wishes
+from verbenamill_sidecar.peers import Peers
+
+
+class Node:
+    """One daemon's gossip, without the rest of it."""
+
+    def __init__(self, vm, *, incarnation=1, port=0):
+        self.recalled = []
+        self.behind = []
+        self.table = MemberTable()
+        self.wishes = Wishes()
+        record = MemberRecord(
+            vm=vm,
+            incarnation=incarnation,
+            sequence=0,
+            availability_zone='z',
+            calls=f'127.0.0.1:{port + 1}',
+            gossip=f'127.0.0.1:{port}',
+        )
+        self.gossip = Gossip(
+            own=record,
+            table=self.table,
+            peers=Peers(self.table, vm),
+            wishes=self.wishes,
+            random=Random(vm),
+            recall=self.recalled.append,
+            behind=self.behind.append,
+            counted=lambda tally: None,
+        )
+        self.gossip.bind(parse_address(record.gossip))
+
+    def knows(self, vm):
+        return self.table.get(vm)
+
+
+def make_upstream(state=UpstreamState.READY):
+    return UpstreamRecord('i1', 100, 3, 's', 'v1', state, 4)
+
+
+@pytest.fixture
+def ports(free_ports):
+    return iter(free_ports(8))
+
+
+async def until(condition):
+    with trio.fail_after(20):
+        while not condition():
+            await trio.sleep(0.02)
+
+
+async def run_nodes(nodes, check):
+    async with trio.open_nursery() as nursery:
+        for node in nodes:
+            nursery.start_soon(node.gossip.run)
+        await check(nursery)
+        nursery.cancel_scope.cancel()
+
+
+def make_nodes(count, ports):
+    nodes = [Node(f'vm{place}', port=next(ports)) for place in range(count)]
+    for node in nodes[1:]:
+        node.gossip.meet([nodes[0].gossip.own])
+    return nodes
+
+
+def test_news_reach_all(ports):
+    nodes = make_nodes(5, ports)
+
+    async def check(nursery):
+        await until(lambda: all(len(node.table) == 5 for node in nodes))
+        nodes[3].gossip.update(upstream=make_upstream())
+        await until(lambda: all(node.knows('vm3').upstream for node in nodes))
+        nodes[1].gossip.tell_progress(Progress('s', 7, 2, vetoed=True))
+        await until(
+            lambda: all('s' in node.wishes.known.progress for node in nodes),
+        )
+
+    trio.run(run_nodes, nodes, check)
+
+
+def test_echoes_end(ports):
+    # An upstream drains; its daemon tells the others. They tell the daemon
+    # the same, which is no news. Taken for news, each echo made another one,
+    # until datagrams filled the links between the zones.
+    nodes = make_nodes(4, ports)
+
+    async def check(nursery):
+        await until(lambda: all(len(node.table) == 4 for node in nodes))
+        for node in nodes:
+            node.gossip.update(
+                upstream=make_upstream(UpstreamState.DRAINING),
+            )
+        await until(
+            lambda: len({tuple(node.table.digests) for node in nodes}) == 1,
+        )
+        versions = [node.table.version for node in nodes]
+        await trio.sleep(1)
+        assert versions == [node.table.version for node in nodes]
+        assert not any(node.recalled for node in nodes)
+
+    trio.run(run_nodes, nodes, check)
+
+
+def test_a_restarted_daemon_overtakes_what_others_remember(ports):
+    # The clock was put back while the daemon was down, so its new start
+    # looks older than the one before. Unless it overtakes, the others keep
+    # the old record and go on sending to an upstream that has gone.
+    port = next(ports)
+    before = Node('vm0', incarnation=900, port=port)
+    before.gossip.update(upstream=make_upstream(UpstreamState.DRAINING))
+    other = Node('vm1', port=next(ports))
+    other.gossip.take_members([before.gossip.own])
+    before.gossip.close()
+    after = Node('vm0', incarnation=5, port=port)
+    after.gossip.meet([other.gossip.own])
+
+    async def check(nursery):
+        await until(lambda: other.knows('vm0').age > before.gossip.own.age)
+        await until(lambda: other.knows('vm0').upstream is None)
+        assert after.recalled[0].state is UpstreamState.DRAINING
+
+    trio.run(run_nodes, [other, after], check)
+
+
+def test_who_has_an_older_configuration_is_told(ports):
+    nodes = make_nodes(2, ports)
+
+    async def check(nursery):
+        await until(lambda: all(len(node.table) == 2 for node in nodes))
+        nodes[0].wishes.take_configuration(make_configuration(), 'test')
+        await until(lambda: 'vm0' in nodes[1].behind)
+
+    trio.run(run_nodes, nodes, check)
+
+
+def make_configuration():
+    return Configuration(
+        version=5,
+        routes=(),
+        services=frozenset(),
+        limits=Limits(),
+    )
