A settled move stays settled, and a restarted daemon knows its upstream

After all daemons were killed, no caller was served before the next heartbeats (up to 1.5 s). Ruled out: a wrong verdict in the store; the first one stood there. Change: verdicts travel with gossip, a decider waits until it knows the store's verdicts, the old version keeps 6 % until the last moments; the own record in the store names the upstream and its drain before the drain is acknowledged; who is unknown is answered, so that a daemon restarted without the store is found by others.

--- a/libs/policy/src/verbenamill_policy/deciding.py
+++ b/libs/policy/src/verbenamill_policy/deciding.py
@@ -18,9 +18,9 @@
 _CANARY_CALLS = 10
 #: Time in the last stage before a move is done, in seconds: what the old
 #: version works on has to end first, since it is stopped without a drain.
-_LAST_STAGE_TIME = 1.5
+_LAST_STAGE_TIME = 0.8
 #: Part of the window after which a stage is not held up any longer.
-_PRESSING = 0.7
+_PRESSING = 0.75
 
 
 class Situation(Struct, frozen=True, kw_only=True):
--- a/libs/policy/src/verbenamill_policy/heartbeats.py
+++ b/libs/policy/src/verbenamill_policy/heartbeats.py
@@ -118,7 +118,7 @@
         it. A late heartbeat from before would then bring the upstream back.
         """
         if record.state is UpstreamState.READY:
-            return False
+            return self._resume(record)
         known = self._left.get(record.instance, (-1, -1))
         order = (record.born, record.heartbeat)
         if order > known:
@@ -134,6 +134,17 @@
         self._set_state(record.state)
         return True
 
+    def _resume(self, record: UpstreamRecord) -> bool:
+        """Use the upstream of the process before until it tells more.
+
+        Requests name the instance that they are for, so another upstream
+        that listens there by now refuses them.
+        """
+        if self._current is not None or record.instance in self._left:
+            return False
+        self._current = record
+        return True
+
     def _remember(self, instance: str, born: int) -> None:
         self._left[instance] = (born, 1 << 62)
         self._trim()
--- a/libs/policy/src/verbenamill_policy/rollouts.py
+++ b/libs/policy/src/verbenamill_policy/rollouts.py
@@ -50,14 +50,17 @@
 
 
 #: A version that turns bad late or only under load must not have had a tenth
-#: of all requests of the window by then. Up to the last stage it gets 5 %
-#: of them; the rest is what the last stage sends until it is found out.
+#: of all requests of the window by then. Up to the stage that gives it nearly
+#: all it gets 5 % of them; the rest is what that stage sends until it is found
+#: out. There the old version keeps a little: without answers of both from the
+#: same seconds, a fault that hits both would look like one of the new one.
 STAGES = (
     Stage(0, 0),
     Stage(0.03, 0),
     Stage(0.15, 0.42),
     Stage(0.4, 0.5),
-    Stage(1, 0.58),
+    Stage(0.94, 0.58),
+    Stage(1, 0.73),
 )
 LAST_STAGE = len(STAGES) - 1
 #: Part of the window at which a move without a finding is declared done.
--- a/libs/policy/tests/test_heartbeats.py
+++ b/libs/policy/tests/test_heartbeats.py
@@ -102,6 +102,26 @@
     assert not register.recall(register.current)
 
 
+def test_a_restarted_daemon_goes_on_with_its_upstream():
+    # All daemons were killed at once and their upstreams run on. Without
+    # what the store remembers, no caller is served before the heartbeats.
+    before = UpstreamRegister(ADDRESS)
+    before.take(beat(3))
+    register = UpstreamRegister(ADDRESS)
+    assert register.recall(before.current)
+    assert register.current.state is UpstreamState.READY
+    assert register.take(beat(4)) is Belief.KNOWN
+
+
+def test_a_ready_memory_does_not_undo_what_is_known():
+    before = UpstreamRegister(ADDRESS)
+    before.take(beat(3))
+    register = UpstreamRegister(ADDRESS)
+    register.take(beat(4, state=DRAINING))
+    assert not register.recall(before.current)
+    assert register.current.state is DRAINING
+
+
 def test_one_that_could_not_be_reached_comes_back_with_a_heartbeat():
     register = UpstreamRegister(ADDRESS)
     register.take(beat(1))
--- a/libs/sidecar/src/verbenamill_sidecar/announcing.py
+++ b/libs/sidecar/src/verbenamill_sidecar/announcing.py
@@ -1,11 +1,12 @@
 """The port where the own upstream tells of itself."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
 import trio
 
 from verbenamill_http.server import Request, Response
+from verbenamill_model.typing import UpstreamState
 from verbenamill_policy.heartbeats import Belief, Heartbeat
 from verbenamill_sidecar.ingress import refusal
 from verbenamill_sidecar.owner import OwnUpstream
@@ -21,12 +22,18 @@
 #: in seconds; upstreams wait a second for the answer.
 RECALL_TIME = 0.5
 
+#: Longest time for which the answer to a leaving upstream waits until the
+#: store has it, in seconds. Once the upstream has its answer, no start of
+#: this daemon may send it new work.
+REMEMBER_TIME = 0.4
+
 
 class Announcements:
     """Takes heartbeats; an answer of 200 binds this daemon.
 
     :param read: knows their form.
     :param is_known: whether a service is one of the configuration's.
+    :param remember: puts what was told into the store, within a time.
     :param has_met: set once another daemon has told what it remembers.
     """
 
@@ -37,7 +44,9 @@
         read: ReadAnnouncement,
         is_known: Callable[[Heartbeat], bool],
         has_met: trio.Event,
+        remember: Callable[[float], Awaitable[bool]],
     ) -> None:
+        self._remember = remember
         self._own = own
         self._has_met = has_met
         self._read = read
@@ -59,9 +68,13 @@
             case Left():
                 known = self._own.leave(told)
                 log(Event.UPSTREAM_LEFT, instance=told.instance, known=known)
+                await self._remember(REMEMBER_TIME)
                 return _accepted()
             case Heartbeat():
-                return self._take(told)
+                response = self._take(told)
+                if told.state is not UpstreamState.READY:
+                    await self._remember(REMEMBER_TIME)
+                return response
         raise AssertionError('an announcement is one of three')
 
     def _take(self, beat: Heartbeat) -> Response:
--- a/libs/sidecar/src/verbenamill_sidecar/daemon.py
+++ b/libs/sidecar/src/verbenamill_sidecar/daemon.py
@@ -7,7 +7,6 @@
 
 import trio
 from msgspec import Struct
-from returns.result import Success
 
 from verbenamill_http.addresses import parse_address
 from verbenamill_http.server import Handler, HttpServer, ServerLimits
@@ -34,6 +33,7 @@
     ReadAnnouncement,
     Store,
 )
+from verbenamill_sidecar.registering import Registrar
 from verbenamill_sidecar.settings import Settings
 from verbenamill_sidecar.stats import CallStats
 from verbenamill_telemetry import Event, log
@@ -46,11 +46,6 @@
 #: Time for the store to hear that this daemon leaves, in seconds.
 _FAREWELL = 0.4
 _SWEEP = 1.0
-#: Pause before the store is asked again who else there is, in seconds: while
-#: nobody is known, and as a matter of course. Gossip carries the news; this
-#: finds those that neither side has ever heard of.
-_LOOK_SOON = 0.5
-_LOOK_LATER = 30.0
 #: Tries to open a port that a process before may still hold, and pause.
 _BIND_TRIES = 40
 _BIND_PAUSE = 0.05
@@ -98,6 +93,7 @@
             store=context.store,
             wishes=self._wishes,
             peers=self._peers,
+            has_verdicts=lambda: self._follower.has_verdicts,
         )
         self._follower = Follower(
             store=context.store,
@@ -115,6 +111,11 @@
             behind=self._follower.is_behind,
             counted=self._moving.take_tally,
         )
+        self._registrar = Registrar(
+            context.store,
+            self._gossip,
+            context.random,
+        )
         self._is_stopping = False
         self._servers = self._make_servers()
 
@@ -131,7 +132,7 @@
             ):
                 nursery.start_soon(server.serve, listener)
             nursery.start_soon(self._follower.run)
-            nursery.start_soon(self._find_members)
+            nursery.start_soon(self._registrar.run)
             nursery.start_soon(self._moving.run, self._gossip)
             nursery.start_soon(self._sweep)
             log(
@@ -189,6 +190,7 @@
             read=context.read_announcement,
             is_known=self._is_known,
             has_met=self._gossip.has_met,
+            remember=self._registrar.flush,
         )
         health = Health(is_ready=self.is_ready, render=self._render_metrics)
         self._callers = HttpServer(
@@ -250,22 +252,6 @@
             )
         ]
 
-    async def _find_members(self) -> None:
-        """Tell of this daemon and find the others, through the store."""
-        store = self._context.store
-        random = self._context.random
-        has_joined = False
-        while True:
-            if not has_joined:
-                joined = await store.join(self._gossip.own)
-                has_joined = isinstance(joined, Success)
-            found = await store.members()
-            if isinstance(found, Success):
-                self._gossip.meet(found.unwrap())
-            is_done = has_joined and len(self._table) > 1
-            pause = _LOOK_LATER if is_done else _LOOK_SOON
-            await trio.sleep(pause * (0.5 + random.random()))
-
     async def _sweep(self) -> None:
         while True:
             await trio.sleep(_SWEEP)
@@ -285,19 +271,16 @@
         await trio.sleep(_LEAVE_TIME)
         with trio.CancelScope(deadline=end):
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._take_leave)
+                nursery.start_soon(self._registrar.take_leave, _FAREWELL)
                 nursery.start_soon(self._callers.finish)
                 await self._daemons.finish()
 
-    async def _take_leave(self) -> None:
-        with trio.move_on_after(_FAREWELL):
-            await self._context.store.leave(self._gossip.own)
-
     def _tell_upstream(self) -> None:
         self._gossip.update(
             upstream=self._upstream_told(),
             leaving=self._is_stopping,
         )
+        self._registrar.tell()
 
     def _upstream_told(self) -> UpstreamRecord | None:
         return self._own.register.current
--- a/libs/sidecar/src/verbenamill_sidecar/following.py
+++ b/libs/sidecar/src/verbenamill_sidecar/following.py
@@ -23,6 +23,8 @@
 LONGEST_PAUSE = 0.8
 #: How long a daemon that others are ahead of waits for its own read, in s.
 _HEAD_START = 0.4
+#: The same while it runs no configuration at all and serves nobody.
+_FIRST_START = 0.05
 #: Longest answer of another daemon, in bytes, and longest wait, in seconds.
 _MAX_KNOWLEDGE = 16 * 1024 * 1024
 _FETCH_TIMEOUT = 2.0
@@ -53,6 +55,11 @@
         self._nursery: trio.Nursery | None = None
         self.read_at = float('-inf')
 
+    @property
+    def has_verdicts(self) -> bool:
+        """Whether the verdicts of the store were read."""
+        return self._has_verdicts
+
     @property
     def is_lost(self) -> bool:
         """Whether the last call to the store failed."""
@@ -148,7 +155,7 @@
         """Get from another daemon what the store did not bring in time."""
         try:
             before = self._wishes.version
-            await trio.sleep(_HEAD_START)
+            await trio.sleep(_HEAD_START if before >= 0 else _FIRST_START)
             if self._wishes.version == before:
                 with trio.move_on_after(_FETCH_TIMEOUT):
                     await self._fetch_now(peer)
--- a/libs/sidecar/src/verbenamill_sidecar/gossip.py
+++ b/libs/sidecar/src/verbenamill_sidecar/gossip.py
@@ -25,7 +25,7 @@
     MemberTable,
     UpstreamRecord,
 )
-from verbenamill_policy.rollouts import Progress
+from verbenamill_policy.rollouts import Progress, Settled
 from verbenamill_sidecar.knowledge import Wishes
 from verbenamill_sidecar.peers import ASK_AFTER, LOST_AFTER, Peer, Peers
 from verbenamill_telemetry import Event, log
@@ -50,6 +50,7 @@
 
     members: list[MemberRecord] = []
     progress: list[Progress] = []
+    settled: list[Settled] = []
 
 
 class Compare(Struct, tag='c', array_like=True):
@@ -64,6 +65,7 @@
     digests: list[int]
     version: int
     progress: list[Progress] = []
+    settled: list[Settled] = []
     is_reply: bool = False
 
 
@@ -141,6 +143,7 @@
         self._sock: socket.socket | None = None
         self._hot_members: dict[VmId, _Rumour] = {}
         self._hot_progress: dict[ServiceName, _Rumour] = {}
+        self._hot_settled: dict[ServiceName, _Rumour] = {}
         self._asked_at: dict[VmId, float] = {}
         self.sent = 0
         self.received = 0
@@ -163,6 +166,11 @@
         sock.bind((address.host, address.port))
         self._sock = sock
 
+    @property
+    def has_others(self) -> bool:
+        """Whether any other daemon is known."""
+        return len(self._table) > 1
+
     def close(self) -> None:
         """Close the socket."""
         if self._sock is not None:
@@ -214,6 +222,12 @@
             self._hot_progress[progress.service] = _Rumour(self._rounds())
             self._pass_on()
 
+    def tell_settled(self, settled: Settled) -> None:
+        """Take in and pass on a verdict."""
+        if self._wishes.take_settled(settled):
+            self._hot_settled[settled.service] = _Rumour(self._rounds())
+            self._pass_on()
+
     def send_tally(self, peer: Peer, tally: Tally) -> None:
         """Tell a decider what was counted here."""
         self._send(peer.record, Tallies([tally]))
@@ -279,7 +293,7 @@
     async def _spread(self) -> None:
         while True:
             await trio.sleep(RUMOUR_PERIOD)
-            if self._hot_members or self._hot_progress:
+            if self._hot_members or self._hot_progress or self._hot_settled:
                 self._pass_on()
 
     def _pass_on(self) -> None:
@@ -297,19 +311,26 @@
             )
             if found is not None
         ]
+        known = self._wishes.known.settled
+        settled = [known[service] for service in self._hot_settled]
         for peer in self._some_peers(FANOUT):
-            self._send_records(peer.record, members, progress)
+            self._send_records(
+                peer.record,
+                members,
+                Rumours(progress=progress, settled=settled),
+            )
         _cool(self._hot_members)
         _cool(self._hot_progress)
+        _cool(self._hot_settled)
 
     def _send_records(
         self,
         to: MemberRecord,
         members: list[MemberRecord],
-        progress: list[Progress],
+        moves: Rumours,
     ) -> None:
-        first = Rumours(members[:_RECORDS], progress)
-        if first.members or first.progress:
+        first = Rumours(members[:_RECORDS], moves.progress, moves.settled)
+        if first != Rumours():
             self._send(to, first)
         for start in range(_RECORDS, len(members), _RECORDS):
             self._send(to, Rumours(members[start : start + _RECORDS]))
@@ -336,6 +357,7 @@
             digests=self._table.digests,
             version=self._wishes.version,
             progress=list(self._wishes.known.progress.values()),
+            settled=list(self._wishes.known.settled.values()),
             is_reply=is_reply,
         )
 
@@ -350,22 +372,35 @@
         silent = peer.silent_for(now)
         if silent >= LOST_AFTER:
             peer.give_up('it gives no sign of life')
-        is_down = peer.owner.down_until > now
-        if silent < ASK_AFTER and not is_down:
+        is_away = peer.owner.down_until > now or self._may_return(peer)
+        if silent < ASK_AFTER and not is_away:
             return
-        pause = PROBE_PERIOD if is_down else 2 * WATCH_PERIOD
+        pause = PROBE_PERIOD if is_away else 2 * WATCH_PERIOD
         asked_at = self._asked_at.get(peer.record.vm, float('-inf'))
         if now - asked_at >= pause:
             self._asked_at[peer.record.vm] = now
             self._send(peer.record, Ask(self._own.vm))
 
+    def _may_return(self, peer: Peer) -> bool:
+        """Whether a neighbour that left is to be looked for.
+
+        It may be starting again, without the store and so without knowing
+        anybody. Those of its own zone look for it.
+        """
+        own_zone = self._own.availability_zone
+        return (
+            peer.record.leaving
+            and peer.record.availability_zone == own_zone
+            and not self._peers.is_own(peer)
+        )
+
     async def _receive(self) -> None:
         sock = self._sock
         assert sock is not None
         while True:
             await trio.lowlevel.wait_readable(sock)
             try:
-                data, _ = sock.recvfrom(_MAX_DATAGRAM)
+                data, source = sock.recvfrom(_MAX_DATAGRAM)
             except OSError:
                 # Also what the kernel tells of an earlier datagram that
                 # found nobody.
@@ -376,19 +411,19 @@
             except msgspec.MsgspecError:
                 log(Event.MESSAGE_UNKNOWN, kind=f'{len(data)} bytes')
                 continue
-            self._handle(message)
+            self._handle(message, Address(source[0], source[1]))
 
-    def _handle(self, message: Message) -> None:
+    def _handle(self, message: Message, source: Address) -> None:
         match message:
             case Rumours():
                 self._take_rumours(message)
             case Compare():
-                self._take_summary(message)
+                self._take_summary(message, source)
             case Ask():
                 self._hear(message.sender)
-                asking = self._table.get(message.sender)
-                if asking is not None:
-                    self._send(asking, Alive(self._own.vm))
+                self._send_to(source, Alive(self._own.vm))
+                if self._table.get(message.sender) is None:
+                    self._introduce(source)
             case Alive():
                 self._hear(message.sender)
             case Tallies():
@@ -402,19 +437,34 @@
 
     def _take_rumours(self, message: Rumours) -> None:
         self.take_members(message.members)
+        self._take_moves(message)
+        self.has_met.set()
+
+    def _take_moves(self, message: Rumours | Compare) -> None:
+        for settled in message.settled:
+            self.tell_settled(settled)
         for progress in message.progress:
             self.tell_progress(progress)
-        self.has_met.set()
 
-    def _take_summary(self, message: Compare) -> None:
+    def _introduce(self, source: Address) -> None:
+        """Tell an unknown sender of this daemon.
+
+        While the store is out of reach, a daemon that was restarted knows
+        nobody. Others still know it and write to it; answered, they tell it
+        all they know, and it serves again without the store.
+        """
+        self._send_to(source, Rumours([self._own]))
+        self._send_to(source, self._summary(is_reply=False))
+
+    def _take_summary(self, message: Compare, source: Address) -> None:
         self._hear(message.sender)
         sender = self._table.get(message.sender)
-        for progress in message.progress:
-            self.tell_progress(progress)
-        if message.version > self._wishes.version:
-            self._behind(message.sender)
+        self._take_moves(message)
         if sender is None:
+            self._introduce(source)
             return
+        if message.version > self._wishes.version:
+            self._behind(message.sender)
         digests = self._table.digests
         if len(message.digests) != BUCKETS:
             return
@@ -425,16 +475,18 @@
         ]
         if differing:
             records = self._table.in_buckets(differing)
-            self._send_records(sender, records, [])
+            self._send_records(sender, records, Rumours())
         if not message.is_reply:
             self._send(sender, self._summary(is_reply=True))
         self.has_met.set()
 
     def _send(self, to: MemberRecord, message: Message) -> None:
+        self._send_to(_address_of(to.gossip), message)
+
+    def _send_to(self, address: Address, message: Message) -> None:
         sock = self._sock
         if sock is None:
             return
-        address = _address_of(to.gossip)
         try:
             sock.sendto(
                 _encoder.encode(message),
--- a/libs/sidecar/src/verbenamill_sidecar/moving.py
+++ b/libs/sidecar/src/verbenamill_sidecar/moving.py
@@ -1,5 +1,6 @@
 """Moves between versions: counts go to a decider, its word to everyone."""
 
+from collections.abc import Callable
 from zlib import crc32
 
 import trio
@@ -19,7 +20,7 @@
 from verbenamill_sidecar.knowledge import Wishes
 from verbenamill_sidecar.owner import OwnUpstream
 from verbenamill_sidecar.peers import Peer, Peers
-from verbenamill_sidecar.protocol import Settlements, Store, StoreFault
+from verbenamill_sidecar.protocol import Settlements, Store
 from verbenamill_telemetry import Event, log
 
 #: How often moves are looked at, in seconds.
@@ -43,6 +44,7 @@
         self.stage_at = now
         self.evidence = Evidence(order.target)
         self.is_announced = False
+        self.is_confirmed = False
         self.verdict: Verdict | None = None
 
 
@@ -54,7 +56,12 @@
 
 
 class Moving:
-    """Decides on moves, where this daemon is the one to decide."""
+    """Decides on moves, where this daemon is the one to decide.
+
+    :param has_verdicts: whether the store has told which moves are settled.
+        A daemon that was restarted and decides before it knows could take
+        back a version that is the only one left.
+    """
 
     def __init__(
         self,
@@ -64,7 +71,9 @@
         store: Store,
         wishes: Wishes,
         peers: Peers,
+        has_verdicts: Callable[[], bool],
     ) -> None:
+        self._has_verdicts = has_verdicts
         self._own_vm = own_vm
         self._own = own
         self._store = store
@@ -97,6 +106,7 @@
         self._report(order, decider, now)
         if decider is None or not self._peers.is_own(decider):
             move.is_announced = False
+            move.is_confirmed = False
             return
         if move.verdict is not None:
             return
@@ -107,6 +117,8 @@
             move.is_announced = True
             nursery.start_soon(self._announce, move)
         move.evidence.update(self._tallies_of(order.service))
+        if not move.is_confirmed and not self._has_verdicts():
+            return
         if known.vetoed:
             decision = Decision(stage=known.stage, veto='vetoed before')
         else:
@@ -215,7 +227,12 @@
 
     async def _announce(self, move: _Move) -> None:
         """Tell the operator that the move runs, if nothing was told yet."""
-        await self._write(move, Verdict.RUNNING)
+        while move.is_announced and not await self._write(
+            move,
+            Verdict.RUNNING,
+        ):
+            await trio.sleep(_PAUSE)
+        move.is_confirmed = move.is_announced
 
     async def _settle(self, move: _Move, verdict: Verdict) -> None:
         """Tell the operator a verdict, until it or another one is there."""
@@ -236,6 +253,10 @@
                 return False
         if self._is_final(move.order, known):
             return True
+        found = known.settled.get(move.order.service)
+        if verdict is Verdict.RUNNING and found is not None:
+            if found.order == move.order.id:
+                return True
         order = move.order
         settled = Settled(
             order=order.id,
@@ -245,7 +266,7 @@
         )
         match await self._store.settle(settled, end=known.end):
             case Success(_):
-                self._wishes.take_settled(settled)
+                self._take_settled(settled)
                 return True
             case Failure(fault):
                 log(
@@ -254,15 +275,19 @@
                     verdict=verdict.value,
                     fault=fault.value,
                 )
-                return fault is not StoreFault.CONFLICT and (
-                    verdict is Verdict.RUNNING
-                )
+                return False
         raise AssertionError('a result is a success or a failure')
 
+    def _take_settled(self, settled: Settled) -> None:
+        assert self._gossip is not None
+        self._gossip.tell_settled(settled)
+
     def _is_final(self, order: Order, known: Settlements) -> bool:
         """Whether the operator was told a verdict on this or a later order."""
         found = known.settled.get(order.service)
         if found is None or found.order < order.id:
             return False
-        self._wishes.take_settled(found)
-        return found.verdict is not Verdict.RUNNING or found.order > order.id
+        self._take_settled(found)
+        if found.order > order.id:
+            return True
+        return found.verdict is not Verdict.RUNNING
