Calls that an upstream makes go before new work

Change: a request whose id begins with the id of one that runs here is nested; it goes first and is measured by its deadline.

--- a/libs/sidecar/src/verbenamill_sidecar/call.py
+++ b/libs/sidecar/src/verbenamill_sidecar/call.py
@@ -18,6 +18,7 @@
     :param origin: service of the VM where it began.
     :param objective: when its answer is due.
     :param deadline: when its caller gives up, or the route does.
+    :param is_nested: whether an upstream makes it while it runs another one.
     """
 
     id: bytes
@@ -31,6 +32,7 @@
     arrived: float
     objective: float
     deadline: float
+    is_nested: bool = False
 
     @property
     def is_idempotent(self) -> bool:
--- a/libs/sidecar/src/verbenamill_sidecar/hop.py
+++ b/libs/sidecar/src/verbenamill_sidecar/hop.py
@@ -45,6 +45,7 @@
     origin: str
     objective: int
     deadline: int
+    is_nested: bool = False
 
 
 class OwnerReport(Struct, kw_only=True, array_like=True):
--- a/libs/sidecar/src/verbenamill_sidecar/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/ingress.py
@@ -130,8 +130,9 @@
             self._reject(head, _NOT_FOUND)
             return refusal(HTTPStatus.NOT_FOUND, _NOT_FOUND)
         arrived = request.arrived
+        id = header(head.headers, names.request_id) or b''
         return Call(
-            id=header(head.headers, names.request_id) or b'',
+            id=id,
             route=route,
             service=self._splits.pick(route),
             method=head.method,
@@ -142,6 +143,7 @@
             arrived=arrived,
             objective=arrived + route.objective,
             deadline=arrived + self._time_for(head, route),
+            is_nested=self._context.own.makes(id),
         )
 
     def _clean(self, headers: list[Header]) -> list[Header]:
@@ -396,6 +398,7 @@
             reason=reason,
             ms=int((now - call.arrived) * 1000),
             left=int((call.deadline - now) * 1000),
+            nested=call.is_nested,
             tried=[] if tries is None else tries.story,
             configuration=None if table is None else _version(table),
         )
@@ -477,6 +480,7 @@
         origin=call.origin.decode('latin-1'),
         objective=int((call.objective - now) * 1000),
         deadline=max(int((call.deadline - now) * 1000), 1),
+        is_nested=call.is_nested,
     )
     head = encode_request(
         call.method,
--- a/libs/sidecar/src/verbenamill_sidecar/owner.py
+++ b/libs/sidecar/src/verbenamill_sidecar/owner.py
@@ -70,6 +70,7 @@
         self._context = context
         self._admission = Admission(slots=1)
         self._instance = ('', 0)
+        self._ids: dict[bytes, int] = {}
         self._warm_at = float(0)
         self._pool = Pool(
             context.address,
@@ -119,6 +120,15 @@
         self.is_stopping = True
         self._admission.shed_all()
 
+    def makes(self, id: bytes) -> bool:
+        """Whether a request is a call that the upstream makes for another.
+
+        Ids of nested calls begin with the id of the request that makes them
+        and a dot. Without that form a call is one like any other.
+        """
+        parent, dot, _ = id.rpartition(b'.')
+        return bool(dot) and parent in self._ids
+
     def sweep(self) -> None:
         """Close connections that were idle for long."""
         self._pool.sweep()
@@ -144,10 +154,17 @@
         if reason:
             return not_run(reason)
         self.in_hand += 1
+        self._ids[call.id] = self._ids.get(call.id, 0) + 1
         try:
             return await self._run(call, upstream)
         finally:
             self.in_hand -= 1
+            self._forget(call.id)
+
+    def _forget(self, id: bytes) -> None:
+        left = self._ids.pop(id) - 1
+        if left:
+            self._ids[id] = left
 
     def _adopt(self) -> None:
         """Act on what is now known of the upstream."""
@@ -187,9 +204,11 @@
         event = trio.Event()
         ticket = Ticket(
             route=call.route.name,
-            priority=call.route.priority,
+            priority=_rank(call),
             arrived=now,
-            objective=call.objective,
+            # A nested call that is refused fails the request that makes it,
+            # after that has held a slot; its own objective matters less.
+            objective=call.deadline if call.is_nested else call.objective,
             deadline=call.deadline,
             settle=partial(_settle, settled, event),
         )
@@ -387,6 +406,14 @@
         self._adopt()
 
 
+def _rank(call: Call) -> int:
+    """Order in the queue; nested calls go before all others.
+
+    Their parents hold slots while they wait, and were admitted before.
+    """
+    return -1 if call.is_nested else call.route.priority
+
+
 def _settle(settled: list[Entry], event: trio.Event, entry: Entry) -> None:
     settled.append(entry)
     event.set()
--- a/libs/sidecar/src/verbenamill_sidecar/passed_on.py
+++ b/libs/sidecar/src/verbenamill_sidecar/passed_on.py
@@ -92,6 +92,7 @@
             arrived=arrived,
             objective=arrived + route.objective,
             deadline=arrived + route.timeout,
+            is_nested=hop.is_nested,
         )
 
     def _tell(self, hop: HopCall, outcome: Outcome) -> None:
