--- a/libs/policy/src/verbenamill_policy/admission.py
+++ b/libs/policy/src/verbenamill_policy/admission.py
@@ -25,7 +25,9 @@
 class Ticket:
     """A request that runs or waits.
 
-    :param objective: when its answer is due, on the monotonic clock.
+    :param due: when its answer is due, on the monotonic clock; within one
+        priority, who is due first goes first.
+    :param objective: until when an answer is worth waiting for in full.
     :param deadline: when its caller gives up.
     :param settle: called once, when a request that waits is admitted or
         refused.
@@ -33,7 +35,7 @@
 
     __slots__ = (
         'route',
-        'priority',
+        'order',
         'arrived',
         'objective',
         'deadline',
@@ -47,12 +49,13 @@
         route: RouteName,
         priority: int,
         arrived: float,
+        due: float,
         objective: float,
         deadline: float,
         settle: Callable[[Entry], None],
     ) -> None:
         self.route = route
-        self.priority = priority
+        self.order = (priority, due)
         self.arrived = arrived
         self.objective = objective
         self.deadline = deadline
@@ -155,7 +158,7 @@
 
     def _count_ahead(self, ticket: Ticket) -> int:
         ahead = len(self._waiting)
-        while ahead and self._waiting[ahead - 1].priority > ticket.priority:
+        while ahead and self._waiting[ahead - 1].order > ticket.order:
             ahead -= 1
         return ahead
 
--- a/libs/policy/tests/test_admission.py
+++ b/libs/policy/tests/test_admission.py
@@ -15,6 +15,7 @@
             route='r',
             priority=priority,
             arrived=now,
+            due=now + objective,
             objective=now + objective,
             deadline=now + deadline,
             settle=self._settle,
--- a/libs/sidecar/src/verbenamill_sidecar/owner.py
+++ b/libs/sidecar/src/verbenamill_sidecar/owner.py
@@ -204,8 +204,9 @@
         event = trio.Event()
         ticket = Ticket(
             route=call.route.name,
-            priority=_rank(call),
+            priority=call.route.priority,
             arrived=now,
+            due=call.objective,
             # A nested call that is refused fails the request that makes it,
             # after that has held a slot; its own objective matters less.
             objective=call.deadline if call.is_nested else call.objective,
@@ -406,14 +407,6 @@
         self._adopt()
 
 
-def _rank(call: Call) -> int:
-    """Order in the queue; nested calls go before all others.
-
-    Their parents hold slots while they wait, and were admitted before.
-    """
-    return -1 if call.is_nested else call.route.priority
-
-
 def _settle(settled: list[Entry], event: trio.Event, entry: Entry) -> None:
     settled.append(entry)
     event.set()
