A request whose nested call would find no room is refused before it runs

Change: owners learn which services a route's requests call, and refuse one, truly not run, when no owner there can be expected to answer within the call's objective. Small requests go to a faster upstream in another zone sooner.

--- a/libs/sidecar/src/verbenamill_sidecar/call.py
+++ b/libs/sidecar/src/verbenamill_sidecar/call.py
@@ -60,6 +60,7 @@
     :param reason: why there is none.
     :param wait: when there may be room, in seconds from now.
     :param reached: whether an upstream has seen the request.
+    :param everywhere: whether other owners would say the same.
     :param took: time at the upstream, in seconds.
     :param load: requests running and queued at the owner.
     """
@@ -69,6 +70,7 @@
     reason: str = ''
     wait: float = 0
     reached: bool = False
+    everywhere: bool = False
     took: float | None = None
     load: int = -1
 
--- a/libs/sidecar/src/verbenamill_sidecar/hop.py
+++ b/libs/sidecar/src/verbenamill_sidecar/hop.py
@@ -61,6 +61,7 @@
     reason: str = ''
     wait: int = 0
     reached: bool = False
+    everywhere: bool = False
 
 
 _calls = msgspec.json.Decoder(HopCall)
@@ -94,6 +95,7 @@
         reason=outcome.reason,
         wait=int(outcome.wait * 1000),
         reached=outcome.reached,
+        everywhere=outcome.everywhere,
     )
     told = (OWNER_HEADER, _encoder.encode(report))
     answer = outcome.answer
@@ -122,6 +124,7 @@
         reason=report.reason,
         wait=report.wait / 1000,
         reached=report.reached,
+        everywhere=report.everywhere,
         took=None if report.took < 0 else report.took / 1000,
         load=report.load,
     )
--- a/libs/sidecar/src/verbenamill_sidecar/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/ingress.py
@@ -54,7 +54,7 @@
 #: Up to this share of the time left, waiting in the own zone is preferred
 #: to another zone, by the bytes that would cross: small answers cost next to
 #: nothing, a photo as much as the request is worth.
-_REACH_SMALL = 0.5
+_REACH_SMALL = 0.3
 _REACH_MIDDLE = 0.65
 _REACH_LARGE = 0.9
 _SMALL = 2_000
@@ -131,6 +131,9 @@
             return refusal(HTTPStatus.NOT_FOUND, _NOT_FOUND)
         arrived = request.arrived
         id = header(head.headers, names.request_id) or b''
+        parent = self._context.own.find_parent(id)
+        if parent is not None:
+            self._note_nested(parent, route)
         return Call(
             id=id,
             route=route,
@@ -143,9 +146,19 @@
             arrived=arrived,
             objective=arrived + route.objective,
             deadline=arrived + self._time_for(head, route),
-            is_nested=self._context.own.makes(id),
+            is_nested=parent is not None,
         )
 
+    def _note_nested(self, parent: Call, route: Route) -> None:
+        """Learn that requests of a route make calls of another one."""
+        for split in route.splits:
+            self._context.own.nesting.tell_call(
+                parent.route.name,
+                split.service,
+                usual=self._times.expect(route.name),
+                objective=route.objective,
+            )
+
     def _clean(self, headers: list[Header]) -> list[Header]:
         """Headers that go on; those that we set are not believed."""
         names = self._context.names
@@ -312,7 +325,7 @@
 
     def _is_final(self, call: Call, outcome: Outcome) -> bool:
         if outcome.fate is Fate.NOT_RUN:
-            return False
+            return outcome.everywhere
         if not call.is_idempotent:
             return True
         answer = outcome.answer
--- a/libs/sidecar/src/verbenamill_sidecar/owner.py
+++ b/libs/sidecar/src/verbenamill_sidecar/owner.py
@@ -14,11 +14,17 @@
     encode_request,
     header,
 )
-from verbenamill_model.typing import UpstreamState, VersionName
+from verbenamill_model.typing import (
+    ServiceName,
+    UpstreamState,
+    VersionName,
+)
 from verbenamill_policy.admission import Admission, Entry, Ticket
 from verbenamill_policy.evidence import OwnCounts
 from verbenamill_policy.heartbeats import Belief, Heartbeat, UpstreamRegister
 from verbenamill_policy.members import UpstreamRecord
+from verbenamill_policy.nesting import Nesting, has_room
+from verbenamill_policy.placement import Owner
 from verbenamill_sidecar.call import Call, Fate, Outcome, not_run, unknown
 from verbenamill_sidecar.protocol import HeaderNames, Left
 
@@ -51,12 +57,14 @@
 
     :param changed: told when the upstream is another, or in another state.
     :param allows: whether a version may get requests at all.
+    :param owners: what is believed of the owners of a service.
     """
 
     names: HeaderNames
     address: Address
     changed: Callable[[], None]
     allows: Callable[[UpstreamRecord], bool]
+    owners: Callable[[ServiceName], list[Owner]]
 
 
 class OwnUpstream:
@@ -65,12 +73,13 @@
     def __init__(self, context: OwnerContext) -> None:
         self.register = UpstreamRegister(str(context.address))
         self.counts = OwnCounts()
+        self.nesting = Nesting()
         self.is_stopping = False
         self.in_hand = 0
         self._context = context
         self._admission = Admission(slots=1)
         self._instance = ('', 0)
-        self._ids: dict[bytes, int] = {}
+        self._calls: dict[bytes, Call] = {}
         self._warm_at = float(0)
         self._pool = Pool(
             context.address,
@@ -120,14 +129,13 @@
         self.is_stopping = True
         self._admission.shed_all()
 
-    def makes(self, id: bytes) -> bool:
-        """Whether a request is a call that the upstream makes for another.
+    def find_parent(self, id: bytes) -> Call | None:
+        """The request that the upstream runs and that makes a call.
 
         Ids of nested calls begin with the id of the request that makes them
         and a dot. Without that form a call is one like any other.
         """
-        parent, dot, _ = id.rpartition(b'.')
-        return bool(dot) and parent in self._ids
+        return self._calls.get(id.rpartition(b'.')[0])
 
     def sweep(self) -> None:
         """Close connections that were idle for long."""
@@ -153,18 +161,23 @@
         reason = next(self._find_refusals(upstream, instance, version), '')
         if reason:
             return not_run(reason)
+        if not self._may_call(call):
+            full = not_run('a service that it calls has no room')
+            full.everywhere = True
+            return full
         self.in_hand += 1
-        self._ids[call.id] = self._ids.get(call.id, 0) + 1
         try:
             return await self._run(call, upstream)
         finally:
             self.in_hand -= 1
-            self._forget(call.id)
 
-    def _forget(self, id: bytes) -> None:
-        left = self._ids.pop(id) - 1
-        if left:
-            self._ids[id] = left
+    def _may_call(self, call: Call) -> bool:
+        """Whether the services that a request calls have room for it."""
+        now = trio.current_time()
+        return all(
+            has_room(nested, self._context.owners(nested.service), now)
+            for nested in self.nesting.calls_of(call.route.name)
+        )
 
     def _adopt(self) -> None:
         """Act on what is now known of the upstream."""
@@ -223,7 +236,7 @@
             if entry is Entry.SHED or self._is_withdrawn(upstream):
                 return self._no_room(admission)
             started = trio.current_time()
-            outcome = await self._send_shielded(call, upstream)
+            outcome = await self._send_known(call, upstream)
             took = outcome.took
             return outcome
         finally:
@@ -268,6 +281,19 @@
         self._count(call, failed=False, took=elapsed)
         return elapsed
 
+    async def _send_known(
+        self,
+        call: Call,
+        upstream: UpstreamRecord,
+    ) -> Outcome:
+        """Send a request whose nested calls are recognised meanwhile."""
+        self._calls[call.id] = call
+        try:
+            return await self._send_shielded(call, upstream)
+        finally:
+            self._calls.pop(call.id, None)
+            self.nesting.tell_end(call.route.name)
+
     async def _send_shielded(
         self,
         call: Call,
