--- a/Makefile
+++ b/Makefile
@@ -2,15 +2,15 @@
 VENV := .venv
 BIN := $(VENV)/bin
 LIBS := telemetry http model runtime policy sidecar mesh moves calls daemon cli standins bench
-EDITABLE := $(foreach lib,$(LIBS),-e libs/$(lib)) -e platform -e deploy/node
-SOURCES := $(foreach lib,$(LIBS),libs/$(lib)/src) platform/src deploy/node/src
+EDITABLE := $(foreach lib,$(LIBS),-e libs/$(lib)) -e platform -e platform/standins -e deploy/node
+SOURCES := $(foreach lib,$(LIBS),libs/$(lib)/src) platform/src platform/standins/src deploy/node/src
 STAMP := $(VENV)/.installed
 
 .PHONY: setup format lint types contracts unit test demo
 
 setup: $(STAMP)
 
-$(STAMP): constraints.txt requirements-dev.txt $(wildcard libs/*/pyproject.toml platform/pyproject.toml)
+$(STAMP): constraints.txt requirements-dev.txt $(wildcard libs/*/pyproject.toml platform/pyproject.toml platform/standins/pyproject.toml)
 	python3.11 -m venv $(VENV)
 	$(BIN)/python -m pip install --quiet --constraint constraints.txt uv
 	# Compiled ahead: a daemon or a tool then starts in a third of the time.
--- /dev/null
+++ b/deploy/tests/conftest.py
@@ -0,0 +1,348 @@
+"""A small site in one loop: store, upstreams, daemons and callers."""
+
+import socket
+from contextlib import asynccontextmanager, ExitStack
+from datetime import UTC, datetime
+from functools import partial
+from itertools import count
+from random import Random
+
+import httptools
+import pytest
+import trio
+
+from verbenamill_platform import HEADERS, PlatformStore, read_announcement
+from verbenamill_platform_standins import StoreStandIn, UpstreamStandIn
+from verbenamill_http.addresses import parse_address
+from verbenamill_sidecar.daemon import Daemon, DaemonContext
+from verbenamill_sidecar.settings import check_settings
+
+HOST = 'shop.example'
+COLUMNS = [
+    'name',
+    'host',
+    'pathPrefix',
+    'routeType',
+    'timeoutMs',
+    'targetLatencyMs',
+    'priority',
+    'service',
+    'maxAttempts',
+    'trafficSplit',
+]
+SETTINGS = """
+[vm]
+id = "{vm}"
+availability_zone = "{zone}"
+service = "{service}"
+[listen]
+callers = "127.0.0.1:{0}"
+daemons = "127.0.0.1:{1}"
+gossip = "127.0.0.1:{2}"
+announcements = "127.0.0.1:{3}"
+health = "127.0.0.1:{4}"
+[upstream]
+address = "{upstream}"
+[store]
+address = "{store}"
+"""
+
+
+def row(name, prefix, *, kind='idempotent', service='entries', **more):
+    return [
+        name,
+        HOST,
+        prefix,
+        kind,
+        more.get('timeout', 2000),
+        more.get('objective', 1000),
+        more.get('priority', 1),
+        None if 'split' in more else service,
+        2,
+        more.get('split'),
+    ]
+
+
+ROWS = [
+    row('lookup', '/lookup/'),
+    row('fee', '/fee/', kind='non_idempotent'),
+    row('photo', '/photo/', kind='upload', service='catalog'),
+    row('brief', '/brief/', timeout=150, objective=100),
+]
+
+
+def document(version, rows=ROWS):
+    return {
+        'version': f'{version:08x}',
+        'routes': {'columns': COLUMNS, 'rows': rows},
+        'services': {
+            'columns': ['name', 'healthCheckPath'],
+            'rows': [['entries', '/health'], ['catalog', '/health']],
+        },
+        'limits': {'maxHeaderBytes': 4096, 'maxBodyBytes': 200_000},
+    }
+
+
+class Answer:
+    """One answer as a caller sees it."""
+
+    def __init__(self):
+        self.headers = {}
+        self.body = b''
+        self.is_whole = False
+        self.status = None
+        self._parser = httptools.HttpResponseParser(self)
+
+    def on_header(self, name, value):
+        self.headers[name.decode().lower()] = value.decode()
+
+    def on_body(self, body):
+        self.body += body
+
+    def on_message_complete(self):
+        self.is_whole = True
+        self.status = self._parser.get_status_code()
+
+    def feed(self, data):
+        self._parser.feed_data(data)
+
+
+def encode(path, *, method='GET', id='r1', body=b'', deadline=1500, extra=()):
+    lines = [
+        f'{method} {path} HTTP/1.1',
+        f'Host: {HOST}',
+        f'X-Attempt-Id: {id}',
+        f'X-Deadline-Ms: {deadline}',
+        *extra,
+    ]
+    if body or method == 'POST':
+        lines.append(f'Content-Length: {len(body)}')
+    return '\r\n'.join((*lines, '', '')).encode() + body
+
+
+async def read_answer(stream):
+    answer = Answer()
+    while not answer.is_whole:
+        data = await stream.receive_some(65536)
+        if not data:
+            return answer
+        # One answer at a time, so that pipelined ones stay apart.
+        for place in range(len(data)):
+            answer.feed(data[place : place + 1])
+            if answer.is_whole:
+                stream.rest = data[place + 1 :]
+                break
+    return answer
+
+
+class Caller:
+    """A connection of a caller."""
+
+    def __init__(self, stream):
+        self._stream = stream
+        self.rest = b''
+
+    async def send(self, data):
+        await self._stream.send_all(data)
+
+    async def receive_some(self, size):
+        if self.rest:
+            rest = self.rest
+            self.rest = b''
+            return rest
+        return await self._stream.receive_some(size)
+
+    async def answer(self):
+        with trio.fail_after(15):
+            return await read_answer(self)
+
+    async def aclose(self):
+        await self._stream.aclose()
+
+
+class Vm:
+    """One VM: an upstream, and the daemon beside it."""
+
+    def __init__(self, site, name, ports, *, zone, upstream):
+        self.site = site
+        self.name = name
+        self.ports = ports
+        self.zone = zone
+        self.upstream = upstream
+        self.stopping = trio.Event()
+        self.daemon = None
+        self.scope = None
+        self.ended = trio.Event()
+
+    async def start(self):
+        """Start the daemon; again after :meth:`kill`."""
+        text = SETTINGS.format(
+            *self.ports,
+            vm=self.name,
+            zone=self.zone,
+            service=self.upstream.service,
+            upstream=self.upstream.address,
+            store=self.site.store.address,
+        )
+        self.stopping = trio.Event()
+        self.ended = trio.Event()
+        self.daemon = Daemon(
+            DaemonContext(
+                settings=check_settings(text).unwrap(),
+                store=PlatformStore(parse_address(self.site.store.address)),
+                names=HEADERS,
+                read_announcement=read_announcement,
+                now=partial(datetime.now, UTC),
+                random=Random(next(self.site.seeds)),
+            ),
+        )
+        self.site.nursery.start_soon(self._run)
+        await self.site.until(self.is_listening)
+
+    async def _run(self):
+        with trio.CancelScope() as scope:
+            self.scope = scope
+            await self.daemon.run(self.stopping)
+        self.ended.set()
+
+    async def kill(self):
+        """End the daemon as a signal that cannot be caught does."""
+        self.scope.cancel()
+        await self.ended.wait()
+
+    async def is_listening(self):
+        try:
+            stream = await trio.open_tcp_stream('127.0.0.1', self.ports[4])
+        except OSError:
+            return False
+        await stream.aclose()
+        return True
+
+    async def tell(self, message):
+        """Send what the upstream says of itself; the answer's status."""
+        target, body = message
+        caller = await self.connect(3)
+        await caller.send(encode(target, method='POST', body=body))
+        answer = await caller.answer()
+        await caller.aclose()
+        return answer.status
+
+    async def beat(self, state='ready'):
+        return await self.tell(self.upstream.heartbeat(state))
+
+    async def connect(self, place=0):
+        stream = await trio.open_tcp_stream('127.0.0.1', self.ports[place])
+        return Caller(stream)
+
+    async def call(self, path, **more):
+        caller = await self.connect()
+        await caller.send(encode(path, **more))
+        answer = await caller.answer()
+        await caller.aclose()
+        return answer
+
+    async def health(self):
+        caller = await self.connect(4)
+        await caller.send(encode('/v1/readiness'))
+        answer = await caller.answer()
+        await caller.aclose()
+        return answer.status
+
+
+class Site:
+    """Everything, in one loop."""
+
+    def __init__(self, nursery, find_ports):
+        self.nursery = nursery
+        self.store = StoreStandIn()
+        self.seeds = count(1)
+        self.vms = []
+        self._find_ports = find_ports
+
+    async def add(self, name, *, zone='z1', start=True, **upstream):
+        made = UpstreamStandIn(instance=f'i-{name}', zone=zone, **upstream)
+        await self.nursery.start(made.serve)
+        vm = Vm(self, name, self._find_ports(5), zone=zone, upstream=made)
+        self.vms.append(vm)
+        if start:
+            await vm.start()
+            await vm.beat()
+        return vm
+
+    async def until(self, condition):
+        """Wait until something holds; fails after long."""
+        with trio.fail_after(15):
+            while not await condition():
+                await trio.sleep(0.02)
+
+    async def settled(self):
+        """Wait until all daemons know each other and their upstreams."""
+
+        async def is_settled():
+            tables = [vm.daemon._table for vm in self.vms if vm.daemon]
+            return all(
+                len(table) == len(self.vms)
+                and all(record.upstream for record in table)
+                for table in tables
+            )
+
+        await self.until(is_settled)
+
+    async def in_force(self, version):
+        """Wait until all daemons run a version."""
+
+        async def is_in_force():
+            return all(
+                vm.daemon._wishes.version == version for vm in self.vms
+            )
+
+        await self.until(is_in_force)
+
+
+def find_ports(number):
+    with ExitStack() as stack:
+        sockets = [
+            stack.enter_context(socket.socket()) for _ in range(number)
+        ]
+        for one in sockets:
+            one.bind(('127.0.0.1', 0))
+        return [one.getsockname()[1] for one in sockets]
+
+
+@pytest.fixture
+def play():
+    """Run a scene on a site of its own."""
+
+    @asynccontextmanager
+    async def open_site():
+        async with trio.open_nursery() as nursery:
+            site = Site(nursery, find_ports)
+            await nursery.start(site.store.serve)
+            yield site
+            nursery.cancel_scope.cancel()
+
+    def run(scene, *, configured=True):
+        async def main():
+            async with open_site() as site:
+                if configured:
+                    site.store.operate('config', document(1))
+                await scene(site)
+
+        trio.run(main)
+
+    return run
+
+
+@pytest.fixture
+def kit():
+    """What scenes are made of."""
+
+    class Kit:
+        pass
+
+    made = Kit()
+    made.row = row
+    made.rows = ROWS
+    made.document = document
+    made.encode = encode
+    return made
