--- a/deploy/tests/conftest.py
+++ b/deploy/tests/conftest.py
@@ -292,18 +292,14 @@
         """Wait until all daemons run a version."""
 
         async def is_in_force():
-            return all(
-                vm.daemon._wishes.version == version for vm in self.vms
-            )
+            return all(vm.daemon._wishes.version == version for vm in self.vms)
 
         await self.until(is_in_force)
 
 
 def find_ports(number):
     with ExitStack() as stack:
-        sockets = [
-            stack.enter_context(socket.socket()) for _ in range(number)
-        ]
+        sockets = [stack.enter_context(socket.socket()) for _ in range(number)]
         for one in sockets:
             one.bind(('127.0.0.1', 0))
         return [one.getsockname()[1] for one in sockets]
--- /dev/null
+++ b/deploy/tests/test_adapter.py
@@ -0,0 +1,103 @@
+"""Formats of the platform, and that its names stand nowhere else."""
+
+import re
+from pathlib import Path
+
+import pytest
+
+from verbenamill_model.typing import UpstreamState
+from verbenamill_platform import read_announcement
+from verbenamill_platform.documents import (
+    read_configuration,
+    read_order,
+    read_settled,
+    write_settled,
+)
+from verbenamill_platform.records import pack, unpack
+from verbenamill_policy.rollouts import Settled, Verdict
+from verbenamill_sidecar.protocol import Left, NotUnderstood
+
+ROOT = Path(__file__).parents[2]
+NAMES = re.compile(
+    r'X-(Attempt-Id|Deadline-Ms|Expect-Instance|Response-Seal|'
+    r'Caller-Service|Not-Executed|Instance-Id|Server-Load)|'
+    r'keyed\.(op|status|servers)|log-(append|read|newest|join|commit|trim)|'
+    r'routeType|pathPrefix|trafficSplit|heartbeatAddr|coldRemainingMs|'
+    r'targetLatencyMs',
+    re.IGNORECASE,
+)
+
+
+def test_the_platform_s_names_stand_in_its_folder_only():
+    sources = [*(ROOT / 'libs').rglob('src/**/*.py')]
+    sources += (ROOT / 'deploy' / 'node').rglob('*.py')
+    assert len(sources) > 100
+    leaks = [path.name for path in sources if NAMES.search(path.read_text())]
+    assert not leaks
+
+
+def test_records_survive_the_wire():
+    records = pack('a', b'1') + pack('b', b'')
+    ends = (9).to_bytes(8, 'big') + (2).to_bytes(8, 'big')
+    page = unpack(ends + records, 7)
+    assert page.end == 9
+    assert [tuple(one) for one in page.records] == [
+        (7, 'a', b'1'),
+        (8, 'b', b''),
+    ]
+
+
+@pytest.mark.parametrize('cut', [1, 5, 17, 20])
+def test_a_page_that_is_cut_short_is_refused(cut):
+    ends = (9).to_bytes(8, 'big') + (2).to_bytes(8, 'big')
+    with pytest.raises(ValueError, match='cut short|no ends'):
+        unpack((ends + pack('a', b'1'))[:cut], 0)
+
+
+def test_a_configuration_is_decoded_once(kit):
+    value = __import__('json').dumps(kit.document(0x1F)).encode()
+    found = read_configuration(value)
+    assert found.version == 31
+    assert [route.name for route in found.routes] == [
+        'lookup',
+        'fee',
+        'photo',
+        'brief',
+    ]
+    assert found.routes[3].timeout == 0.15
+    assert not found.routes[1].is_idempotent
+    assert found.limits.max_body == 200_000
+    assert found.services == {'entries', 'catalog'}
+
+
+def test_verdicts_go_and_come_back():
+    for verdict in Verdict:
+        settled = Settled(order=4, service='s', target='v2', verdict=verdict)
+        key, value = write_settled(settled)
+        assert read_settled(key, value) == settled
+
+
+def test_an_order_names_its_own_service():
+    value = b'{"service": "a", "targetVersion": "v2", "durationS": 12}'
+    assert read_order('rollout/a', value, 3).window == 12
+    with pytest.raises(ValueError, match='orders a move of a'):
+        read_order('rollout/b', value, 3)
+
+
+def test_announcements_are_read_or_refused():
+    target = b'/v1/rpc?call=instances.heartbeat&of=i-1'
+    body = (
+        b'{"address":"10.0.0.1:80","born":7,"info":{"service":"s",'
+        b'"version":"v1","zone":"z","slots":3},'
+        b'"status":{"state":"draining","sequence":2,"coldRemainingMs":500}}'
+    )
+    beat = read_announcement(b'POST', target, body)
+    assert (beat.instance, beat.born, beat.slots) == ('i-1', 7, 3)
+    assert beat.state is UpstreamState.DRAINING
+    assert beat.cold == 0.5
+    left = b'/v1/rpc?call=instances.deregister&of=i-1'
+    assert read_announcement(b'POST', left, b'') == Left(instance='i-1', born=0)
+    for bad in (b'', b'{', b'{"address":"x"}', body.replace(b'3}', b'0}')):
+        found = read_announcement(b'POST', target, bad)
+        assert isinstance(found, NotUnderstood)
+        assert found.reason
--- /dev/null
+++ b/deploy/tests/test_failures.py
@@ -0,0 +1,373 @@
+"""What callers see when upstreams, daemons or the store fail."""
+
+import trio
+
+from verbenamill_platform_standins.serving import Told
+
+
+def sealed(id, body=b'whole'):
+    return Told(200, {'X-Attempt-Id': id, 'X-Response-Seal': 's'}, body)
+
+
+def test_a_lost_answer_of_a_fee_is_not_asked_for_again(play):
+    # The upstream books a fee, and its answer is lost. Whether it was booked
+    # cannot be known, so the daemon neither sends it again nor says that it
+    # was not; 502 promises nothing.
+    async def scene(site):
+        vm = await site.add('vm1')
+        other = await site.add('vm2')
+        await site.settled()
+        for one in (vm, other):
+            one.upstream.answer = lambda asked: Told(lost=True)
+        answer = await vm.call('/fee/1', method='POST', body=b'5')
+        assert answer.status == 502
+        assert len(vm.upstream.ran) + len(other.upstream.ran) == 1
+
+    play(scene)
+
+
+def test_a_lost_answer_of_a_lookup_is_had_from_another_upstream(play):
+    async def scene(site):
+        vm = await site.add('vm1')
+        other = await site.add('vm2')
+        await site.settled()
+        vm.upstream.answer = lambda asked: Told(lost=True)
+        other.upstream.answer = lambda asked: None
+        for number in range(3):
+            answer = await vm.call(f'/lookup/{number}', id=f'l{number}')
+            assert answer.body == f'answer to l{number}'.encode()
+
+    play(scene)
+
+
+def test_an_answer_to_another_request_reaches_nobody(play):
+    # An upstream sends a second answer behind the first. It lies on the
+    # connection where the next request's answer is due; passed on, the next
+    # caller would get what somebody else asked for.
+    async def scene(site):
+        vm = await site.add('vm1')
+        extra = (
+            b'HTTP/1.1 200 OK\r\nX-Attempt-Id: old\r\nX-Response-Seal: s\r\n'
+            b'Content-Length: 5\r\n\r\nwrong'
+        )
+
+        def answer(asked):
+            id = asked.headers['x-attempt-id'].encode()
+            right = (
+                b'HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Response-Seal: s\r\n'
+                b'Content-Length: 5\r\n\r\nright' % id
+            )
+            return Told(raw=extra + right)
+
+        vm.upstream.answer = answer
+        for number in range(3):
+            found = await vm.call(
+                f'/fee/{number}', method='POST', id=f'{number}'
+            )
+            assert (found.status, found.body) == (200, b'right')
+
+    play(scene)
+
+
+def test_a_cut_or_unsealed_answer_is_no_success(play):
+    async def scene(site):
+        vm = await site.add('vm1')
+        broken = (
+            b'HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nX-Response-Seal: s\r\n'
+            b'Content-Length: 50\r\n\r\nonly this',
+            b'HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nContent-Length: 2\r\n\r\nhm',
+            b'what is this\r\n\r\n',
+        )
+        for raw in broken:
+            vm.upstream.answer = lambda asked, raw=raw: Told(raw=raw)
+            answer = await vm.call('/fee/1', method='POST')
+            assert answer.status == 502
+
+    play(scene)
+
+
+def test_an_answer_without_a_length_ends_with_its_connection(play):
+    async def scene(site):
+        vm = await site.add('vm1')
+        raw = (
+            b'HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nX-Response-Seal: s\r\n'
+            b'Connection: close\r\n\r\nto the end'
+        )
+        vm.upstream.answer = lambda asked: Told(raw=raw)
+        answer = await vm.call('/lookup/1')
+        assert (answer.status, answer.body) == (200, b'to the end')
+        assert answer.headers['content-length'] == '10'
+
+    play(scene)
+
+
+def test_a_drain_is_final_once_it_is_acknowledged(play):
+    # The upstream says that it drains and is acknowledged. Requests go
+    # elsewhere from then on, also when an older heartbeat comes late.
+    async def scene(site):
+        vm = await site.add('vm1')
+        other = await site.add('vm2')
+        await site.settled()
+        late = vm.upstream.heartbeat()
+        assert await vm.beat('draining') == 200
+        assert await vm.tell(late) == 200
+        for number in range(5):
+            assert (
+                await vm.call(f'/fee/{number}', method='POST')
+            ).status == 200
+        assert not vm.upstream.ran
+        assert len(other.upstream.ran) == 5
+
+    play(scene)
+
+
+def test_a_drain_outlives_the_daemon_that_acknowledged_it(play):
+    # The daemon is killed right after the acknowledgement and forgets all.
+    # A heartbeat from before the drain comes late to its successor.
+    async def scene(site):
+        vm = await site.add('vm1')
+        other = await site.add('vm2')
+        await site.settled()
+        late = vm.upstream.heartbeat()
+        await vm.beat('draining')
+        await vm.kill()
+        await vm.start()
+        await vm.tell(late)
+        await site.in_force(1)
+        assert (await vm.call('/lookup/1')).status in {200, 503}
+        assert not vm.upstream.ran
+        assert (await other.call('/lookup/1')).status == 200
+
+    play(scene)
+
+
+def test_a_leave_without_a_drain_binds_as_well(play):
+    async def scene(site):
+        vm = await site.add('vm1')
+        late = vm.upstream.heartbeat()
+        assert await vm.tell(vm.upstream.leave()) == 200
+        await vm.tell(late)
+        answer = await vm.call('/fee/1', method='POST')
+        assert answer.status == 503
+        assert not vm.upstream.ran
+
+    play(scene)
+
+
+def test_a_successor_under_the_same_id_takes_over(play):
+    async def scene(site):
+        vm = await site.add('vm1')
+        for _ in range(5):
+            await vm.beat()
+        vm.upstream.sequence = 0
+        vm.upstream.born = 200
+        assert await vm.beat() == 200
+        assert (await vm.call('/lookup/1')).status == 200
+
+    play(scene)
+
+
+def test_another_upstream_at_the_address_runs_nothing(play):
+    # The upstream was replaced and has not announced itself yet. Requests
+    # name the one that they are for; the other refuses them, truly.
+    async def scene(site):
+        vm = await site.add('vm1')
+        vm.upstream.instance = 'i-other'
+        answer = await vm.call('/fee/1', method='POST')
+        assert answer.status == 503
+        assert not vm.upstream.ran
+        vm.upstream.born = 300
+        await vm.beat()
+        assert (await vm.call('/fee/1', method='POST')).status == 200
+
+    play(scene)
+
+
+def test_messages_from_elsewhere_name_no_upstream(play):
+    async def scene(site):
+        vm = await site.add('vm1')
+        target, body = vm.upstream.heartbeat()
+        forged = (
+            (target, b'{"address": 7}'),
+            (target, body.replace(b'"ready"', b'"resting"')),
+            (target, body.replace(b'"entries"', b'"nowhere"')),
+            (target, body.replace(b'"slots": 4', b'"slots": "4"')),
+            ('/v1/rpc?call=instances.explode&of=i-vm1', body),
+            ('/v1/rpc?call=instances.heartbeat&of=', body),
+        )
+        for message in forged:
+            assert await vm.tell(message) == 400
+        assert (await vm.call('/lookup/1')).status == 200
+
+    play(scene)
+
+
+def test_slots_are_never_exceeded(play):
+    async def scene(site):
+        vm = await site.add('vm1', slots=2)
+        vm.upstream.work = 0.05
+        statuses = []
+
+        async def call(number):
+            answer = await vm.call(f'/lookup/{number}', id=f'n{number}')
+            statuses.append(answer.status)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(30):
+                nursery.start_soon(call, number)
+        assert vm.upstream.most <= 2
+        assert set(statuses) <= {200, 503}
+        assert statuses.count(200) >= 2
+
+    play(scene)
+
+
+def test_work_ends_when_its_caller_leaves(play):
+    # The caller of a slow lookup hangs up. The upstream would go on for
+    # nobody and hold a slot; its connection is closed instead.
+    async def scene(site):
+        vm = await site.add('vm1')
+        vm.upstream.work = 5
+        caller = await vm.connect()
+        request = (
+            b'GET /lookup/1 HTTP/1.1\r\nHost: shop.example\r\n'
+            b'X-Attempt-Id: g\r\nX-Deadline-Ms: 1900\r\n\r\n'
+        )
+        await caller.send(request)
+
+        async def is_running():
+            return vm.upstream.running == 1
+
+        async def is_free():
+            return vm.daemon._own.running == 0
+
+        await site.until(is_running)
+        assert not await is_free()
+        await caller.aclose()
+        with trio.fail_after(1):
+            while not await is_free():
+                await trio.sleep(0.01)
+
+    play(scene)
+
+
+def test_a_request_ends_at_its_route_s_timeout(play):
+    async def scene(site):
+        vm = await site.add('vm1')
+        vm.upstream.work = 5
+        answer = await vm.call('/brief/1')
+        assert answer.status == 504
+
+    play(scene)
+
+
+def test_a_graceful_stop_finishes_what_it_holds(play):
+    async def scene(site):
+        vm = await site.add('vm1')
+        other = await site.add('vm2')
+        await site.settled()
+        vm.upstream.work = 0.5
+        found = []
+
+        async def call():
+            found.append(await vm.call('/fee/1', method='POST'))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call)
+            await trio.sleep(0.1)
+            vm.stopping.set()
+            await trio.sleep(0.05)
+            assert await vm.health() == 503
+            # Callers that have not heard yet are still served.
+            assert (await vm.call('/lookup/1')).status == 200
+            assert (await other.call('/lookup/1')).status == 200
+        assert found[0].status == 200
+        await vm.ended.wait()
+
+    play(scene)
+
+
+def test_a_daemon_that_is_killed_is_gone_around(play):
+    async def scene(site):
+        vm = await site.add('vm1')
+        other = await site.add('vm2')
+        await site.settled()
+        await vm.kill()
+        for number in range(5):
+            answer = await other.call(f'/fee/{number}', method='POST')
+            assert answer.status == 200
+
+    play(scene)
+
+
+def test_after_all_daemons_were_killed_the_store_tells_of_the_upstreams(play):
+    # All daemons are killed at once; the upstreams run on and announce
+    # themselves seconds later. Until then the store's records do.
+    async def scene(site):
+        vms = [await site.add('vm1'), await site.add('vm2', service='catalog')]
+        await site.settled()
+
+        async def is_kept():
+            records = site.store.topic('keyed.verbenamill-members').records
+            newest = dict(records)
+            return all(f'i-{vm.name}'.encode() in newest[vm.name] for vm in vms)
+
+        await site.until(is_kept)
+        for vm in vms:
+            await vm.kill()
+        for vm in vms:
+            await vm.start()
+        await site.settled()
+        await site.in_force(1)
+        assert (await vms[0].call('/lookup/1')).status == 200
+        assert (await vms[1].call('/lookup/1')).status == 200
+
+    play(scene)
+
+
+def test_without_the_store_a_restarted_daemon_is_found_by_others(play, kit):
+    # The store is down while a daemon is started again: it knows no
+    # configuration and nobody. Those who know it give it both.
+    async def scene(site):
+        vm = await site.add('vm1')
+        await site.add('vm2')
+        await site.settled()
+        site.store.operate('config', kit.document(7))
+        await site.in_force(7)
+        site.store.is_down = True
+        await vm.kill()
+        await vm.start()
+        await site.in_force(7)
+        await vm.beat()
+        assert (await vm.call('/lookup/1')).status == 200
+
+    play(scene)
+
+
+def test_a_change_during_an_outage_arrives_after_it(play, kit):
+    async def scene(site):
+        vm = await site.add('vm1')
+        await site.in_force(1)
+        site.store.is_down = True
+        site.store.operate('config', kit.document(3))
+        await trio.sleep(0.3)
+        assert (await vm.call('/lookup/1')).status == 200
+        site.store.is_down = False
+        await site.in_force(3)
+
+    play(scene)
+
+
+def test_history_that_was_thrown_away_is_not_needed(play, kit):
+    async def scene(site):
+        await site.add('vm1')
+        await site.in_force(1)
+        site.store.is_down = True
+        await trio.sleep(0.2)
+        for version in range(2, 9):
+            site.store.operate('config', kit.document(version))
+        site.store.compact('keyed.op')
+        site.store.is_down = False
+        await site.in_force(8)
+
+    play(scene)
--- a/libs/sidecar/src/verbenamill_sidecar/announcing.py
+++ b/libs/sidecar/src/verbenamill_sidecar/announcing.py
@@ -18,10 +18,6 @@
 from verbenamill_telemetry import Event, log
 
 
-#: Longest time for which a heartbeat waits for what other daemons remember,
-#: in seconds; upstreams wait a second for the answer.
-RECALL_TIME = 0.5
-
 #: Longest time for which the answer to a leaving upstream waits until the
 #: store has it, in seconds. Once the upstream has its answer, no start of
 #: this daemon may send it new work.
@@ -34,7 +30,8 @@
     :param read: knows their form.
     :param is_known: whether a service is one of the configuration's.
     :param remember: puts what was told into the store, within a time.
-    :param has_met: set once another daemon has told what it remembers.
+    :param has_met: set once another daemon has told what it remembers, or
+        soon after the start.
     """
 
     def __init__(
@@ -57,8 +54,7 @@
         # The daemon before may have acknowledged a drain that only the others
         # remember. A heartbeat from before it, believed now, would send
         # callers to an upstream that is about to end.
-        with trio.move_on_after(RECALL_TIME):
-            await self._has_met.wait()
+        await self._has_met.wait()
         head = request.head
         told = self._read(head.method, head.target, request.body)
         match told:
--- a/libs/sidecar/src/verbenamill_sidecar/gossip.py
+++ b/libs/sidecar/src/verbenamill_sidecar/gossip.py
@@ -40,6 +40,9 @@
 WATCH_PERIOD = 0.1
 #: How often one that is out of reach is asked for a sign of life, in s.
 PROBE_PERIOD = 0.5
+#: How long after a start it is waited for what others remember, in seconds;
+#: who has met nobody by then is alone.
+MEET_TIME = 0.5
 #: Records in one datagram; keeps it below the usual 1,400 bytes.
 _RECORDS = 6
 _MAX_DATAGRAM = 65_000
@@ -179,11 +182,16 @@
 
     async def run(self) -> None:
         """Send and receive until cancelled."""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._receive)
-            nursery.start_soon(self._spread)
-            nursery.start_soon(self._compare)
-            nursery.start_soon(self._watch)
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._receive)
+                nursery.start_soon(self._spread)
+                nursery.start_soon(self._compare)
+                nursery.start_soon(self._watch)
+                await trio.sleep(MEET_TIME)
+                self.has_met.set()
+        finally:
+            self.close()
 
     def update(
         self,
