--- a/deploy/node/src/verbenamill_node/__main__.py
+++ b/deploy/node/src/verbenamill_node/__main__.py
@@ -2,7 +2,6 @@
 
 import gc
 import os
-import signal
 import sys
 from datetime import UTC, datetime
 from pathlib import Path
@@ -19,6 +18,7 @@
     Settings,
     load_settings,
 )
+from verbenamill_sidecar.signals import watch_signals
 from verbenamill_telemetry import Event, log, set_up_logs
 from verbenamill_telemetry.streams import BoundedStream
 
@@ -50,7 +50,11 @@
 
 
 def _run(settings: Settings, path: Path) -> int:
-    set_up_logs(settings.logging, stream=BoundedStream(1))
+    set_up_logs(
+        settings.logging,
+        stream=BoundedStream(1),
+        vm=settings.vm.id,
+    )
     gc.freeze()
     gc.set_threshold(_GC_THRESHOLD, 10, 10)
     try:
@@ -82,7 +86,7 @@
     )
     stopping = trio.Event()
     async with trio.open_nursery() as nursery:
-        await nursery.start(_watch_signals, stopping, path)
+        await nursery.start(watch_signals, stopping, path)
         await daemon.run(stopping)
         nursery.cancel_scope.cancel()
 
@@ -91,33 +95,5 @@
     return datetime.now(UTC)
 
 
-async def _watch_signals(
-    stopping: trio.Event,
-    path: Path,
-    *,
-    task_status: trio.TaskStatus[None],
-) -> None:
-    with trio.open_signal_receiver(
-        signal.SIGTERM,
-        signal.SIGINT,
-        signal.SIGHUP,
-    ) as received:
-        task_status.started()
-        async for number in received:
-            if number == signal.SIGHUP:
-                _check_again(path)
-            else:
-                stopping.set()
-
-
-def _check_again(path: Path) -> None:
-    """Say what a changed settings file would do at the next start."""
-    match load_settings(path):
-        case Success(_):
-            log(Event.SETTINGS_RELOADED, outcome='no fault')
-        case Failure(faults):
-            log(Event.SETTINGS_RELOADED, outcome='; '.join(faults))
-
-
 if __name__ == '__main__':
     sys.exit(main())
--- a/deploy/tests/test_failures.py
+++ b/deploy/tests/test_failures.py
@@ -75,7 +75,8 @@
         broken = (
             b'HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nX-Response-Seal: s\r\n'
             b'Content-Length: 50\r\n\r\nonly this',
-            b'HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nContent-Length: 2\r\n\r\nhm',
+            b'HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\n'
+            b'Content-Length: 2\r\n\r\nhm',
             b'what is this\r\n\r\n',
         )
         for raw in broken:
--- a/libs/cli/src/verbenamill_cli/main.py
+++ b/libs/cli/src/verbenamill_cli/main.py
@@ -8,6 +8,7 @@
 from verbenamill_cli.audit import build_trail, report_trail, select
 from verbenamill_cli.checks import check_file
 from verbenamill_cli.errors import ExitCode
+from verbenamill_cli.explain import explain
 from verbenamill_cli.history import read_history
 from verbenamill_cli.move_commands import app as move_app
 from verbenamill_cli.options import (
@@ -127,6 +128,19 @@
     finish(run_with_log(context, log, timeout, use), as_json=as_json)
 
 
+@app.command('explain')
+def _explain(
+    request: Annotated[str, typer.Argument(help='Id of the request.')],
+    files: Annotated[
+        list[Path],
+        typer.Argument(help='Logs of daemons in JSON; - reads the input.'),
+    ],
+    as_json: AsJson = False,
+) -> None:
+    """Tell what became of a request, who decided it and on what belief."""
+    finish(explain(request, files), as_json=as_json)
+
+
 @_config_app.command('check')
 def _check(
     file: Annotated[Path, typer.Argument(help='Settings file of a daemon.')],
--- a/libs/telemetry/src/verbenamill_telemetry/events.py
+++ b/libs/telemetry/src/verbenamill_telemetry/events.py
@@ -85,6 +85,14 @@
         'Correct the key that is named, try `verbenamill config check FILE`, '
         'and start the daemon again.',
     )
+    SETTINGS_RELOADED = EventKind(
+        'VM1005',
+        logging.INFO,
+        'settings read again: {outcome}',
+        'A signal said that the settings file has changed. Addresses stay as '
+        'they were until the daemon is started again.',
+        'If the outcome names a fault, correct the file.',
+    )
     CONFIGURATION_ACCEPTED = EventKind(
         'VM2001',
         logging.INFO,
@@ -140,6 +148,13 @@
         'is tried.',
         'Look whether another program writes to the stream `checkpoints`.',
     )
+    RECORD_UNREADABLE = EventKind(
+        'VM2009',
+        logging.WARNING,
+        'a published record cannot be read: {reason}',
+        'It changes nothing; what was in force stays.',
+        'Look who wrote it.',
+    )
     LOG_UNAVAILABLE = EventKind(
         'VM3001',
         logging.WARNING,
@@ -188,6 +203,21 @@
         'state, which never goes back.',
         'Restore the log service; see docs/operators/configuration.md.',
     )
+    STORE_LOST = EventKind(
+        'VM3007',
+        logging.WARNING,
+        'store lost: {fault}; configuration {version} stays in force',
+        'Calls to the store fail. Calls go on with what is known; changes '
+        'come from other daemons that still reach it.',
+        'Look at the store and at the way to it.',
+    )
+    STORE_RECOVERED = EventKind(
+        'VM3008',
+        logging.INFO,
+        'store reached again, {calls} calls since the start',
+        'Reads of the store work again.',
+        _NOTHING,
+    )
     PEER_LOST = EventKind(
         'VM4001',
         logging.WARNING,
@@ -227,6 +257,14 @@
         'daemon did. It was ignored.',
         'Nothing while versions are mixed; else look who connects.',
     )
+    MEMBER_CHANGED = EventKind(
+        'VM4006',
+        logging.INFO,
+        'daemon {vm}: instance {instance}, version {version}, {state}',
+        'Another daemon told something new of itself or of its upstream.',
+        _NOTHING,
+        rate=20,
+    )
     MOVE_STAGE = EventKind(
         'VM5001',
         logging.INFO,
@@ -249,6 +287,21 @@
         'The verdict of the move is in force.',
         _NOTHING,
     )
+    MOVE_ORDERED = EventKind(
+        'VM5004',
+        logging.INFO,
+        'move {order} of {service} to {target} ordered, window {window} s',
+        'An operator wants the traffic of a service on another version.',
+        _NOTHING,
+    )
+    VERDICT_NOT_WRITTEN = EventKind(
+        'VM5005',
+        logging.WARNING,
+        'verdict {verdict} of move {move} not written: {fault}',
+        'The store refused or lost the write, or another daemon wrote first. '
+        'It is tried again unless another verdict stands.',
+        'Look at the store if it repeats.',
+    )
     UPSTREAM_CHANGED = EventKind(
         'VM6001',
         logging.INFO,
@@ -279,59 +332,6 @@
         'run, so that callers can go elsewhere.',
         'Nothing for a moment. When it lasts, add upstreams.',
     )
-    SETTINGS_RELOADED = EventKind(
-        'VM1005',
-        logging.INFO,
-        'settings read again: {outcome}',
-        'A signal said that the settings file has changed. Addresses stay as '
-        'they were until the daemon is started again.',
-        'If the outcome names a fault, correct the file.',
-    )
-    MOVE_ORDERED = EventKind(
-        'VM5004',
-        logging.INFO,
-        'move {order} of {service} to {target} ordered, window {window} s',
-        'An operator wants the traffic of a service on another version.',
-        _NOTHING,
-    )
-    VERDICT_NOT_WRITTEN = EventKind(
-        'VM5005',
-        logging.WARNING,
-        'verdict {verdict} of move {move} not written: {fault}',
-        'The store refused or lost the write, or another daemon wrote first. '
-        'It is tried again unless another verdict stands.',
-        'Look at the store if it repeats.',
-    )
-    RECORD_UNREADABLE = EventKind(
-        'VM2009',
-        logging.WARNING,
-        'a published record cannot be read: {reason}',
-        'It changes nothing; what was in force stays.',
-        'Look who wrote it.',
-    )
-    STORE_LOST = EventKind(
-        'VM3007',
-        logging.WARNING,
-        'store lost: {fault}; configuration {version} stays in force',
-        'Calls to the store fail. Calls go on with what is known; changes '
-        'come from other daemons that still reach it.',
-        'Look at the store and at the way to it.',
-    )
-    STORE_RECOVERED = EventKind(
-        'VM3008',
-        logging.INFO,
-        'store reached again, {calls} calls since the start',
-        'Reads of the store work again.',
-        _NOTHING,
-    )
-    MEMBER_CHANGED = EventKind(
-        'VM4006',
-        logging.INFO,
-        'daemon {vm}: instance {instance}, version {version}, {state}',
-        'Another daemon told something new of itself or of its upstream.',
-        _NOTHING,
-        rate=20,
-    )
     UPSTREAM_TOLD = EventKind(
         'VM6005',
         logging.INFO,
@@ -420,10 +420,7 @@
 
 def render_catalogue() -> str:
     """Text of the page with all events."""
-    kinds = sorted(
-        (event.kind for event in Event),
-        key=attrgetter('code'),
-    )
+    kinds = [event.kind for event in Event]
     parts = [_HEADER]
     for chapter, members in groupby(kinds, attrgetter('chapter')):
         parts.append(f'\n## {chapter}\n')
--- a/libs/telemetry/src/verbenamill_telemetry/logs.py
+++ b/libs/telemetry/src/verbenamill_telemetry/logs.py
@@ -48,15 +48,18 @@
     settings: LogForm,
     *,
     stream: Sink = sys.stderr,
+    vm: str = '',
     elapsed: Callable[[], timedelta] = lambda: timedelta(seconds=monotonic()),
 ) -> None:
     """Send all logging of the process to a stream.
 
+    :param vm: stands in each line of JSON, so that logs of several daemons
+        can be read together.
     :param elapsed: monotonic time, for the limit on repeated events.
     """
     as_json = settings.format is LogFormat.JSON
     handler = logging.StreamHandler(stream)
-    handler.setFormatter(_JsonLines() if as_json else _Text())
+    handler.setFormatter(_JsonLines(vm) if as_json else _Text())
     handler.addFilter(_RateLimit(elapsed).filter)
     root = logging.getLogger()
     root.handlers.clear()
@@ -74,6 +77,7 @@
     code: str | None
     message: str
     fields: dict[str, Any] = {}
+    vm: str = ''
 
 
 def _read(record: logging.LogRecord) -> _Line:
@@ -92,8 +96,14 @@
 
 
 class _JsonLines(logging.Formatter):
+    def __init__(self, vm: str) -> None:
+        super().__init__()
+        self._vm = vm
+
     def format(self, record: logging.LogRecord) -> str:
-        return msgspec.json.encode(_read(record), enc_hook=str).decode()
+        line = _read(record)
+        line.vm = self._vm
+        return msgspec.json.encode(line, enc_hook=str).decode()
 
 
 class _Text(logging.Formatter):
