--- a/deploy/tests/test_failures.py
+++ b/deploy/tests/test_failures.py
@@ -18,7 +18,7 @@
         other = await site.add('vm2')
         await site.settled()
         for one in (vm, other):
-            one.upstream.answer = lambda asked: Told(lost=True)
+            one.upstream.script = lambda asked: Told(lost=True)
         answer = await vm.call('/fee/1', method='POST', body=b'5')
         assert answer.status == 502
         assert len(vm.upstream.ran) + len(other.upstream.ran) == 1
@@ -31,8 +31,8 @@
         vm = await site.add('vm1')
         other = await site.add('vm2')
         await site.settled()
-        vm.upstream.answer = lambda asked: Told(lost=True)
-        other.upstream.answer = lambda asked: None
+        vm.upstream.script = lambda asked: Told(lost=True)
+        other.upstream.script = lambda asked: None
         for number in range(3):
             answer = await vm.call(f'/lookup/{number}', id=f'l{number}')
             assert answer.body == f'answer to l{number}'.encode()
@@ -59,7 +59,7 @@
             )
             return Told(raw=extra + right)
 
-        vm.upstream.answer = answer
+        vm.upstream.script = answer
         for number in range(3):
             found = await vm.call(
                 f'/fee/{number}', method='POST', id=f'{number}'
@@ -80,7 +80,7 @@
             b'what is this\r\n\r\n',
         )
         for raw in broken:
-            vm.upstream.answer = lambda asked, raw=raw: Told(raw=raw)
+            vm.upstream.script = lambda asked, raw=raw: Told(raw=raw)
             answer = await vm.call('/fee/1', method='POST')
             assert answer.status == 502
 
@@ -94,7 +94,7 @@
             b'HTTP/1.1 200 OK\r\nX-Attempt-Id: r1\r\nX-Response-Seal: s\r\n'
             b'Connection: close\r\n\r\nto the end'
         )
-        vm.upstream.answer = lambda asked: Told(raw=raw)
+        vm.upstream.script = lambda asked: Told(raw=raw)
         answer = await vm.call('/lookup/1')
         assert (answer.status, answer.body) == (200, b'to the end')
         assert answer.headers['content-length'] == '10'
--- a/deploy/tests/test_moves.py
+++ b/deploy/tests/test_moves.py
@@ -53,7 +53,7 @@
         old, new = await make_versions(site)
         if fails:
             for vm in new:
-                vm.upstream.answer = lambda asked: Told(
+                vm.upstream.script = lambda asked: Told(
                     500,
                     {'X-Response-Seal': 's'},
                     b'',
--- a/deploy/tests/test_path.py
+++ b/deploy/tests/test_path.py
@@ -188,7 +188,7 @@
 def test_an_upstream_failure_goes_back_unchanged(play):
     async def scene(site):
         vm = await site.add('vm1')
-        vm.upstream.answer = lambda asked: Told(
+        vm.upstream.script = lambda asked: Told(
             500,
             {'X-Attempt-Id': 'r1', 'X-Response-Seal': 'bad'},
             b'sorry',
--- a/libs/sidecar/src/verbenamill_sidecar/announcing.py
+++ b/libs/sidecar/src/verbenamill_sidecar/announcing.py
@@ -8,13 +8,13 @@
 from verbenamill_http.server import Request, Response
 from verbenamill_model.typing import UpstreamState
 from verbenamill_policy.heartbeats import Belief, Heartbeat
-from verbenamill_sidecar.ingress import refusal
 from verbenamill_sidecar.owner import OwnUpstream
 from verbenamill_sidecar.protocol import (
     Left,
     NotUnderstood,
     ReadAnnouncement,
 )
+from verbenamill_sidecar.refusing import refusal
 from verbenamill_telemetry import Event, log
 
 
--- a/libs/sidecar/src/verbenamill_sidecar/gossip.py
+++ b/libs/sidecar/src/verbenamill_sidecar/gossip.py
@@ -14,7 +14,6 @@
 
 import msgspec
 import trio
-from msgspec import Struct
 
 from verbenamill_http.addresses import Address, parse_address
 from verbenamill_model.typing import ServiceName, VmId
@@ -26,6 +25,17 @@
     UpstreamRecord,
 )
 from verbenamill_policy.rollouts import Progress, Settled
+from verbenamill_sidecar.datagrams import (
+    Alive,
+    Ask,
+    Compare,
+    Message,
+    Notice,
+    Rumours,
+    Tallies,
+    read_message,
+    write_message,
+)
 from verbenamill_sidecar.feeding import Feeding
 from verbenamill_sidecar.knowledge import Wishes
 from verbenamill_sidecar.peers import ASK_AFTER, LOST_AFTER, Peer, Peers
@@ -49,63 +59,7 @@
 _MAX_DATAGRAM = 65_000
 
 
-class Rumours(Struct, tag='r', array_like=True):
-    """News."""
-
-    members: list[MemberRecord] = []
-    progress: list[Progress] = []
-    settled: list[Settled] = []
-
-
-class Compare(Struct, tag='c', array_like=True):
-    """What the sender knows, in short.
-
-    :param digests: of the parts of its table of members.
-    :param stamp: what the store has told it, in short.
-    :param is_reply: whether it answers one of the receiver's.
-    """
-
-    sender: VmId
-    digests: list[int]
-    stamp: tuple[int, int]
-    progress: list[Progress] = []
-    settled: list[Settled] = []
-    is_reply: bool = False
-
-
-class Notice(Struct, tag='n', array_like=True):
-    """Tells a child in the tree of its zone that all is up to date here.
-
-    :param stamp: what the store has told the sender, in short.
-    """
-
-    sender: VmId
-    stamp: tuple[int, int]
-
-
-class Ask(Struct, tag='a', array_like=True):
-    """Asks for a sign of life."""
-
-    sender: VmId
-
-
-class Alive(Struct, tag='l', array_like=True):
-    """A sign of life."""
-
-    sender: VmId
-
-
-class Tallies(Struct, tag='t', array_like=True):
-    """Counts of an owner, for the decider of a move."""
-
-    tallies: list[Tally]
-
-
-Message = Rumours | Compare | Notice | Ask | Alive | Tallies
-
-_decoder = msgspec.msgpack.Decoder(Message)
 _address_of = lru_cache(maxsize=1024)(parse_address)
-_encoder = msgspec.msgpack.Encoder()
 
 
 class _Rumour:
@@ -435,7 +389,7 @@
                 continue
             self.received += 1
             try:
-                message = _decoder.decode(data)
+                message = read_message(data)
             except msgspec.MsgspecError:
                 log(Event.MESSAGE_UNKNOWN, kind=f'{len(data)} bytes')
                 continue
@@ -525,7 +479,7 @@
             return
         try:
             sock.sendto(
-                _encoder.encode(message),
+                write_message(message),
                 (address.host, address.port),
             )
         except OSError:
--- a/libs/sidecar/src/verbenamill_sidecar/health.py
+++ b/libs/sidecar/src/verbenamill_sidecar/health.py
@@ -4,7 +4,7 @@
 from http import HTTPStatus
 
 from verbenamill_http.server import Request, Response
-from verbenamill_sidecar.ingress import refusal
+from verbenamill_sidecar.refusing import refusal
 
 METRICS_PATH = b'/metrics'
 
--- a/libs/sidecar/src/verbenamill_sidecar/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/ingress.py
@@ -5,7 +5,6 @@
 from http import HTTPStatus
 from random import Random
 
-import msgspec
 import trio
 from msgspec import Struct
 
@@ -24,7 +23,6 @@
     RouteName,
     ServiceName,
     VersionName,
-    VmId,
 )
 from verbenamill_policy.budget import RetryBudget
 from verbenamill_policy.placement import Owner, Wish, choose
@@ -36,7 +34,9 @@
 from verbenamill_sidecar.owner import MAX_ANSWER, OwnUpstream
 from verbenamill_sidecar.peers import Peer, Peers, with_version
 from verbenamill_sidecar.protocol import HeaderNames
+from verbenamill_sidecar.refusing import find_fault, refusal
 from verbenamill_sidecar.stats import CallStats
+from verbenamill_sidecar.tries import Tries
 from verbenamill_telemetry import Event, log
 
 #: Owners asked for room in turn; each takes a round trip, and if three have
@@ -102,7 +102,7 @@
             return call
         self._context.stats.requests += 1
         response = None
-        tries = _Tries()
+        tries = Tries()
         with trio.CancelScope(deadline=call.deadline):
             response = await self._answer(call, tries)
         if response is None:
@@ -172,7 +172,7 @@
             return route.timeout
         return min(int(told[:12]) / 1000, route.timeout)
 
-    async def _answer(self, call: Call, tries: '_Tries') -> Response:
+    async def _answer(self, call: Call, tries: Tries) -> Response:
         budget = self._budgets.setdefault(call.service, RetryBudget())
         budget.earn()
         while tries.hops < MAX_HOPS + tries.reached:
@@ -188,7 +188,7 @@
                 break
         return self._conclude(call, tries)
 
-    def _choose(self, call: Call, tries: '_Tries') -> Peer | None:
+    def _choose(self, call: Call, tries: Tries) -> Peer | None:
         context = self._context
         peers = context.peers.of_service(call.service)
         shares = context.shares(call.service)
@@ -213,7 +213,7 @@
         call: Call,
         peers: list[Peer],
         shares: Shares,
-        tries: '_Tries',
+        tries: Tries,
     ) -> list[Peer]:
         if tries.wants_target is None:
             tries.wants_target = self._versions.wants_target(
@@ -335,7 +335,7 @@
     def _may_repeat(
         self,
         call: Call,
-        tries: '_Tries',
+        tries: Tries,
         budget: RetryBudget,
     ) -> bool:
         """Whether a second upstream may see the request."""
@@ -349,7 +349,7 @@
         self._context.stats.retries += 1
         return True
 
-    def _conclude(self, call: Call, tries: '_Tries') -> Response:
+    def _conclude(self, call: Call, tries: Tries) -> Response:
         answer = tries.answer
         if answer is not None:
             if answer.status >= HTTPStatus.BAD_REQUEST:
@@ -397,7 +397,7 @@
         call: Call,
         outcome: str,
         reason: str,
-        tries: '_Tries',
+        tries: Tries,
     ) -> None:
         stats = self._context.stats
         stats.count(call.service, outcome)
@@ -431,48 +431,6 @@
         )
 
 
-class _Tries:
-    """What has been tried for one request.
-
-    :ivar reached: upstreams that have seen it.
-    """
-
-    def __init__(self) -> None:
-        self.vms: set[VmId] = set()
-        self.hops = 0
-        self.reached = 0
-        self.wants_target: bool | None = None
-        self.answer: Answer | None = None
-        self.may_have_run = False
-        self.reason = ''
-        self.wait = float(0)
-        self.story: list[str] = []
-
-    def add(self, peer: Peer, outcome: Outcome) -> None:
-        """Note one try."""
-        self.vms.add(peer.record.vm)
-        self.hops += 1
-        self.reached += outcome.reached
-        self.story[-1] = f'{peer.record.vm}: {_summary(outcome)}'
-        if outcome.fate is Fate.NOT_RUN:
-            self.reason = self.reason or outcome.reason
-            if outcome.wait:
-                known = self.wait or outcome.wait
-                self.wait = min(known, outcome.wait)
-            return
-        if outcome.fate is Fate.UNKNOWN:
-            self.may_have_run = True
-            self.reason = outcome.reason
-            return
-        self.answer = outcome.answer
-
-
-def _summary(outcome: Outcome) -> str:
-    if outcome.answer is not None:
-        return str(outcome.answer.status)
-    return f'{outcome.fate.value}, {outcome.reason}'
-
-
 def _version(table: RouteTable) -> int:
     return table.configuration.version
 
@@ -503,51 +461,3 @@
         Framing(len(call.body)),
     )
     return head + call.body
-
-
-class _Problem(Struct):
-    """Body of an answer of our own."""
-
-    status: int
-    reason: str
-
-
-def refusal(status: HTTPStatus, reason: str) -> Response:
-    """An answer of our own."""
-    problem = _Problem(status.value, reason)
-    return Response(
-        status=status.value,
-        headers=[(b'content-type', b'application/json')],
-        body=msgspec.json.encode(problem),
-    )
-
-
-def find_fault(head: RequestHead) -> Response | None:
-    """Why a request is refused for its own sake, if it is.
-
-    What two parsers may read in two ways is refused: an upstream that sees
-    other requests than we do can be made to run them unchecked.
-    """
-    if head.version != '1.1':
-        return refusal(
-            HTTPStatus.HTTP_VERSION_NOT_SUPPORTED,
-            f'HTTP/{head.version} is not supported; use HTTP/1.1',
-        )
-    hosts = 0
-    lengths = 0
-    encodings: list[bytes] = []
-    for name, value in head.headers:
-        hosts += name == b'host'
-        lengths += name == b'content-length'
-        if name == b'transfer-encoding':
-            encodings.append(value.lower())
-    if hosts != 1:
-        return refusal(HTTPStatus.BAD_REQUEST, 'send one Host header')
-    if encodings and (encodings != [b'chunked'] or lengths):
-        return refusal(
-            HTTPStatus.BAD_REQUEST,
-            'a body has a length or is chunked, and nothing else',
-        )
-    if not head.target.startswith(b'/'):
-        return refusal(HTTPStatus.BAD_REQUEST, 'the target must be a path')
-    return None
--- a/libs/sidecar/src/verbenamill_sidecar/passed_on.py
+++ b/libs/sidecar/src/verbenamill_sidecar/passed_on.py
@@ -14,10 +14,10 @@
     encode_outcome,
     read_hop,
 )
-from verbenamill_sidecar.ingress import refusal
 from verbenamill_sidecar.knowledge import Knowledge, write_knowledge
 from verbenamill_sidecar.owner import OwnUpstream
 from verbenamill_sidecar.protocol import HeaderNames
+from verbenamill_sidecar.refusing import refusal
 from verbenamill_telemetry import Event, log
 
 Snapshot = Callable[[], Knowledge]
--- /dev/null
+++ b/libs/sidecar/src/verbenamill_sidecar/refusing.py
@@ -0,0 +1,57 @@
+"""Answers of our own, and requests that are refused for their own sake."""
+
+from http import HTTPStatus
+
+import msgspec
+from msgspec import Struct
+
+from verbenamill_http.messages import RequestHead
+from verbenamill_http.server import Response
+
+
+class _Problem(Struct):
+    """Body of an answer of our own."""
+
+    status: int
+    reason: str
+
+
+def refusal(status: HTTPStatus, reason: str) -> Response:
+    """An answer of our own."""
+    problem = _Problem(status.value, reason)
+    return Response(
+        status=status.value,
+        headers=[(b'content-type', b'application/json')],
+        body=msgspec.json.encode(problem),
+    )
+
+
+def find_fault(head: RequestHead) -> Response | None:
+    """Why a request is refused for its own sake, if it is.
+
+    What two parsers may read in two ways is refused: an upstream that sees
+    other requests than we do can be made to run them unchecked.
+    """
+    if head.version != '1.1':
+        return refusal(
+            HTTPStatus.HTTP_VERSION_NOT_SUPPORTED,
+            f'HTTP/{head.version} is not supported; use HTTP/1.1',
+        )
+    hosts = 0
+    lengths = 0
+    encodings: list[bytes] = []
+    for name, value in head.headers:
+        hosts += name == b'host'
+        lengths += name == b'content-length'
+        if name == b'transfer-encoding':
+            encodings.append(value.lower())
+    if hosts != 1:
+        return refusal(HTTPStatus.BAD_REQUEST, 'send one Host header')
+    if encodings and (encodings != [b'chunked'] or lengths):
+        return refusal(
+            HTTPStatus.BAD_REQUEST,
+            'a body has a length or is chunked, and nothing else',
+        )
+    if not head.target.startswith(b'/'):
+        return refusal(HTTPStatus.BAD_REQUEST, 'the target must be a path')
+    return None
--- /dev/null
+++ b/libs/sidecar/src/verbenamill_sidecar/tries.py
@@ -0,0 +1,48 @@
+"""What has been tried for one request, and how that ended."""
+
+from verbenamill_http.client import Answer
+from verbenamill_model.typing import VmId
+from verbenamill_sidecar.call import Fate, Outcome
+from verbenamill_sidecar.peers import Peer
+
+
+class Tries:
+    """What has been tried for one request.
+
+    :ivar reached: upstreams that have seen it.
+    """
+
+    def __init__(self) -> None:
+        self.vms: set[VmId] = set()
+        self.hops = 0
+        self.reached = 0
+        self.wants_target: bool | None = None
+        self.answer: Answer | None = None
+        self.may_have_run = False
+        self.reason = ''
+        self.wait = float(0)
+        self.story: list[str] = []
+
+    def add(self, peer: Peer, outcome: Outcome) -> None:
+        """Note one try."""
+        self.vms.add(peer.record.vm)
+        self.hops += 1
+        self.reached += outcome.reached
+        self.story[-1] = f'{peer.record.vm}: {_summary(outcome)}'
+        if outcome.fate is Fate.NOT_RUN:
+            self.reason = self.reason or outcome.reason
+            if outcome.wait:
+                known = self.wait or outcome.wait
+                self.wait = min(known, outcome.wait)
+            return
+        if outcome.fate is Fate.UNKNOWN:
+            self.may_have_run = True
+            self.reason = outcome.reason
+            return
+        self.answer = outcome.answer
+
+
+def _summary(outcome: Outcome) -> str:
+    if outcome.answer is not None:
+        return str(outcome.answer.status)
+    return f'{outcome.fate.value}, {outcome.reason}'
