--- a/libs/http/src/verbenamill_http/server.py
+++ b/libs/http/src/verbenamill_http/server.py
@@ -296,7 +296,7 @@
                 self._room = trio.Event()
                 await self._room.wait()
             data = await self._read()
-            if not data:
+            if not data or self._has_ended():
                 break
             if self._is_ending:
                 # What comes behind the last request is not read any more.
@@ -320,6 +320,20 @@
             self.waits_since = trio.current_time()
             return data
 
+    def _has_ended(self) -> bool:
+        """Whether the peer has closed behind what was just read.
+
+        A lost packet can hold a request up until its sender has given up;
+        the request and the end then arrive together. Begun, it would reach
+        an upstream long after its caller has left.
+        """
+        try:
+            return not self._sock.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
     def _feed(self, data: bytes) -> Broken | None:
         collector = self._collector
         if collector.is_between:
--- a/libs/http/tests/test_server.py
+++ b/libs/http/tests/test_server.py
@@ -1,5 +1,7 @@
 """What a peer sees of the server: order, limits, ends."""
 
+import socket
+
 import trio
 
 from verbenamill_http.addresses import Address
@@ -28,6 +30,7 @@
     def __init__(self, nursery):
         self.faults = []
         self.cancelled = []
+        self.handled = []
         self.server = HttpServer(
             self.handle,
             limits=lambda: LIMITS,
@@ -40,6 +43,7 @@
 
     async def handle(self, request):
         path = request.head.target
+        self.handled.append(path)
         if path == b'/fault':
             raise RuntimeError('a fault in the handler')
         try:
@@ -104,6 +108,20 @@
     play(scene)
 
 
+def test_a_request_whose_sender_has_gone_already_is_not_begun():
+    # A lost packet holds a request up. Its sender gives up and closes; then
+    # the packet is sent once more, and the request and the end arrive
+    # together. Begun, it would reach an upstream long after its caller left.
+    async def scene(site):
+        with socket.create_connection(('127.0.0.1', site.port)) as sender:
+            sender.sendall(get(b'/quick'))
+            sender.shutdown(socket.SHUT_WR)
+            await trio.sleep(0.2)
+        assert not site.handled
+
+    play(scene)
+
+
 def test_limits_are_told_and_the_connection_closed():
     async def scene(site):
         for data, status in (
