--- a/libs/policy/src/verbenamill_policy/heartbeats.py
+++ b/libs/policy/src/verbenamill_policy/heartbeats.py
@@ -97,6 +97,9 @@
         """
         current = self._current
         if current is None or current.instance != instance:
+            # A daemon that was just started knows no upstream yet. Its word
+            # binds it all the same, and a late heartbeat must not undo it.
+            self._remember(instance, born)
             return False
         if born and born < current.born:
             return False
--- a/libs/policy/tests/test_heartbeats.py
+++ b/libs/policy/tests/test_heartbeats.py
@@ -48,6 +48,17 @@
     assert register.current.state is UpstreamState.GONE
 
 
+def test_a_leave_that_comes_before_any_heartbeat_is_remembered():
+    # The daemon was just started again and knows no upstream. The upstream
+    # says that it ends and is acknowledged; then a heartbeat from before
+    # comes late. Believed, callers would be sent to an upstream that ends.
+    register = UpstreamRegister(ADDRESS)
+    assert not register.leave('i1', 100)
+    assert register.take(beat(9)) is Belief.STALE
+    assert register.current is None
+    assert register.take(beat(1, born=200)) is Belief.NEWS
+
+
 def test_a_successor_under_the_same_id_begins_anew():
     # The upstream crashed and started again under its id; its numbers begin
     # at 1. A heartbeat of the crashed one, held up by a partition, comes
