--- a/libs/sidecar/src/verbenamill_sidecar/daemon.py
+++ b/libs/sidecar/src/verbenamill_sidecar/daemon.py
@@ -88,6 +88,7 @@
                 address=settings.upstream_address,
                 changed=self._tell_upstream,
                 allows=self._allows,
+                wall_ms=lambda: int(context.now().timestamp() * 1000),
                 owners=self._owners_of,
             ),
         )
--- a/libs/sidecar/src/verbenamill_sidecar/owner.py
+++ b/libs/sidecar/src/verbenamill_sidecar/owner.py
@@ -57,6 +57,7 @@
 
     :param changed: told when the upstream is another, or in another state.
     :param allows: whether a version may get requests at all.
+    :param wall_ms: Unix time in milliseconds.
     :param owners: what is believed of the owners of a service.
     """
 
@@ -64,6 +65,7 @@
     address: Address
     changed: Callable[[], None]
     allows: Callable[[UpstreamRecord], bool]
+    wall_ms: Callable[[], int]
     owners: Callable[[ServiceName], list[Owner]]
 
 
@@ -114,7 +116,10 @@
 
     def leave(self, left: Left) -> bool:
         """The upstream ends: it gets no work from now on."""
-        known = self.register.leave(left.instance, left.born)
+        # A leave that tells no start ends every start until now. A late
+        # heartbeat is from before; a successor under the same id starts after.
+        born = left.born or self._context.wall_ms()
+        known = self.register.leave(left.instance, born)
         if known:
             self._adopt()
         return known
