A leave without a start is judged by the register, with tests

Cause: the stand-in for a start that is not told was put in before the register looked at the upstream it knows, so that a clock set back made a leave of the current upstream look older than its start and ignored. Change: the clock is handed to the register, used only for an upstream that it does not know.

--- a/libs/policy/src/verbenamill_policy/heartbeats.py
+++ b/libs/policy/src/verbenamill_policy/heartbeats.py
@@ -90,16 +90,19 @@
             return Belief.KNOWN
         return Belief.NEWS
 
-    def leave(self, instance: str, born: int) -> bool:
+    def leave(self, instance: str, born: int, *, now: int) -> bool:
         """An upstream said that it ends; tells whether it was the current.
 
         :param born: start of the upstream that says so; 0 if not told.
+        :param now: Unix time in milliseconds.
         """
         current = self._current
         if current is None or current.instance != instance:
             # A daemon that was just started knows no upstream yet. Its word
             # binds it all the same, and a late heartbeat must not undo it.
-            self._remember(instance, born)
+            # Without a start every start until now has ended: a heartbeat
+            # that is late tells an earlier one, a successor a later one.
+            self._remember(instance, born or now)
             return False
         if born and born < current.born:
             return False
--- a/libs/policy/tests/test_heartbeats.py
+++ b/libs/policy/tests/test_heartbeats.py
@@ -43,7 +43,7 @@
 def test_a_late_heartbeat_does_not_bring_back_one_that_left():
     register = UpstreamRegister(ADDRESS)
     register.take(beat(1))
-    assert register.leave('i1', 0)
+    assert register.leave('i1', 0, now=500)
     assert register.take(beat(9)) is Belief.STALE
     assert register.current.state is UpstreamState.GONE
 
@@ -53,12 +53,32 @@
     # says that it ends and is acknowledged; then a heartbeat from before
     # comes late. Believed, callers would be sent to an upstream that ends.
     register = UpstreamRegister(ADDRESS)
-    assert not register.leave('i1', 100)
+    assert not register.leave('i1', 100, now=500)
     assert register.take(beat(9)) is Belief.STALE
     assert register.current is None
     assert register.take(beat(1, born=200)) is Belief.NEWS
 
 
+def test_a_leave_without_a_start_ends_every_start_until_now():
+    # As above, but the upstream does not tell when it started. Compared by
+    # its start of 0 the late heartbeat would look newer than the leave, and
+    # callers would be sent to an upstream that ends.
+    register = UpstreamRegister(ADDRESS)
+    assert not register.leave('i1', 0, now=500)
+    assert register.take(beat(9)) is Belief.STALE
+    assert register.current is None
+    assert register.take(beat(1, born=501)) is Belief.NEWS
+
+
+def test_a_leave_of_the_current_binds_while_the_clock_is_set_back():
+    # The clock of the VM is set back behind the start of its upstream. Its
+    # leave tells no start and must end it all the same.
+    register = UpstreamRegister(ADDRESS)
+    register.take(beat(1))
+    assert register.leave('i1', 0, now=50)
+    assert register.current.state is UpstreamState.GONE
+
+
 def test_a_successor_under_the_same_id_begins_anew():
     # The upstream crashed and started again under its id; its numbers begin
     # at 1. A heartbeat of the crashed one, held up by a partition, comes
--- a/libs/sidecar/src/verbenamill_sidecar/owner.py
+++ b/libs/sidecar/src/verbenamill_sidecar/owner.py
@@ -116,10 +116,11 @@
 
     def leave(self, left: Left) -> bool:
         """The upstream ends: it gets no work from now on."""
-        # A leave that tells no start ends every start until now. A late
-        # heartbeat is from before; a successor under the same id starts after.
-        born = left.born or self._context.wall_ms()
-        known = self.register.leave(left.instance, born)
+        known = self.register.leave(
+            left.instance,
+            left.born,
+            now=self._context.wall_ms(),
+        )
         if known:
             self._adopt()
         return known
