A fetch that hangs no longer keeps what other daemons have from coming here

A daemon that is fed had begun to fetch from one of another zone that was then cut off; while that fetch hung (2 s), the notices of its parent were ignored, as only one fetch ran at a time. Ruled out: the parent, which ran the version in time, and the store, which was up. Change: one fetch from each daemon at a time, three in all, the parent's always. Besides, a daemon that hears of news and does not get them reads the store itself after 0.7 s; before, notices alone counted as fed.

--- a/libs/sidecar/src/verbenamill_sidecar/feeding.py
+++ b/libs/sidecar/src/verbenamill_sidecar/feeding.py
@@ -22,6 +22,9 @@
 NOTICE_PERIOD = 0.6
 #: After this long without a word, a daemon reads by itself, in seconds.
 HUNGRY_AFTER = 2.0
+#: A daemon that knows of news and does not get them for this long reads by
+#: itself, in seconds; leaves it time to be in step within the bound of 2 s.
+STARVED_AFTER = 0.7
 
 
 class Feeding:
@@ -34,6 +37,7 @@
         self._rank = 0
         self._children: list[MemberRecord] = []
         self._fed_at = float('-inf')
+        self._starved_since: float | None = None
 
     @property
     def is_reader(self) -> bool:
@@ -48,14 +52,29 @@
         return self._children
 
     def feed(self) -> None:
-        """A parent said that all it runs is up to date."""
+        """A parent has told all that it runs."""
         self._fed_at = trio.current_time()
+        self._starved_since = None
+
+    def starve(self) -> None:
+        """A parent runs something that has not come here yet.
+
+        Its notices may get here while nothing can be fetched from it, as
+        when its port for requests is out of reach. Taken as fed, this
+        daemon would never read by itself and stay behind.
+        """
+        if self._starved_since is None:
+            self._starved_since = trio.current_time()
 
     def must_read(self) -> bool:
         """Whether this daemon has to read the store now."""
         if self.is_reader:
             return True
-        return trio.current_time() - self._fed_at > HUNGRY_AFTER
+        now = trio.current_time()
+        since = self._starved_since
+        if since is not None and now - since > STARVED_AFTER:
+            return True
+        return now - self._fed_at > HUNGRY_AFTER
 
     def _refresh(self) -> None:
         if self._seen == self._table.version:
--- a/libs/sidecar/src/verbenamill_sidecar/following.py
+++ b/libs/sidecar/src/verbenamill_sidecar/following.py
@@ -11,7 +11,7 @@
 from verbenamill_model.typing import VmId
 from verbenamill_sidecar.feeding import NOTICE_PERIOD, Feeding
 from verbenamill_sidecar.hop import FETCH_HEADER
-from verbenamill_sidecar.knowledge import Wishes, read_knowledge
+from verbenamill_sidecar.knowledge import Stamp, Wishes, read_knowledge
 from verbenamill_sidecar.peers import Peer, Peers
 from verbenamill_sidecar.protocol import Published, Store, StoreFault
 from verbenamill_telemetry import Event, log
@@ -35,6 +35,8 @@
 #: Longest answer of another daemon, in bytes, and longest wait, in seconds.
 _MAX_KNOWLEDGE = 16 * 1024 * 1024
 _FETCH_TIMEOUT = 2.0
+#: Fetches at a time, but for the one from the parent.
+_MAX_FETCHES = 3
 
 
 class Follower:
@@ -63,7 +65,7 @@
         self._has_verdicts = False
         self._is_lost = False
         self._is_fed = False
-        self._fetching = False
+        self._fetching: set[VmId] = set()
         self._nursery: trio.Nursery | None = None
         self.read_at = float('-inf')
 
@@ -91,18 +93,26 @@
                 await trio.sleep(pause * (0.5 + self._random.random()))
                 pause = min(pause * 2, LONGEST_PAUSE)
 
-    def is_behind(self, vm: VmId, is_parent: bool) -> None:
+    def is_behind(self, vm: VmId, stamp: Stamp, is_parent: bool) -> None:
         """Another daemon knows more than this one.
 
+        One fetch from each daemon runs at a time, and a few in all: one that
+        hangs, as from a zone that was just cut off, must not keep what
+        others have from coming here. More than a few would all bring the
+        same.
+
+        :param stamp: what it knows, in short.
         :param is_parent: whether it is to feed this one; then there is no
             read of its own to wait for.
         """
-        if self._nursery is None or self._fetching:
+        if self._nursery is None or vm in self._fetching:
+            return
+        if len(self._fetching) >= _MAX_FETCHES and not is_parent:
             return
         peer = self._peers.get(vm)
         if peer is not None:
-            self._fetching = True
-            self._nursery.start_soon(self._fetch, peer, is_parent)
+            self._fetching.add(vm)
+            self._nursery.start_soon(self._fetch, peer, stamp, is_parent)
 
     async def _step(self) -> StoreFault | None:
         if not self._has_verdicts:
@@ -197,16 +207,20 @@
             return self._position is not None and not self._is_lost
         return True
 
-    async def _fetch(self, peer: Peer, is_parent: bool) -> None:
+    async def _fetch(self, peer: Peer, stamp: Stamp, is_parent: bool) -> None:
         """Get from another daemon what the store did not bring in time."""
         try:
             before = self._wishes.stamp
             await trio.sleep(self._head_start(is_parent))
-            if self._wishes.stamp == before:
+            # The store brings the rest as well, if it has brought something.
+            is_served = not is_parent and self._wishes.stamp != before
+            if self._wishes.lacks(stamp) and not is_served:
                 with trio.move_on_after(_FETCH_TIMEOUT):
                     await self._fetch_now(peer)
+                if is_parent and not self._wishes.lacks(stamp):
+                    self._feeding.feed()
         finally:
-            self._fetching = False
+            self._fetching.discard(peer.record.vm)
 
     def _head_start(self, is_parent: bool) -> float:
         if self._wishes.version < 0 or is_parent:
--- a/libs/sidecar/src/verbenamill_sidecar/gossip.py
+++ b/libs/sidecar/src/verbenamill_sidecar/gossip.py
@@ -37,7 +37,7 @@
     write_message,
 )
 from verbenamill_sidecar.feeding import Feeding
-from verbenamill_sidecar.knowledge import Wishes
+from verbenamill_sidecar.knowledge import Stamp, Wishes
 from verbenamill_sidecar.peers import ASK_AFTER, LOST_AFTER, Peer, Peers
 from verbenamill_telemetry import Event, log
 
@@ -84,8 +84,8 @@
     """Keeps the tables of all daemons alike.
 
     :param recall: told what others remember of the own upstream.
-    :param behind: told of a daemon that knows more, and whether it is the
-        one that is to feed this one.
+    :param behind: told of a daemon that knows more, what it knows in short,
+        and whether it is the one that is to feed this one.
     :param counted: told of the counts of other owners.
     """
 
@@ -98,7 +98,7 @@
         wishes: Wishes,
         random: Random,
         recall: Callable[[UpstreamRecord], None],
-        behind: Callable[[VmId, bool], None],
+        behind: Callable[[VmId, Stamp, bool], None],
         feeding: Feeding,
         counted: Callable[[Tally], None],
     ) -> None:
@@ -421,9 +421,11 @@
 
     def _take_notice(self, message: Notice) -> None:
         self._hear(message.sender)
-        self._feeding.feed()
         if self._wishes.lacks(message.stamp):
-            self._behind(message.sender, True)
+            self._feeding.starve()
+            self._behind(message.sender, message.stamp, True)
+        else:
+            self._feeding.feed()
 
     def _take_rumours(self, message: Rumours) -> None:
         self.take_members(message.members)
@@ -454,7 +456,7 @@
             self._introduce(source)
             return
         if self._wishes.lacks(message.stamp):
-            self._behind(message.sender, False)
+            self._behind(message.sender, message.stamp, False)
         digests = self._table.digests
         if len(message.digests) != BUCKETS:
             return
--- a/libs/sidecar/src/verbenamill_sidecar/knowledge.py
+++ b/libs/sidecar/src/verbenamill_sidecar/knowledge.py
@@ -20,6 +20,11 @@
 from verbenamill_telemetry import Event, log
 
 
+#: What the store has told, in short: version of the configuration and number
+#: of the newest order.
+Stamp = tuple[int, int]
+
+
 class Knowledge(Struct, kw_only=True):
     """All of it, as one daemon gives it to another."""
 
@@ -84,11 +89,11 @@
         )
 
     @property
-    def stamp(self) -> tuple[int, int]:
+    def stamp(self) -> Stamp:
         """What the store has told, in short; it only grows."""
         return self.version, self.newest_order
 
-    def lacks(self, stamp: tuple[int, int]) -> bool:
+    def lacks(self, stamp: Stamp) -> bool:
         """Whether another daemon knows something that this one does not."""
         return stamp[0] > self.version or stamp[1] > self.newest_order
 
--- a/libs/sidecar/tests/test_feeding.py
+++ b/libs/sidecar/tests/test_feeding.py
@@ -9,6 +9,7 @@
     FANOUT,
     HUNGRY_AFTER,
     READERS,
+    STARVED_AFTER,
     Feeding,
 )
 
@@ -78,3 +79,28 @@
         assert hungry.must_read()
 
     trio.run(scene, clock=MockClock(autojump_threshold=0))
+
+
+def test_who_hears_of_news_and_does_not_get_them_reads_by_itself():
+    # Notices of the parent get through, and its port for requests does not
+    # answer. Taken as fed, the child would run an old configuration for as
+    # long as that lasts.
+    async def scene():
+        table = make_table(10)
+        starved = next(
+            feeding
+            for feeding in (Feeding(table, f'a{n}') for n in range(10))
+            if not feeding.is_reader
+        )
+        starved.feed()
+        starved.starve()
+        assert not starved.must_read()
+        await trio.sleep(STARVED_AFTER / 2)
+        starved.starve()
+        assert not starved.must_read()
+        await trio.sleep(STARVED_AFTER / 2 + 0.1)
+        assert starved.must_read()
+        starved.feed()
+        assert not starved.must_read()
+
+    trio.run(scene, clock=MockClock(autojump_threshold=0))
--- a/libs/sidecar/tests/test_gossip.py
+++ b/libs/sidecar/tests/test_gossip.py
@@ -43,7 +43,7 @@
             wishes=self.wishes,
             random=Random(vm),
             recall=self.recalled.append,
-            behind=lambda vm, is_parent: self.behind.append(vm),
+            behind=lambda vm, stamp, is_parent: self.behind.append(vm),
             feeding=Feeding(self.table, vm),
             counted=lambda tally: None,
         )
