A soak of real daemons under random faults

verbenamill-soak starts daemons as processes against the stand-ins of the platform and plays troubles drawn from a seed: signals (stop, pause, kill, reload), clocks set back, relays on loopback that cut, silence, reset, delay or pass one way only, a store that is down, silent, forgets or loses answers, upstreams that drain, leave untold or die, moves to good and bad versions. Promises are checked while it runs from what callers and upstreams see. Each promise has a test in which it is broken. So that relays can stand between daemons, settings may tell another address to the others ([advertise]).

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The two commands a newcomer needs are `make demo` and `make test`.
 VENV := .venv
 BIN := $(VENV)/bin
-LIBS := telemetry http model runtime policy sidecar mesh moves calls daemon cli standins bench
+LIBS := telemetry http model runtime policy sidecar mesh moves calls daemon cli standins bench soak
 EDITABLE := $(foreach lib,$(LIBS),-e libs/$(lib)) -e platform -e platform/standins -e deploy/node
 SOURCES := $(foreach lib,$(LIBS),libs/$(lib)/src) platform/src platform/standins/src deploy/node/src
 STAMP := $(VENV)/.installed
--- a/libs/sidecar/src/verbenamill_sidecar/daemon.py
+++ b/libs/sidecar/src/verbenamill_sidecar/daemon.py
@@ -169,8 +169,8 @@
             incarnation=int(self._context.now().timestamp() * 1000),
             sequence=0,
             availability_zone=settings.vm.availability_zone,
-            calls=settings.listen.daemons,
-            gossip=settings.listen.gossip,
+            calls=settings.advertise.daemons or settings.listen.daemons,
+            gossip=settings.advertise.gossip or settings.listen.gossip,
         )
 
     def _make_servers(self) -> tuple[HttpServer, ...]:
--- a/libs/sidecar/src/verbenamill_sidecar/settings.py
+++ b/libs/sidecar/src/verbenamill_sidecar/settings.py
@@ -49,6 +49,17 @@
     health: Annotated[str, OneAddress]
 
 
+class AdvertiseSettings(Struct, frozen=True, kw_only=True):
+    """Where other daemons reach this one, if not where it listens.
+
+    :param daemons: for requests that they pass on; empty: as listened on.
+    :param gossip: for datagrams; empty: as listened on.
+    """
+
+    daemons: Annotated[str, OneAddress] = ''
+    gossip: Annotated[str, OneAddress] = ''
+
+
 class UpstreamSettings(Struct, frozen=True, kw_only=True):
     """Where the own upstream listens."""
 
@@ -84,6 +95,7 @@
     listen: ListenSettings
     upstream: UpstreamSettings
     store: StoreSettings
+    advertise: AdvertiseSettings = AdvertiseSettings()
     stop: StopSettings = StopSettings()
     logging: LoggingSettings = LoggingSettings()
 
--- /dev/null
+++ b/libs/soak/src/verbenamill_soak/__init__.py
@@ -0,0 +1,1 @@
+"""Soak: real daemons as processes, faults from outside, promises checked."""
--- /dev/null
+++ b/libs/soak/src/verbenamill_soak/plan.py
@@ -0,0 +1,102 @@
+"""What happens in a run, drawn from a seed before anything starts."""
+
+from enum import Enum, unique
+from random import Random
+
+from msgspec import Struct
+
+
+@unique
+class Kind(Enum):
+    """A trouble that comes from outside the daemons.
+
+    :cvar STOP: SIGTERM, and a new start after the end.
+    :cvar CLOCK: killed and started with a clock that is set back.
+    :cvar DRAIN: the upstream drains, leaves and is replaced.
+    :cvar UNTOLD: it leaves without saying before that it drains.
+    :cvar REPLACE: the upstream dies and another one takes its address.
+    :cvar STORE_LOSES: writes take effect and their answers are lost.
+    """
+
+    KILL = 'kill'
+    STOP = 'stop'
+    PAUSE = 'pause'
+    RELOAD = 'reload'
+    CLOCK = 'clock'
+    CUT_STORE = 'cut-store'
+    CUT_PEERS = 'cut-peers'
+    CUT_ONE_WAY = 'cut-one-way'
+    SLOW_PEERS = 'slow-peers'
+    RESET_PEERS = 'reset-peers'
+    RESET_UPSTREAM = 'reset-upstream'
+    SILENT_UPSTREAM = 'silent-upstream'
+    DRAIN = 'drain'
+    UNTOLD = 'untold'
+    REPLACE = 'replace'
+    STORE_DOWN = 'store-down'
+    STORE_SILENT = 'store-silent'
+    STORE_LOSES = 'store-loses'
+    STORE_COMPACT = 'store-compact'
+    CONFIGURE = 'configure'
+    ORDER = 'order'
+
+
+#: Troubles that touch the store or the wishes and so no single VM.
+GLOBAL = frozenset(
+    (
+        Kind.STORE_DOWN,
+        Kind.STORE_SILENT,
+        Kind.STORE_LOSES,
+        Kind.STORE_COMPACT,
+        Kind.CONFIGURE,
+        Kind.ORDER,
+    ),
+)
+#: Changes come often; the rest is drawn evenly.
+_WEIGHTS = {Kind.CONFIGURE: 4, Kind.STOP: 2, Kind.DRAIN: 2}
+#: Longest trouble, and longest pause within a series, in seconds.
+_LONGEST = 3.0
+_LONGEST_GAP = 1.0
+_MOST_REPEATS = 4
+#: Troubles begun in each second of a run, for each VM; series overlap.
+_RATE = 0.12
+
+
+class Trouble(Struct, frozen=True, kw_only=True):
+    """One trouble of a run.
+
+    :param at: seconds from the begin of the traffic.
+    :param vm: place of the VM that it touches; -1 where it is global.
+    :param lasts: seconds until it is lifted, where that fits.
+    :param draw: decides what the kind leaves open.
+    """
+
+    at: float
+    kind: Kind
+    vm: int
+    lasts: float
+    draw: int
+
+
+def draw_plan(seed: int, *, vms: int, seconds: float) -> list[Trouble]:
+    """Draw the troubles of a run, in order of time."""
+    random = Random(seed)
+    kinds = list(Kind)
+    weights = [_WEIGHTS.get(kind, 1) for kind in kinds]
+    found: list[Trouble] = []
+    wanted = max(4, int(seconds * vms * _RATE))
+    while len(found) < wanted:
+        kind = random.choices(kinds, weights)[0]
+        at = random.uniform(0, seconds)
+        for _ in range(random.choice((1, 1, 1, 2, _MOST_REPEATS))):
+            found.append(
+                Trouble(
+                    at=round(at, 2),
+                    kind=kind,
+                    vm=-1 if kind in GLOBAL else random.randrange(vms),
+                    lasts=round(random.uniform(0.2, _LONGEST), 2),
+                    draw=random.randrange(1 << 16),
+                ),
+            )
+            at = min(at + random.uniform(0, _LONGEST_GAP), seconds)
+    return sorted(found, key=lambda trouble: trouble.at)
--- /dev/null
+++ b/libs/soak/src/verbenamill_soak/relays.py
@@ -0,0 +1,214 @@
+"""Relays on loopback that delay, reset, cut or silence what passes them."""
+
+import socket
+import struct
+from collections.abc import Iterator
+from contextlib import contextmanager
+from enum import Enum, unique
+
+import trio
+
+#: Where a datagram comes from: host and port.
+Source = tuple[str, int]
+
+_HOST = '127.0.0.1'
+_CHUNK = 65_536
+#: With this a close sends a reset in place of an end.
+_RESET = struct.pack('ii', 1, 0)
+
+
+@unique
+class Way(Enum):
+    """What a relay does with what arrives.
+
+    :cvar ONE_WAY: what comes from the side that opened the connection
+        passes, answers do not.
+    """
+
+    OPEN = 'open'
+    REFUSED = 'refused'
+    SILENT = 'silent'
+    ONE_WAY = 'one-way'
+
+
+class Switch:
+    """State that the relays of one link share.
+
+    :ivar delay: added to each chunk or datagram, in seconds.
+    """
+
+    def __init__(self) -> None:
+        self.way = Way.OPEN
+        self.delay = float(0)
+        self._changed = trio.Event()
+        self._links: set[trio.CancelScope] = set()
+        self._streams: set[trio.SocketStream] = set()
+
+    def set(self, way: Way) -> None:
+        """Change the way; waits that depend on it look again."""
+        self.way = way
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def reset(self) -> None:
+        """Reset all open connections."""
+        for stream in self._streams:
+            _set_reset(stream)
+        for scope in self._links:
+            scope.cancel()
+
+    @contextmanager
+    def link(self, *streams: trio.SocketStream) -> Iterator[None]:
+        """A connection that :meth:`reset` ends."""
+        with trio.CancelScope() as scope:
+            self._links.add(scope)
+            self._streams.update(streams)
+            try:
+                yield
+            finally:
+                self._links.discard(scope)
+                self._streams.difference_update(streams)
+
+    async def pass_on(self, *, is_answer: bool) -> None:
+        """Wait until a chunk may pass."""
+        while self.way is Way.SILENT or (self.way is Way.ONE_WAY and is_answer):
+            await self._changed.wait()
+        if self.delay:
+            await trio.sleep(self.delay)
+
+    def drops(self, *, is_answer: bool) -> bool:
+        """Whether a datagram is lost."""
+        if self.way is Way.OPEN:
+            return False
+        return self.way is not Way.ONE_WAY or is_answer
+
+
+class TcpRelay:
+    """Relays connections to a target, which may change.
+
+    :ivar address: where it listens.
+    """
+
+    def __init__(self, switch: Switch, target: str = '') -> None:
+        self.target = target
+        self.address = ''
+        self._switch = switch
+
+    async def serve(
+        self,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Relay until cancelled."""
+        listeners = await trio.open_tcp_listeners(0, host=_HOST)
+        self.address = f'{_HOST}:{listeners[0].socket.getsockname()[1]}'
+        task_status.started()
+        await trio.serve_listeners(self._relay, listeners)
+
+    async def _relay(self, near: trio.SocketStream) -> None:
+        host, port = self.target.rsplit(':', 1)
+        if self._switch.way is Way.REFUSED:
+            _set_reset(near)
+            await trio.aclose_forcefully(near)
+            return
+        try:
+            far = await trio.open_tcp_stream(host, int(port))
+        except OSError:
+            _set_reset(near)
+            await trio.aclose_forcefully(near)
+            return
+        async with near, far:
+            with self._switch.link(near, far):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._pass, near, far, False)
+                    nursery.start_soon(self._pass, far, near, True)
+
+    async def _pass(
+        self,
+        source: trio.SocketStream,
+        sink: trio.SocketStream,
+        is_answer: bool,
+    ) -> None:
+        try:
+            async for chunk in source:
+                await self._switch.pass_on(is_answer=is_answer)
+                await sink.send_all(chunk)
+            await self._switch.pass_on(is_answer=is_answer)
+            await sink.send_eof()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            # A reset passes as a reset, in both directions.
+            _set_reset(source)
+            _set_reset(sink)
+            await trio.aclose_forcefully(source)
+            await trio.aclose_forcefully(sink)
+
+
+class UdpRelay:
+    """Relays datagrams to a target, and the replies back."""
+
+    def __init__(self, switch: Switch, target: str) -> None:
+        self._switch = switch
+        host, port = target.rsplit(':', 1)
+        self._target = (host, int(port))
+        self._front = trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self._back: dict[Source, trio.socket.SocketType] = {}
+        self.address = ''
+
+    async def bind(self) -> None:
+        """Open the socket that others send to."""
+        await self._front.bind((_HOST, 0))
+        self.address = f'{_HOST}:{self._front.getsockname()[1]}'
+
+    async def serve(self) -> None:
+        """Relay until cancelled."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                data, source = await self._front.recvfrom(_CHUNK)
+                if self._switch.drops(is_answer=False):
+                    continue
+                back = self._back.get(source)
+                if back is None:
+                    back = trio.socket.socket(
+                        socket.AF_INET,
+                        socket.SOCK_DGRAM,
+                    )
+                    await back.bind((_HOST, 0))
+                    self._back[source] = back
+                    nursery.start_soon(self._reply, back, source)
+                if self._switch.delay:
+                    await trio.sleep(self._switch.delay)
+                await _send(back, data, self._target)
+
+    async def _reply(
+        self,
+        back: trio.socket.SocketType,
+        source: Source,
+    ) -> None:
+        while True:
+            try:
+                data, _ = await back.recvfrom(_CHUNK)
+            except OSError:
+                # The kernel tells that an earlier datagram found nobody.
+                continue
+            if not self._switch.drops(is_answer=True):
+                await _send(self._front, data, source)
+
+
+async def _send(
+    sock: trio.socket.SocketType,
+    data: bytes,
+    to: Source,
+) -> None:
+    try:
+        await sock.sendto(data, to)
+    except OSError:
+        # Lost on its way, as datagrams may be.
+        return
+
+
+def _set_reset(stream: trio.SocketStream) -> None:
+    try:
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+    except (OSError, trio.ClosedResourceError):
+        # Closed already, so there is nothing left to reset.
+        return
--- /dev/null
+++ b/libs/soak/tests/test_promises.py
@@ -0,0 +1,289 @@
+"""Each promise is found broken when it is, and kept when it is."""
+
+import json
+
+import pytest
+import trio
+from trio.testing import MockClock
+
+from verbenamill_platform_standins import StoreStandIn
+from verbenamill_platform_standins.upstream import Ran
+from verbenamill_soak.callers import Asked, Ending
+from verbenamill_soak.nodes import DRAIN_TIME, Upstream
+from verbenamill_soak.promises import BACK_LIMIT, Promises
+from verbenamill_soak.site import Order
+from verbenamill_soak.timeline import Timeline
+
+
+class FakeCaller:
+    """What a caller has seen."""
+
+    def __init__(self):
+        self.asked = []
+
+
+class FakeNode:
+    """A VM whose daemon runs."""
+
+    def __init__(self):
+        self.name = 'vm0'
+        self.upstreams = [Upstream(instance='i-0'), Upstream(instance='i-1')]
+        self.harmed_at = float('-inf')
+        self.lives = 1
+        self.is_paused = False
+        self.has_ended = False
+        self.is_expected_to_end = False
+        self.log = None
+
+
+class FakeSite:
+    """What promises look at."""
+
+    def __init__(self):
+        self.timeline = Timeline()
+        self.store = StoreStandIn()
+        self.nodes = [FakeNode()]
+        self.callers = [FakeCaller()]
+        self.published = {1: -100.0}
+        self.orders = {}
+        self.calm = True
+
+    def is_calm(self, node, since):
+        return self.calm
+
+    def ran(self, id, *, place=0, at=1.0):
+        ran = Ran(id=id, method='GET', path='/', body=b'', headers={}, at=at)
+        self.nodes[0].upstreams[place].ran.append(ran)
+
+    def asked(self, id, **more):
+        body = more.pop('body', f'answer to {id}'.encode())
+        fields = {
+            'id': id,
+            'vm': 'vm0',
+            'life': 1,
+            'path': '/lookup/',
+            'is_fee': False,
+            'sent_at': 1.0,
+            'ended_at': 1.1,
+            'ending': Ending.ANSWERED,
+            'status': 200,
+            'body': body,
+            'seal': b's',
+        }
+        self.callers[0].asked.append(Asked(**(fields | more)))
+
+    def status(self, order, state):
+        record = json.dumps({'order': order, 'state': state}).encode()
+        self.store.topic('keyed.status').append('rollout/entries', record)
+
+
+@pytest.fixture
+def broken():
+    """Names of the promises that a scene breaks."""
+
+    def find(act):
+        async def main():
+            site = FakeSite()
+            promises = Promises(site)
+            act(site)
+            promises.look()
+            promises.look()
+            return [one.promise for one in site.timeline.broken]
+
+        return trio.run(main, clock=MockClock())
+
+    return find
+
+
+def test_a_good_answer_breaks_nothing(broken):
+    def act(site):
+        site.ran('a')
+        site.asked('a', is_fee=True)
+
+    assert broken(act) == []
+
+
+def test_an_answer_to_another_request(broken):
+    assert broken(lambda site: site.asked('a', body=b'answer to b')) == [
+        'the own whole answer',
+    ]
+
+
+def test_a_cut_answer_that_looks_whole(broken):
+    assert broken(lambda site: site.asked('a', body=b'answer')) == [
+        'the own whole answer',
+    ]
+
+
+def test_a_fee_that_ran_twice(broken):
+    def act(site):
+        site.asked('a', is_fee=True)
+        site.ran('a')
+        site.ran('a', place=1)
+
+    assert broken(act) == ['at most once']
+
+
+def test_a_lookup_may_run_twice(broken):
+    def act(site):
+        site.asked('a')
+        site.ran('a')
+        site.ran('a', place=1)
+
+    assert broken(act) == []
+
+
+@pytest.mark.parametrize('status', [408, 421, 429, 503])
+def test_a_refused_fee_that_has_run(broken, status):
+    def act(site):
+        site.asked('a', is_fee=True, status=status)
+        site.ran('a')
+
+    assert broken(act) == ['not run is true']
+
+
+def test_a_refused_fee_that_runs_later(broken):
+    # The refusal is looked at first, the run comes afterwards.
+    async def main():
+        site = FakeSite()
+        promises = Promises(site)
+        site.asked('a', is_fee=True, status=503)
+        promises.look()
+        assert site.timeline.broken == []
+        site.ran('a')
+        promises.look()
+        return [one.promise for one in site.timeline.broken]
+
+    assert trio.run(main, clock=MockClock()) == ['not run is true']
+
+
+def test_work_after_the_word_to_leave(broken):
+    def act(site):
+        site.nodes[0].upstreams[0].acked_at = 10
+        site.ran('a', at=10 + DRAIN_TIME - 0.1)
+        site.ran('b', at=10 + DRAIN_TIME + 0.1)
+
+    assert broken(act) == ['who leaves gets no work']
+
+
+def test_a_request_that_ran_and_was_cut(broken):
+    def act(site):
+        site.ran('a')
+        site.asked('a', ending=Ending.CUT, status=0)
+
+    assert broken(act) == ['nothing is cut']
+
+
+def test_a_request_cut_by_a_kill_or_never_passed_on(broken):
+    def act(site):
+        site.nodes[0].harmed_at = 1.05
+        site.ran('a')
+        site.asked('a', ending=Ending.CUT, status=0)
+        site.asked('b', ending=Ending.CUT, status=0, sent_at=1.06)
+
+    assert broken(act) == []
+
+
+def test_no_answer(broken):
+    def act(site):
+        site.asked('a', ending=Ending.NO_ANSWER, status=0)
+
+    assert broken(act) == ['an answer in time']
+
+
+def test_a_false_404(broken):
+    assert broken(lambda site: site.asked('a', status=404)) == ['no false 404']
+
+
+def test_a_configuration_that_goes_back(broken):
+    def act(site):
+        site.calm = False
+        site.published = {1: -100.0, 2: 0.5}
+        site.asked('a', path='/v2/')
+        site.asked('b', path='/v2/', status=404, sent_at=1.2, ended_at=1.3)
+
+    assert broken(act) == ['never back']
+
+
+def test_a_new_life_may_begin_without_the_newest(broken):
+    def act(site):
+        site.calm = False
+        site.published = {1: -100.0, 2: 0.5}
+        site.asked('a', path='/v2/')
+        site.asked(
+            'b',
+            path='/v2/',
+            status=404,
+            sent_at=1.2,
+            ended_at=1.3,
+            life=2,
+        )
+
+    assert broken(act) == []
+
+
+def test_a_configuration_that_is_late(broken):
+    def act(site):
+        site.published = {1: -100.0, 2: 0.5}
+        site.asked('a', path='/v2/', status=404, sent_at=2.4, ended_at=2.45)
+        site.asked('b', path='/v2/', status=404, sent_at=2.6, ended_at=2.65)
+
+    assert broken(act) == ['in force in time']
+
+
+def test_a_route_that_was_dropped_may_be_missing(broken):
+    def act(site):
+        site.published = {number: -100.0 for number in range(1, 9)}
+        site.asked('a', path='/v1/', status=404)
+
+    assert broken(act) == []
+
+
+def test_a_daemon_that_ends_by_itself(broken):
+    def act(site):
+        site.nodes[0].has_ended = True
+
+    assert broken(act) == ['a daemon ends only when told']
+
+
+def test_two_verdicts(broken):
+    def act(site):
+        site.orders = {3: Order('v2', False)}
+        site.status(3, 'running')
+        site.status(3, 'complete')
+        site.status(3, 'rolled_back')
+
+    assert broken(act) == ['one verdict']
+
+
+def test_a_bad_version_that_is_told_done(broken):
+    def act(site):
+        site.orders = {3: Order('v2', True)}
+        site.status(3, 'complete')
+
+    assert broken(act) == ['bad is not done']
+
+
+def test_a_version_taken_back_that_still_gets_requests(broken):
+    def act(site):
+        site.orders = {3: Order('v2', True)}
+        site.nodes[0].upstreams[1].version = 'v2'
+        site.status(3, 'rolled_back')
+
+    async def main():
+        site = FakeSite()
+        promises = Promises(site)
+        act(site)
+        promises.look()
+        verdict = trio.current_time()
+        site.ran('a', place=1, at=verdict + BACK_LIMIT - 0.1)
+        site.ran('b', place=0, at=verdict + BACK_LIMIT + 0.1)
+        promises.look()
+        assert site.timeline.broken == []
+        site.ran('c', place=1, at=verdict + BACK_LIMIT + 0.1)
+        promises.look()
+        return [one.promise for one in site.timeline.broken]
+
+    assert trio.run(main, clock=MockClock()) == [
+        'a version taken back gets nothing',
+    ]
