verbenamill fleet: daemons and moves on a platform

status lists every daemon of the store with its upstream and asks each for the configuration that it runs (in step, behind, out of reach); moves lists the newest order of each service and its verdict. Fetching what another daemon knows is one function now, used by daemons too.

--- /dev/null
+++ b/deploy/tests/test_fleet.py
@@ -0,0 +1,92 @@
+"""What operators are shown of a site: daemons in step, behind, cut off."""
+
+from verbenamill_cli.errors import ExitCode
+from verbenamill_cli.fleet import find_fleet, find_moves
+from verbenamill_http.addresses import parse_address
+from verbenamill_platform import PlatformStore
+
+
+def open_store(site):
+    return PlatformStore(parse_address(site.store.address))
+
+
+def test_daemons_that_run_what_was_published(play):
+    async def scene(site):
+        await site.add('vm1')
+        await site.add('vm2', zone='z2', version='v2')
+        await site.settled()
+        await site.in_force(1)
+        report = (await find_fleet(open_store(site))).unwrap()
+        assert report.code is ExitCode.OK
+        assert report.lines[:2] == (
+            'configuration published: 1',
+            'daemons: 2, in step: 2',
+        )
+        rows = [line.split() for line in report.lines[3:]]
+        assert rows == [
+            ['vm1', 'z1', 'entries', 'v1', 'ready', 'in', 'step'],
+            ['vm2', 'z2', 'entries', 'v2', 'ready', 'in', 'step'],
+        ]
+
+    play(scene)
+
+
+def test_a_daemon_that_was_killed_is_out_of_reach(play):
+    # Its record stays in the store; an operator must not read it as one
+    # that runs.
+    async def scene(site):
+        await site.add('vm1')
+        gone = await site.add('vm2')
+        await site.settled()
+        await gone.kill()
+        report = (await find_fleet(open_store(site))).unwrap()
+        assert report.code is ExitCode.LAGGING
+        assert report.lines[-1].endswith('out of reach')
+
+    play(scene)
+
+
+def test_a_daemon_that_hears_no_news_is_behind(play, kit):
+    async def scene(site):
+        vm = await site.add('vm1')
+        await site.in_force(1)
+        await vm.daemon._context.store.close()
+        vm.daemon._follower._wishes.take_configuration = lambda *_: False
+        site.store.operate('config', kit.document(2))
+        report = (await find_fleet(open_store(site))).unwrap()
+        assert report.code is ExitCode.LAGGING
+        assert report.lines[-1].endswith('1, behind')
+
+    play(scene)
+
+
+def test_moves_with_and_without_a_verdict(play):
+    async def scene(site):
+        site.store.operate(
+            'rollout/entries',
+            {'service': 'entries', 'targetVersion': 'v2', 'durationS': 12},
+        )
+        store = open_store(site)
+        report = (await find_moves(store)).unwrap()
+        assert report.lines[1].split() == [
+            *('entries', '1', 'v2', '12', 's', 'no', 'verdict', 'yet'),
+        ]
+        site.store.topic('keyed.status').append(
+            'rollout/entries',
+            b'{"state": "rolled_back", "targetVersion": "v2", "order": 1}',
+        )
+        report = (await find_moves(store)).unwrap()
+        assert report.lines[1].endswith('taken-back')
+
+    play(scene)
+
+
+def test_a_store_that_is_down_is_told(play):
+    async def scene(site):
+        site.store.is_down = True
+        error = (await find_fleet(open_store(site))).failure()
+        assert error.code is ExitCode.UNAVAILABLE
+        error = (await find_moves(open_store(site))).failure()
+        assert error.code is ExitCode.UNAVAILABLE
+
+    play(scene)
--- a/libs/cli/src/verbenamill_cli/main.py
+++ b/libs/cli/src/verbenamill_cli/main.py
@@ -9,6 +9,7 @@
 from verbenamill_cli.checks import check_file
 from verbenamill_cli.errors import ExitCode
 from verbenamill_cli.explain import explain
+from verbenamill_cli.fleet_commands import app as fleet_app
 from verbenamill_cli.history import read_history
 from verbenamill_cli.move_commands import app as move_app
 from verbenamill_cli.options import (
@@ -47,6 +48,7 @@
 _config_app = typer.Typer(help='Settings of daemons.', no_args_is_help=True)
 app.add_typer(ticket_app, name='ticket')
 app.add_typer(move_app, name='move')
+app.add_typer(fleet_app, name='fleet')
 app.add_typer(_config_app, name='config')
 app.command('status')(status)
 
--- /dev/null
+++ b/libs/sidecar/src/verbenamill_sidecar/fetching.py
@@ -0,0 +1,35 @@
+"""Asking another daemon for all that it knows of the operators' wishes."""
+
+from verbenamill_http.client import Answer, Fault, Pool
+from verbenamill_http.messages import EMPTY, encode_request
+from verbenamill_sidecar.hop import FETCH_HEADER
+from verbenamill_sidecar.knowledge import Knowledge, read_knowledge
+
+#: Longest answer of another daemon, in bytes: some ten thousand routes.
+_MAX_KNOWLEDGE = 16 * 1024 * 1024
+
+
+async def fetch_knowledge(pool: Pool) -> Knowledge | None:
+    """Ask a daemon; ``None`` if it cannot be reached or understood."""
+    connection = await pool.take()
+    if connection is None:
+        return None
+    request = encode_request(
+        b'GET',
+        b'/',
+        [(b'host', b'verbenamill'), (FETCH_HEADER, b'all')],
+        EMPTY,
+    )
+    answer: Answer | Fault | None = None
+    try:
+        answer = await connection.exchange(
+            request,
+            is_ours=lambda _: True,
+            is_bodiless=False,
+            max_body=_MAX_KNOWLEDGE,
+        )
+    finally:
+        pool.discard(connection)
+    if isinstance(answer, Answer):
+        return read_knowledge(answer.body)
+    return None
--- a/libs/sidecar/src/verbenamill_sidecar/following.py
+++ b/libs/sidecar/src/verbenamill_sidecar/following.py
@@ -6,12 +6,10 @@
 import trio
 from returns.result import Failure, Result, Success
 
-from verbenamill_http.client import Answer
-from verbenamill_http.messages import EMPTY, encode_request
 from verbenamill_model.typing import VmId
 from verbenamill_sidecar.feeding import NOTICE_PERIOD, Feeding
-from verbenamill_sidecar.hop import FETCH_HEADER
-from verbenamill_sidecar.knowledge import Stamp, Wishes, read_knowledge
+from verbenamill_sidecar.fetching import fetch_knowledge
+from verbenamill_sidecar.knowledge import Stamp, Wishes
 from verbenamill_sidecar.peers import Peer, Peers
 from verbenamill_sidecar.protocol import Published, Store, StoreFault
 from verbenamill_telemetry import Event, log
@@ -32,8 +30,7 @@
 _FED_PAUSE = 0.2
 #: How often it is looked for something new to tell the children, in s.
 _NEWS_PERIOD = 0.05
-#: Longest answer of another daemon, in bytes, and longest wait, in seconds.
-_MAX_KNOWLEDGE = 16 * 1024 * 1024
+#: Longest wait for another daemon's answer, in seconds.
 _FETCH_TIMEOUT = 2.0
 #: Fetches at a time, but for the one from the parent.
 _MAX_FETCHES = 3
@@ -228,26 +225,6 @@
         return _HEAD_START
 
     async def _fetch_now(self, peer: Peer) -> None:
-        connection = await peer.pool.take()
-        if connection is None:
-            return
-        request = encode_request(
-            b'GET',
-            b'/',
-            [(b'host', b'verbenamill'), (FETCH_HEADER, b'all')],
-            EMPTY,
-        )
-        answer = None
-        try:
-            answer = await connection.exchange(
-                request,
-                is_ours=lambda _: True,
-                is_bodiless=False,
-                max_body=_MAX_KNOWLEDGE,
-            )
-        finally:
-            peer.pool.discard(connection)
-        if isinstance(answer, Answer):
-            known = read_knowledge(answer.body)
-            if known is not None:
-                self._wishes.take_all(known, peer.record.vm)
+        known = await fetch_knowledge(peer.pool)
+        if known is not None:
+            self._wishes.take_all(known, peer.record.vm)
