--- a/deploy/tests/test_failures.py
+++ b/deploy/tests/test_failures.py
@@ -2,7 +2,11 @@
 
 import trio
 
+from verbenamill_platform.store import READ_TIMEOUT
 from verbenamill_platform_standins.serving import Told
+from verbenamill_policy.routes import RouteKind
+from verbenamill_sidecar.following import WAIT
+from verbenamill_sidecar.hop import HopCall, encode_hop
 
 
 def sealed(id, body=b'whole'):
@@ -376,3 +380,86 @@
         await site.in_force(8)
 
     play(scene)
+
+
+def test_a_read_that_is_never_answered_is_given_up_in_time():
+    # The store falls silent and comes back; a read begun in between gets no
+    # answer, also later. All daemons may have begun theirs at the same
+    # change. What is published after the return would come only when the
+    # reads are given up: that has to be within three seconds of the outage,
+    # with some time left to pass it on.
+    assert WAIT + READ_TIMEOUT <= 2.8
+
+
+def test_news_are_followed_after_a_read_that_was_never_answered(play, kit):
+    async def scene(site):
+        vm = await site.add('vm1')
+        await site.in_force(1)
+        before = len(site.store.calls)
+
+        async def has_asked():
+            return len(site.store.calls) > before
+
+        site.store.is_silent = True
+        await site.until(has_asked)
+        site.store.is_silent = False
+        site.store.operate('config', kit.document(2))
+        await site.in_force(2)
+        assert vm.daemon._follower.is_lost is False
+
+    play(scene)
+
+
+def test_a_storm_of_changes_takes_few_reads(play, kit):
+    # Sixty changes within half a second: each daemon that reads would ask
+    # sixty times, and only the last answer counts.
+    async def scene(site):
+        await site.add('vm1')
+        await site.in_force(1)
+        before = len(site.store.calls)
+        for version in range(2, 62):
+            site.store.operate('config', kit.document(version))
+            await trio.sleep(0.01)
+        await site.in_force(61)
+        reads = site.store.calls[before:].count('/v1/log-read')
+        assert reads < 20
+
+    play(scene)
+
+
+def test_a_request_that_a_link_held_up_is_not_begun_any_more(play, kit):
+    # The link between two daemons loses packets, and a request gets through
+    # after 0.9 s; its caller left after 0.25 s. The end of the connection,
+    # lost as well, comes a moment later. Taken as new, the request would be
+    # begun at the upstream although nobody waits for it.
+    async def scene(site):
+        vm = await site.add('vm1')
+        await site.in_force(1)
+        caller = await vm.connect(1)
+
+        async def pass_on(id, held_up):
+            hop = HopCall(
+                id=id,
+                route='lookup',
+                kind=RouteKind.IDEMPOTENT,
+                priority=1,
+                service='entries',
+                version='v1',
+                instance=vm.upstream.instance,
+                origin='entries',
+                objective=100,
+                deadline=250,
+                sender='vm2/1',
+                sent=int((trio.current_time() - held_up) * 1000),
+            )
+            name, told = encode_hop(hop)
+            extra = (f'{name.decode()}: {told.decode()}',)
+            await caller.send(kit.encode('/lookup/1', id=id, extra=extra))
+            return (await caller.answer()).status
+
+        assert await pass_on('first', 0) == 200
+        assert await pass_on('held-up', 0.9) == 503
+        assert await pass_on('next', 0) == 200
+        assert [ran.id for ran in vm.upstream.ran] == ['first', 'next']
+
+    play(scene)
--- a/libs/policy/src/verbenamill_policy/nesting.py
+++ b/libs/policy/src/verbenamill_policy/nesting.py
@@ -19,6 +19,8 @@
     :ivar share: part of the requests that make it, as a moving average.
     :ivar usual: its service time, in seconds.
     :ivar objective: its latency objective, in seconds.
+    :ivar expected: time of an answer when last looked at, in seconds;
+        infinite if no owner could be reached.
     """
 
     def __init__(self, service: ServiceName) -> None:
@@ -26,6 +28,7 @@
         self.share = float(0)
         self.usual = float(0)
         self.objective = float(0)
+        self.expected = float('inf')
 
 
 class Nesting:
@@ -71,8 +74,10 @@
     end. Refused before it runs, it costs nothing and may come back.
     """
     wish = Wish(usual=call.usual, left=call.objective, reach=1)
-    return any(
-        owner.down_until <= now
-        and expect_time(owner, wish, now) <= call.objective
+    times = (
+        expect_time(owner, wish, now)
         for owner in owners
+        if owner.down_until <= now
     )
+    call.expected = min(times, default=float('inf'))
+    return call.expected <= call.objective
--- a/libs/sidecar/src/verbenamill_sidecar/following.py
+++ b/libs/sidecar/src/verbenamill_sidecar/following.py
@@ -14,8 +14,14 @@
 from verbenamill_sidecar.protocol import Published, Store, StoreFault
 from verbenamill_telemetry import Event, log
 
-#: Longest that the store holds a read back until something comes, in s.
-WAIT = 5.0
+#: Longest that the store holds a read back until something comes, in s. A
+#: read that falls into an outage may never be answered, also not once the
+#: store is back; it is noticed only when the answer is overdue. What was
+#: published meanwhile has to be in force three seconds after the return.
+WAIT = 1.8
+#: Pause after news, in seconds. In a storm of changes each read would bring
+#: one of them; only the newest counts, and reads are priced.
+SETTLE = 0.15
 #: Bounds of the pause after a call that failed, in seconds. The longest is
 #: well below the time in which a daemon has to be up to date again after the
 #: store's return.
@@ -61,6 +67,7 @@
         self._position: int | None = None
         self._has_verdicts = False
         self._is_lost = False
+        self._settle_until = float('-inf')
         self._is_fed = False
         self._fetching: set[VmId] = set()
         self._nursery: trio.Nursery | None = None
@@ -125,7 +132,8 @@
             self._position = None
         if self._position is None:
             return self._take(await self._store.published())
-        found = await self._store.follow(self._position, WAIT)
+        await trio.sleep_until(self._settle_until)
+        found = await self._follow(self._position)
         match found:
             case Failure(StoreFault.EXPIRED):
                 # What lies between was thrown away; the newest of each kind
@@ -134,6 +142,12 @@
                 return None
         return self._take(found)
 
+    async def _follow(self, position: int) -> Result[Published, StoreFault]:
+        found = await self._store.follow(position, WAIT)
+        if isinstance(found, Success) and found.unwrap().next != position:
+            self._settle_until = trio.current_time() + SETTLE
+        return found
+
     async def _read_verdicts(self) -> StoreFault | None:
         match await self._store.settlements():
             case Success(settlements):
--- a/libs/sidecar/src/verbenamill_sidecar/owner.py
+++ b/libs/sidecar/src/verbenamill_sidecar/owner.py
@@ -23,7 +23,7 @@
 from verbenamill_policy.evidence import OwnCounts
 from verbenamill_policy.heartbeats import Belief, Heartbeat, UpstreamRegister
 from verbenamill_policy.members import UpstreamRecord
-from verbenamill_policy.nesting import Nesting, has_room
+from verbenamill_policy.nesting import NestedCall, Nesting, has_room
 from verbenamill_policy.placement import Owner
 from verbenamill_sidecar.call import Call, Fate, Outcome, not_run, unknown
 from verbenamill_sidecar.protocol import HeaderNames, Left
@@ -167,23 +167,25 @@
         reason = next(self._find_refusals(upstream, instance, version), '')
         if reason:
             return not_run(reason)
-        if not self._may_call(call):
-            full = not_run('a service that it calls has no room')
-            full.everywhere = True
-            return full
+        full = self._find_full(call)
+        if full is not None:
+            refused = not_run(_tell_full(full))
+            refused.everywhere = True
+            return refused
         self.in_hand += 1
         try:
             return await self._run(call, upstream)
         finally:
             self.in_hand -= 1
 
-    def _may_call(self, call: Call) -> bool:
-        """Whether the services that a request calls have room for it."""
+    def _find_full(self, call: Call) -> NestedCall | None:
+        """A service that a request calls and that has no room for it."""
         now = trio.current_time()
-        return all(
-            has_room(nested, self._context.owners(nested.service), now)
-            for nested in self.nesting.calls_of(call.route.name)
-        )
+        for nested in self.nesting.calls_of(call.route.name):
+            owners = self._context.owners(nested.service)
+            if not has_room(nested, owners, now):
+                return nested
+        return None
 
     def _adopt(self) -> None:
         """Act on what is now known of the upstream."""
@@ -439,6 +441,13 @@
         self._adopt()
 
 
+def _tell_full(full: NestedCall) -> str:
+    return (
+        f'a service that it calls has no room: {full.service} would take '
+        f'{full.expected * 1000:.0f} of {full.objective * 1000:.0f} ms'
+    )
+
+
 def _settle(settled: list[Entry], event: trio.Event, entry: Entry) -> None:
     settled.append(entry)
     event.set()
--- a/libs/soak/src/verbenamill_soak/callers.py
+++ b/libs/soak/src/verbenamill_soak/callers.py
@@ -8,6 +8,10 @@
 import trio
 from msgspec import Struct
 
+from verbenamill_platform_standins.callers import (
+    read_seal,
+    request_headers,
+)
 from verbenamill_soak.nodes import Node
 
 _HOST = '127.0.0.1'
@@ -108,8 +112,7 @@
             target=asked.path + asked.id,
             headers=[
                 ('Host', SITE),
-                ('X-Attempt-Id', asked.id),
-                ('X-Deadline-Ms', str(int(DEADLINE * 1000))),
+                *request_headers(asked.id, deadline=DEADLINE),
                 ('Content-Length', '0'),
             ],
         )
@@ -138,8 +141,7 @@
                     self._connection.receive_data(data)
                 case h11.Response():
                     asked.status = event.status_code
-                    headers = dict(event.headers)
-                    asked.seal = headers.get(b'x-response-seal', b'')
+                    asked.seal = read_seal(event.headers)
                 case h11.Data():
                     asked.body += bytes(event.data)
                 case h11.EndOfMessage():
--- a/libs/soak/src/verbenamill_soak/nodes.py
+++ b/libs/soak/src/verbenamill_soak/nodes.py
@@ -5,18 +5,23 @@
 import socket
 import sys
 from collections.abc import Iterator
-from contextlib import ExitStack, contextmanager
+from contextlib import contextmanager
 from pathlib import Path
+from random import SystemRandom
 
 import h11
 import trio
 
 from verbenamill_platform_standins import UpstreamStandIn
+from verbenamill_platform_standins.callers import READINESS, SEAL
 from verbenamill_platform_standins.serving import Asked, Told
 from verbenamill_soak.relays import Switch, TcpRelay, UdpRelay
 from verbenamill_soak.timeline import Timeline
 
 _HOST = '127.0.0.1'
+#: Ports for daemons: the kernel hands out those from 32,768 on.
+_FIRST_PORT = 15_000
+_LAST_PORT = 32_000
 #: Time for a killed process to be gone, in seconds.
 _END_LIMIT = 5.0
 #: How often an upstream beats, in seconds.
@@ -59,12 +64,28 @@
 
 
 def find_ports(number: int) -> list[int]:
-    """Ports that are free now."""
-    with ExitStack() as stack:
-        socks = [stack.enter_context(socket.socket()) for _ in range(number)]
-        for opened in socks:
-            opened.bind((_HOST, 0))
-        return [bound.getsockname()[1] for bound in socks]
+    """Ports that nobody uses, for TCP and for UDP.
+
+    They lie below those that the kernel hands out by itself; a relay, or
+    another soak, could otherwise get one while its daemon restarts.
+    """
+    random = SystemRandom()
+    found: set[int] = set()
+    while len(found) < number:
+        port = random.randrange(_FIRST_PORT, _LAST_PORT)
+        if _is_free(port):
+            found.add(port)
+    return list(found)
+
+
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as sock:
+            try:
+                sock.bind((_HOST, port))
+            except OSError:
+                return False
+    return True
 
 
 class Upstream(UpstreamStandIn):
@@ -82,7 +103,7 @@
     def judge(self, asked: Asked) -> Told | None:
         """Fail every second request of a bad version."""
         if self.fails and len(self.ran) % 2:
-            return Told(500, {'X-Response-Seal': 'bad'}, b'bad version')
+            return Told(500, {SEAL: 'bad'}, b'bad version')
         return None
 
 
@@ -91,6 +112,7 @@
 
     :ivar upstreams: all that have been, the newest last.
     :ivar lives: starts of the daemon.
+    :ivar starting: held by whoever ends and starts the daemon.
     :ivar harmed_at: when its process was last killed or paused.
     """
 
@@ -110,6 +132,7 @@
         self.lives = 0
         self.is_paused = False
         self.harmed_at = float('-inf')
+        self.starting = trio.Lock()
         self._troubles = 0
         self._places = 1000
         self._is_told_to_end = False
@@ -296,7 +319,7 @@
 
     async def is_ready(self) -> bool:
         """Whether the daemon says that callers may be sent here."""
-        status = await ask(self.ports[4], 'GET', '/v1/readiness', b'')
+        status = await ask(self.ports[4], 'GET', READINESS, b'')
         return status == 200
 
     async def _serve(
--- a/libs/soak/src/verbenamill_soak/promises.py
+++ b/libs/soak/src/verbenamill_soak/promises.py
@@ -1,11 +1,16 @@
 """Promises, checked from what callers and upstreams have seen."""
 
-import json
 from collections import defaultdict
 
 import trio
 from msgspec import Struct
 
+from verbenamill_platform_standins.operators import (
+    DONE,
+    TAKEN_BACK,
+    Told,
+    read_told,
+)
 from verbenamill_platform_standins.upstream import Ran
 from verbenamill_soak.callers import Asked, Caller, Ending
 from verbenamill_soak.nodes import DRAIN_TIME, Node, Upstream
@@ -25,7 +30,7 @@
 BACK_LIMIT = 5.0
 #: Characters of a traceback that are shown.
 _SHOWN = 900
-_FINAL = ('complete', 'rolled_back')
+_FINAL = (DONE, TAKEN_BACK)
 
 
 class _Life(Struct):
@@ -188,24 +193,24 @@
     def _look_at_verdicts(self) -> None:
         """Each order has one verdict at most, and a bad version not done."""
         settled: dict[int, str] = {}
-        for key, value in self._site.store.topic('keyed.status').records:
-            if key != f'rollout/{SERVICE}' or not value:
-                continue
-            told = json.loads(value)
-            order, state = told['order'], told['state']
-            before = settled.get(order)
-            if before in _FINAL and state != before:
-                self._break('one verdict', str(order), f'{before}, {state}')
-            settled[order] = state
-            self._look_at_verdict(order, state)
-
-    def _look_at_verdict(self, number: int, state: str) -> None:
-        order = self._site.orders.get(number)
+        for told in read_told(self._site.store, SERVICE):
+            before = settled.get(told.order)
+            if before in _FINAL and told.state != before:
+                self._break(
+                    'one verdict',
+                    str(told.order),
+                    f'{before}, then {told}',
+                )
+            settled[told.order] = told.state
+            self._look_at_verdict(told)
+
+    def _look_at_verdict(self, told: Told) -> None:
+        order = self._site.orders.get(told.order)
         if order is None:
             return
-        if state == 'complete' and order.is_bad:
-            self._break('bad is not done', str(number), str(order))
-        if state == 'rolled_back':
+        if told.state == DONE and order.is_bad:
+            self._break('bad is not done', str(told.order), str(order))
+        if told.state == TAKEN_BACK:
             now = trio.current_time()
             self._taken_back.setdefault(order.version, now)
 
--- a/libs/soak/src/verbenamill_soak/run.py
+++ b/libs/soak/src/verbenamill_soak/run.py
@@ -107,12 +107,14 @@
     behind: list[str] = []
 
     async def is_well() -> bool:
-        behind.clear()
+        faults: list[str] = []
         for node in site.nodes:
             fault = await _find_fault(node, newest)
             if fault:
-                behind.append(f'{node.name}: {fault}')
-        return not behind
+                faults.append(f'{node.name}: {fault}')
+        behind.clear()
+        behind.extend(faults)
+        return not faults
 
     if not await site.until(is_well, RECOVERY_LIMIT):
         site.timeline.break_promise('recovers', '; '.join(behind))
--- a/libs/soak/src/verbenamill_soak/site.py
+++ b/libs/soak/src/verbenamill_soak/site.py
@@ -9,6 +9,11 @@
 from msgspec import Struct
 
 from verbenamill_platform_standins import StoreStandIn
+from verbenamill_platform_standins.operators import (
+    OPERATORS_TOPIC,
+    order,
+    publish,
+)
 from verbenamill_soak.callers import SITE, Caller
 from verbenamill_soak.nodes import GRACE, Node
 from verbenamill_soak.plan import Kind, Trouble
@@ -31,34 +36,17 @@
         Kind.STORE_COMPACT,
     ),
 )
+#: One that had not come up yet has nothing in hand and no handler; it ends
+#: by the signal itself.
+_GOOD_ENDS = (0, -signal.SIGTERM)
 _ZONES = ('z1', 'z2', 'z3')
-_COLUMNS = (
-    'name',
-    'host',
-    'pathPrefix',
-    'routeType',
-    'timeoutMs',
-    'targetLatencyMs',
-    'priority',
-    'service',
-    'maxAttempts',
-)
 
 
-def make_configuration(version: int) -> dict[str, object]:
-    """A configuration; each version adds a route and drops an old one."""
-    kinds = {'lookup': 'idempotent', 'fee': 'non_idempotent'}
-    for kept in range(max(1, version - KEPT + 1), version + 1):
-        kinds[f'v{kept}'] = 'idempotent'
-    rows = [
-        [name, SITE, f'/{name}/', kind, 2000, 1000, 1, SERVICE, 2]
-        for name, kind in kinds.items()
-    ]
-    return {
-        'version': f'{version:08x}',
-        'routes': {'columns': _COLUMNS, 'rows': rows},
-        'services': {'columns': ['name'], 'rows': [[SERVICE]]},
-    }
+def make_routes(version: int) -> dict[str, bool]:
+    """Routes and whether they repeat; a version adds one and drops one."""
+    first = max(1, version - KEPT + 1)
+    newest = {f'v{kept}': True for kept in range(first, version + 1)}
+    return {'lookup': True, 'fee': False} | newest
 
 
 class Order(Struct, frozen=True):
@@ -90,7 +78,6 @@
         self._nursery = nursery
         self._random = random
         self._versions = 1
-        self._busy: set[Node] = set()
         self._store_troubles = 0
         self._store_calm_at = float('-inf')
 
@@ -149,7 +136,13 @@
     def publish(self) -> None:
         """Publish the next configuration."""
         version = len(self.published) + 1
-        self.store.operate('config', make_configuration(version))
+        publish(
+            self.store,
+            version,
+            host=SITE,
+            service=SERVICE,
+            routes=make_routes(version),
+        )
         self.published[version] = trio.current_time()
         self.timeline.tell(f'configuration {version} is published')
 
@@ -178,7 +171,7 @@
             case Kind.ORDER:
                 await self._order(trouble)
             case Kind.STORE_COMPACT:
-                store.compact('keyed.op')
+                store.compact(OPERATORS_TOPIC)
             case Kind.STORE_LOSES:
                 store.loses += 1 + trouble.draw % 3
             case Kind.STORE_DOWN:
@@ -229,12 +222,19 @@
         switch.set(Way.OPEN)
 
     async def _play_signal(self, trouble: Trouble, node: Node) -> None:
-        if node in self._busy:
+        if node.starting.locked():
             # The process is already on its way down, or paused; the next
             # signal of a series comes on top of that.
             node.send(signal.SIGTERM)
             return
-        self._busy.add(node)
+        async with node.starting:
+            await self._signal_alone(trouble, node)
+            # Another signal of a series may be ending it meanwhile.
+            while node.is_expected_to_end:
+                await self._stop(node)
+                await node.start()
+
+    async def _signal_alone(self, trouble: Trouble, node: Node) -> None:
         match trouble.kind:
             case Kind.PAUSE:
                 node.is_paused = True
@@ -251,8 +251,6 @@
                 await trio.sleep(trouble.lasts / 2)
                 is_clock = trouble.kind is Kind.CLOCK
                 await node.start(clock=trouble.lasts * 10 * is_clock)
-        self._busy.discard(node)
-        await self._revive(node)
 
     async def _stop(self, node: Node) -> None:
         node.send(signal.SIGTERM)
@@ -261,19 +259,12 @@
             self.timeline.break_promise('ends in time', node.name)
             node.send(signal.SIGKILL)
             await node.wait(1)
-        elif code != 0:
+        elif code not in _GOOD_ENDS:
             self.timeline.break_promise(
                 'a planned stop ends well',
                 f'{node.name} ended with {code}',
             )
 
-    async def _revive(self, node: Node) -> None:
-        """Start a daemon again that a second signal has ended."""
-        if not node.is_paused and await node.wait(0.05) is not None:
-            self._busy.add(node)
-            await node.start()
-            self._busy.discard(node)
-
     async def _replace(self, trouble: Trouble, node: Node) -> None:
         upstream = node.upstream
         if not node.is_serving(upstream):
@@ -301,14 +292,7 @@
             if node.is_serving(upstream):
                 node.end_upstream(upstream)
                 await node.add_upstream(version, fails=is_bad)
-        order = self.store.operate(
-            f'rollout/{SERVICE}',
-            {
-                'service': SERVICE,
-                'targetVersion': version,
-                'durationS': _WINDOW,
-            },
-        )
-        self.orders[order] = Order(version, is_bad)
+        number = order(self.store, SERVICE, version, window=_WINDOW)
+        self.orders[number] = Order(version, is_bad)
         word = 'bad' if is_bad else 'good'
-        self.timeline.tell(f'order {order}: move to {version}, {word}')
+        self.timeline.tell(f'order {number}: move to {version}, {word}')
--- a/libs/soak/tests/test_promises.py
+++ b/libs/soak/tests/test_promises.py
@@ -1,17 +1,21 @@
 """Each promise is found broken when it is, and kept when it is."""
 
-import json
-
 import pytest
 import trio
 from trio.testing import MockClock
 
 from verbenamill_platform_standins import StoreStandIn
+from verbenamill_platform_standins.operators import (
+    DONE,
+    TAKEN_BACK,
+    Told,
+    tell,
+)
 from verbenamill_platform_standins.upstream import Ran
 from verbenamill_soak.callers import Asked, Ending
 from verbenamill_soak.nodes import DRAIN_TIME, Upstream
 from verbenamill_soak.promises import BACK_LIMIT, Promises
-from verbenamill_soak.site import Order
+from verbenamill_soak.site import SERVICE, Order
 from verbenamill_soak.timeline import Timeline
 
 
@@ -73,8 +77,7 @@
         self.callers[0].asked.append(Asked(**(fields | more)))
 
     def status(self, order, state):
-        record = json.dumps({'order': order, 'state': state}).encode()
-        self.store.topic('keyed.status').append('rollout/entries', record)
+        tell(self.store, SERVICE, Told(order, state))
 
 
 @pytest.fixture
@@ -250,8 +253,8 @@
     def act(site):
         site.orders = {3: Order('v2', False)}
         site.status(3, 'running')
-        site.status(3, 'complete')
-        site.status(3, 'rolled_back')
+        site.status(3, DONE)
+        site.status(3, TAKEN_BACK)
 
     assert broken(act) == ['one verdict']
 
@@ -259,7 +262,7 @@
 def test_a_bad_version_that_is_told_done(broken):
     def act(site):
         site.orders = {3: Order('v2', True)}
-        site.status(3, 'complete')
+        site.status(3, DONE)
 
     assert broken(act) == ['bad is not done']
 
@@ -268,7 +271,7 @@
     def act(site):
         site.orders = {3: Order('v2', True)}
         site.nodes[0].upstreams[1].version = 'v2'
-        site.status(3, 'rolled_back')
+        site.status(3, TAKEN_BACK)
 
     async def main():
         site = FakeSite()
