A request that a link held up keeps the deadline that it left with

The request names its time left when it is sent; a link that loses packets delivers it and, a little later, the end of its connection. The owner took it as new. Change: requests between daemons carry the sender's monotonic time; the least difference of the two clocks of late gives the usual transit, and what a request took beyond that is taken from its time left. Test: fails without it (the request ran); the estimate by itself with drift, restarts and slow links.

--- a/libs/sidecar/src/verbenamill_sidecar/daemon.py
+++ b/libs/sidecar/src/verbenamill_sidecar/daemon.py
@@ -175,6 +175,7 @@
 
     def _make_servers(self) -> tuple[HttpServer, ...]:
         context = self._context
+        own = self._gossip.own
         ingress = Ingress(
             IngressContext(
                 names=context.names,
@@ -184,6 +185,7 @@
                 own=self._own,
                 stats=self._stats,
                 origin=context.settings.vm.service,
+                sender=f'{own.vm}/{own.incarnation}',
                 availability_zone=context.settings.vm.availability_zone,
                 random=context.random,
             ),
--- a/libs/sidecar/src/verbenamill_sidecar/hop.py
+++ b/libs/sidecar/src/verbenamill_sidecar/hop.py
@@ -33,6 +33,8 @@
     Times are spans in milliseconds, since clocks are not compared.
 
     :param instance: the upstream that it is meant for.
+    :param sender: the daemon that sends it, with its incarnation.
+    :param sent: when it leaves, on the sender's monotonic clock.
     """
 
     id: str
@@ -46,6 +48,8 @@
     objective: int
     deadline: int
     is_nested: bool = False
+    sender: str = ''
+    sent: int = 0
 
 
 class OwnerReport(Struct, kw_only=True, array_like=True):
--- a/libs/sidecar/src/verbenamill_sidecar/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/ingress.py
@@ -71,6 +71,7 @@
     :param table: routes in force; ``None`` before any are known.
     :param shares: split of a service between its versions.
     :param origin: service of this VM.
+    :param sender: names this start of this daemon to the others.
     """
 
     names: HeaderNames
@@ -80,6 +81,7 @@
     own: OwnUpstream
     stats: CallStats
     origin: ServiceName
+    sender: str
     availability_zone: AvailabilityZone
     random: Random
 
@@ -269,7 +271,12 @@
             return not_run('the owner cannot be reached')
         outcome = None
         with peer.await_answer():
-            data = _encode_call(call, instance, version)
+            data = _encode_call(
+                call,
+                instance,
+                version,
+                self._context.sender,
+            )
             outcome = await self._exchange(call, peer, connection, data)
         return outcome or unknown('the owner is silent')
 
@@ -439,7 +446,12 @@
     return True
 
 
-def _encode_call(call: Call, instance: str, version: VersionName) -> bytes:
+def _encode_call(
+    call: Call,
+    instance: str,
+    version: VersionName,
+    sender: str,
+) -> bytes:
     now = trio.current_time()
     hop = HopCall(
         id=call.id.decode('latin-1'),
@@ -453,6 +465,8 @@
         objective=int((call.objective - now) * 1000),
         deadline=max(int((call.deadline - now) * 1000), 1),
         is_nested=call.is_nested,
+        sender=sender,
+        sent=int(now * 1000),
     )
     head = encode_request(
         call.method,
--- a/libs/sidecar/src/verbenamill_sidecar/passed_on.py
+++ b/libs/sidecar/src/verbenamill_sidecar/passed_on.py
@@ -6,6 +6,7 @@
 from verbenamill_http.messages import end_to_end, header
 from verbenamill_http.server import Request, Response
 from verbenamill_policy.routes import Route, Split
+from verbenamill_policy.transit import TransitTimes
 from verbenamill_sidecar.call import Call, Fate, Outcome, not_run
 from verbenamill_sidecar.hop import (
     CALL_HEADER,
@@ -35,6 +36,7 @@
         self._own = own
         self._names = names
         self._snapshot = snapshot
+        self._transit = TransitTimes()
 
     async def handle(self, request: Request) -> Response:
         """Run a request on the own upstream, or refuse it."""
@@ -66,7 +68,7 @@
         return refusal(HTTPStatus.BAD_REQUEST, 'this port is for daemons')
 
     def _make_call(self, request: Request, hop: HopCall) -> Call:
-        arrived = request.arrived
+        arrived = request.arrived - self._find_delay(request, hop)
         route = Route(
             name=hop.route,
             host='',
@@ -93,6 +95,16 @@
             is_nested=hop.is_nested,
         )
 
+    def _find_delay(self, request: Request, hop: HopCall) -> float:
+        """How long a link has held a request up, in seconds."""
+        if not hop.sender:
+            return 0
+        return self._transit.add(
+            hop.sender,
+            sent=hop.sent / 1000,
+            received=request.arrived,
+        )
+
     def _tell(self, hop: HopCall, outcome: Outcome) -> None:
         log(
             Event.OWNER_REFUSED,
