--- a/libs/soak/src/verbenamill_soak/nodes.py
+++ b/libs/soak/src/verbenamill_soak/nodes.py
@@ -270,10 +270,16 @@
         self.end_upstream(upstream)
         return upstream.acked_at is not None
 
-    async def start(self, *, clock: float = 0) -> None:
+    async def start(
+        self,
+        *,
+        clock: float = 0,
+        output: int | None = None,
+    ) -> None:
         """Start the daemon.
 
         :param clock: seconds that its clock is set back.
+        :param output: descriptor for its log in place of a file.
         """
         self.lives += 1
         command = [
@@ -286,7 +292,7 @@
         with self.log.open('ab') as log:
             self._process = await trio.lowlevel.open_process(
                 command,
-                stdout=log,
+                stdout=log if output is None else output,
                 stderr=log,
                 stdin=None,
                 env=os.environ | {'PYTHONWARNINGS': 'ignore'},
