Calm readers wait longer, and the first one back after an outage tells the others

After ten calm seconds reads wait 3 to 5 s and end at different times; whoever reads again after an outage compares with the readers of its zone and some others at once, so that no reader depends on its own read being given up. Only readers look for unknown daemons each 30 s. Test: the other daemon's reads never end, and it has the change (fails before).

--- a/deploy/tests/test_failures.py
+++ b/deploy/tests/test_failures.py
@@ -463,3 +463,34 @@
         assert [ran.id for ran in vm.upstream.ran] == ['first', 'next']
 
     play(scene)
+
+
+def test_the_first_that_reads_again_tells_the_others(play, kit):
+    # The store falls silent while two daemons of a zone wait for news there.
+    # One of them reads again and finds a change; the other's read is never
+    # answered. It must not have to wait until that read is given up.
+    async def scene(site):
+        first = await site.add('vm1')
+        second = await site.add('vm2')
+        await site.settled()
+        await site.in_force(1)
+        follower = second.daemon._follower
+        follower._store.follow = _never
+        follower._store.published = _never
+        await trio.sleep(WAIT + READ_TIMEOUT)
+        site.store.is_down = True
+
+        async def is_lost():
+            return first.daemon._follower.is_lost
+
+        await site.until(is_lost)
+        first.daemon._gossip._compare = _never
+        site.store.operate('config', kit.document(2))
+        site.store.is_down = False
+        await site.in_force(2)
+
+    play(scene)
+
+
+async def _never(*_):
+    await trio.sleep_forever()
--- a/libs/sidecar/src/verbenamill_sidecar/daemon.py
+++ b/libs/sidecar/src/verbenamill_sidecar/daemon.py
@@ -107,6 +107,7 @@
             random=context.random,
             feeding=feeding,
             feed_children=lambda: self._gossip.feed_children(),
+            compare_soon=lambda: self._gossip.compare_soon(),
         )
         self._gossip = Gossip(
             own=self._own_record(),
@@ -122,6 +123,7 @@
         self._registrar = Registrar(
             context.store,
             self._gossip,
+            feeding,
             context.random,
         )
         self._is_stopping = False
--- a/libs/sidecar/src/verbenamill_sidecar/feeding.py
+++ b/libs/sidecar/src/verbenamill_sidecar/feeding.py
@@ -36,6 +36,7 @@
         self._seen = -1
         self._rank = 0
         self._children: list[MemberRecord] = []
+        self._readers: list[MemberRecord] = []
         self._fed_at = float('-inf')
         self._starved_since: float | None = None
 
@@ -51,6 +52,12 @@
         self._refresh()
         return self._children
 
+    @property
+    def other_readers(self) -> list[MemberRecord]:
+        """Daemons of the zone that read the store, but for this one."""
+        self._refresh()
+        return self._readers
+
     def feed(self) -> None:
         """A parent has told all that it runs."""
         self._fed_at = trio.current_time()
@@ -96,6 +103,9 @@
             for place, record in enumerate(neighbours)
             if record.vm == self._own
         )
+        self._readers = [
+            record for record in neighbours[:READERS] if record.vm != self._own
+        ]
         first = READERS + self._rank * FANOUT
         self._children = neighbours[first : first + FANOUT]
 
--- a/libs/sidecar/src/verbenamill_sidecar/following.py
+++ b/libs/sidecar/src/verbenamill_sidecar/following.py
@@ -19,6 +19,12 @@
 #: store is back; it is noticed only when the answer is overdue. What was
 #: published meanwhile has to be in force three seconds after the return.
 WAIT = 1.8
+#: The same once nothing has happened for a while. By then the reads of the
+#: daemons end at different times, as each waits a random part less, and the
+#: first one that notices an outage has not long to go.
+CALM_WAIT = 5.0
+_CALM_AFTER = 10.0
+_CALM_SPREAD = 0.4
 #: Pause after news, in seconds. In a storm of changes each read would bring
 #: one of them; only the newest counts, and reads are priced.
 SETTLE = 0.15
@@ -57,7 +63,9 @@
         random: Random,
         feeding: Feeding,
         feed_children: Callable[[], None],
+        compare_soon: Callable[[], None],
     ) -> None:
+        self._compare_soon = compare_soon
         self._feeding = feeding
         self._feed_children = feed_children
         self._store = store
@@ -68,6 +76,7 @@
         self._has_verdicts = False
         self._is_lost = False
         self._settle_until = float('-inf')
+        self._stirred_at = trio.current_time()
         self._is_fed = False
         self._fetching: set[VmId] = set()
         self._nursery: trio.Nursery | None = None
@@ -143,11 +152,22 @@
         return self._take(found)
 
     async def _follow(self, position: int) -> Result[Published, StoreFault]:
-        found = await self._store.follow(position, WAIT)
-        if isinstance(found, Success) and found.unwrap().next != position:
-            self._settle_until = trio.current_time() + SETTLE
+        found = await self._store.follow(position, self._find_wait())
+        now = trio.current_time()
+        match found:
+            case Success(published) if published.next == position:
+                return found
+            case Success(_):
+                self._settle_until = now + SETTLE
+        self._stirred_at = now
         return found
 
+    def _find_wait(self) -> float:
+        """How long the store may hold the next read back."""
+        if trio.current_time() - self._stirred_at < _CALM_AFTER:
+            return WAIT
+        return CALM_WAIT * (1 - _CALM_SPREAD * self._random.random())
+
     async def _read_verdicts(self) -> StoreFault | None:
         match await self._store.settlements():
             case Success(settlements):
@@ -166,6 +186,7 @@
     ) -> StoreFault | None:
         match found:
             case Success(published):
+                was_lost = self._is_lost
                 self._recover()
                 self._position = published.next
                 for unreadable in published.faults:
@@ -177,6 +198,8 @@
                     )
                 for order in published.orders:
                     self._wishes.take_order(order)
+                if was_lost:
+                    self._compare_soon()
                 return None
             case Failure(fault):
                 return self._lose(fault)
--- a/libs/sidecar/src/verbenamill_sidecar/gossip.py
+++ b/libs/sidecar/src/verbenamill_sidecar/gossip.py
@@ -210,6 +210,17 @@
         for child in self._feeding.children:
             self._send(child, notice)
 
+    def compare_soon(self) -> None:
+        """Compare with the readers of the zone and some others, at once.
+
+        After an outage of the store the first one that reads again has news
+        that the others would get only when their own reads are given up.
+        """
+        for record in self._feeding.other_readers:
+            self._send(record, self._summary(is_reply=False))
+        for peer in self._some_peers(FANOUT):
+            self._send(peer.record, self._summary(is_reply=False))
+
     def send_tally(self, peer: Peer, tally: Tally) -> None:
         """Tell a decider what was counted here."""
         self._send(peer.record, Tallies([tally]))
--- a/libs/sidecar/src/verbenamill_sidecar/registering.py
+++ b/libs/sidecar/src/verbenamill_sidecar/registering.py
@@ -7,14 +7,17 @@
 
 from verbenamill_model.typing import UpstreamState
 from verbenamill_policy.members import MemberRecord
+from verbenamill_sidecar.feeding import Feeding
 from verbenamill_sidecar.gossip import Gossip
 from verbenamill_sidecar.protocol import Store
 
 #: Pause before the store is asked again, in seconds: while a call failed or
 #: nobody is known, and as a matter of course. Gossip carries the news; this
-#: finds those that neither side has ever heard of.
+#: finds those that neither side has ever heard of. Each group of daemons has
+#: some that read the store, so that it is enough if these look often.
 _LOOK_SOON = 0.4
 _LOOK_LATER = 30.0
+_LOOK_SELDOM = 300.0
 
 
 class Registrar:
@@ -25,7 +28,14 @@
     the next heartbeat may take seconds, and whether it was leaving.
     """
 
-    def __init__(self, store: Store, gossip: Gossip, random: Random) -> None:
+    def __init__(
+        self,
+        store: Store,
+        gossip: Gossip,
+        feeding: Feeding,
+        random: Random,
+    ) -> None:
+        self._feeding = feeding
         self._store = store
         self._gossip = gossip
         self._random = random
@@ -81,9 +91,12 @@
             if isinstance(found, Success):
                 self._gossip.meet(found.unwrap())
                 self._has_read = True
-            is_done = self._has_read and self._gossip.has_others
-            pause = _LOOK_LATER if is_done else _LOOK_SOON
-            await trio.sleep(pause * (0.5 + self._random.random()))
+            await trio.sleep(self._find_pause() * (0.5 + self._random.random()))
+
+    def _find_pause(self) -> float:
+        if not self._has_read or not self._gossip.has_others:
+            return _LOOK_SOON
+        return _LOOK_LATER if self._feeding.is_reader else _LOOK_SELDOM
 
     async def _write(self) -> bool:
         own = self._gossip.own
--- a/libs/sidecar/tests/test_feeding.py
+++ b/libs/sidecar/tests/test_feeding.py
@@ -104,3 +104,12 @@
         assert not starved.must_read()
 
     trio.run(scene, clock=MockClock(autojump_threshold=0))
+
+
+def test_readers_know_each_other():
+    table = make_table(10)
+    feedings = {f'a{n}': Feeding(table, f'a{n}') for n in range(10)}
+    readers = {vm for vm, one in feedings.items() if one.is_reader}
+    for vm, one in feedings.items():
+        others = {record.vm for record in one.other_readers}
+        assert others == readers - {vm}
--- a/libs/sidecar/tests/test_following.py
+++ b/libs/sidecar/tests/test_following.py
@@ -75,6 +75,7 @@
             random=Random(1),
             feeding=Feeding(self._table, 'own'),
             feed_children=lambda: None,
+            compare_soon=lambda: None,
         )
 
     def _add(self, vm, port):
