--- a/libs/sidecar/src/verbenamill_sidecar/feeding.py
+++ b/libs/sidecar/src/verbenamill_sidecar/feeding.py
@@ -20,8 +20,9 @@
 FANOUT = 4
 #: How often children are told that they are fed, in seconds.
 NOTICE_PERIOD = 0.6
-#: After this long without a word, a daemon reads by itself, in seconds.
-HUNGRY_AFTER = 2.0
+#: After this long without a word, a daemon reads by itself, in seconds: two
+#: words were lost by then, and a change is still in force within two seconds.
+HUNGRY_AFTER = 1.3
 #: A daemon that knows of news and does not get them for this long reads by
 #: itself, in seconds; leaves it time to be in step within the bound of 2 s.
 STARVED_AFTER = 0.7
