--- a/libs/sidecar/src/verbenamill_sidecar/following.py
+++ b/libs/sidecar/src/verbenamill_sidecar/following.py
@@ -26,8 +26,9 @@
 _CALM_AFTER = 10.0
 _CALM_SPREAD = 0.4
 #: Pause after news, in seconds. In a storm of changes each read would bring
-#: one of them; only the newest counts, and reads are priced.
-SETTLE = 0.15
+#: one of them; only the newest counts, and reads are priced. A fifth of the
+#: time in which a change has to be in force.
+SETTLE = 0.4
 #: Bounds of the pause after a call that failed, in seconds. The longest is
 #: well below the time in which a daemon has to be up to date again after the
 #: store's return.
