--- a/libs/sidecar/src/verbenamill_sidecar/feeding.py
+++ b/libs/sidecar/src/verbenamill_sidecar/feeding.py
@@ -36,6 +36,7 @@
         self._own = own
         self._seen = -1
         self._rank = 0
+        self._is_leaving = False
         self._children: list[MemberRecord] = []
         self._readers: list[MemberRecord] = []
         self._fed_at = float('-inf')
@@ -76,7 +77,7 @@
 
     def must_read(self) -> bool:
         """Whether this daemon has to read the store now."""
-        if self.is_reader:
+        if self.is_reader or self._is_leaving:
             return True
         now = trio.current_time()
         since = self._starved_since
@@ -90,6 +91,9 @@
         self._seen = self._table.version
         own = self._table.get(self._own)
         assert own is not None
+        # The others take who leaves out of the tree, and it serves on for
+        # some seconds: fed by nobody, it would run an old configuration.
+        self._is_leaving = own.leaving
         neighbours = sorted(
             (
                 record
--- a/libs/sidecar/tests/test_feeding.py
+++ b/libs/sidecar/tests/test_feeding.py
@@ -113,3 +113,18 @@
     for vm, one in feedings.items():
         others = {record.vm for record in one.other_readers}
         assert others == readers - {vm}
+
+
+def test_who_leaves_reads_by_itself():
+    # A daemon that stops serves its callers for some seconds more. The others
+    # have taken it out of the tree, so that nobody feeds it; a new route
+    # would be refused there until its end.
+    async def scene():
+        whole = make_table(10)
+        names = [f'a{n}' for n in range(10)]
+        fed = next(vm for vm in names if not Feeding(whole, vm).is_reader)
+        feeding = Feeding(make_table(10, leaving=(fed,)), fed)
+        feeding.feed()
+        assert feeding.must_read()
+
+    trio.run(scene, clock=MockClock(autojump_threshold=0))
