--- a/deploy/tests/test_failures.py
+++ b/deploy/tests/test_failures.py
@@ -427,6 +427,23 @@
     play(scene)
 
 
+def test_who_is_refused_by_an_upstream_with_free_slots_may_return_at_once(
+    play,
+):
+    # A fault makes the upstream refuse part of its requests, whatever their
+    # number. Nothing has to be waited for: a caller that is told to come back
+    # in a third of a second would be late although slots are free.
+    async def scene(site):
+        vm = await site.add('vm1')
+        await site.in_force(1)
+        vm.upstream.slots = 0
+        answer = await vm.call('/lookup/1')
+        assert answer.status == 503
+        assert float(answer.headers['retry-after']) <= 0.1
+
+    play(scene)
+
+
 def test_a_request_that_a_link_held_up_is_not_begun_any_more(play, kit):
     # The link between two daemons loses packets, and a request gets through
     # after 0.9 s; its caller left after 0.25 s. The end of the connection,
--- a/libs/sidecar/src/verbenamill_sidecar/owner.py
+++ b/libs/sidecar/src/verbenamill_sidecar/owner.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterator
 from functools import partial
+from math import isinf
 
 import trio
 from msgspec import Struct
@@ -42,6 +43,9 @@
 _WAS_DEAD = 0.02
 #: Work that cannot end in this time is not begun, in seconds.
 _LEAST_TIME = 0.002
+#: Wait where there is no queue, in seconds: a moment, so that it is told at
+#: all. A caller that comes back at once is still within its objective.
+_NO_QUEUE = 0.01
 #: A request that is given up on tells its time if it ran this many times
 #: longer than usual; otherwise only its caller was impatient.
 _SLOW = 2.0
@@ -172,6 +176,7 @@
         if full is not None:
             refused = not_run('a service that it calls has no room')
             refused.detail = _tell_full(full)
+            refused.wait = _wait_for(full)
             refused.everywhere = True
             return refused
         self.in_hand += 1
@@ -405,7 +410,14 @@
             self._lose(upstream)
             return not_run('another upstream has the address')
         if header(answer.headers, names.not_run) is not None:
-            return not_run('the upstream refused it', reached=True)
+            # It refuses although it has free slots by our count, so there
+            # is no queue to wait for; the next may be taken, here or
+            # elsewhere.
+            return not_run(
+                'the upstream refused it',
+                reached=True,
+                wait=_NO_QUEUE,
+            )
         sealed = header(answer.headers, names.seal) is not None
         if answer.status < _FIRST_FAILURE and not sealed:
             self._count(call, failed=True, took=None)
@@ -449,6 +461,13 @@
         self._adopt()
 
 
+def _wait_for(full: NestedCall) -> float:
+    """When a service that is called may have room, in seconds from now."""
+    if isinf(full.expected):
+        return 0
+    return max(full.expected - full.objective, _NO_QUEUE)
+
+
 def _tell_full(full: NestedCall) -> str:
     return (
         f'{full.service} would take {full.expected * 1000:.0f} '
