--- a/libs/soak/src/verbenamill_soak/run.py
+++ b/libs/soak/src/verbenamill_soak/run.py
@@ -14,6 +14,7 @@
 from verbenamill_soak.relays import Way
 from verbenamill_soak.site import Site
 from verbenamill_soak.timeline import Broken, Moment, Timeline
+from verbenamill_soak.troubles import Troubles
 
 #: After the last trouble is lifted, time until all is served again, in s.
 RECOVERY_LIMIT = 15.0
@@ -90,11 +91,12 @@
 
 async def _play(site: Site, wanted: Wanted) -> None:
     plan = draw_plan(wanted.seed, vms=wanted.vms, seconds=wanted.seconds)
+    troubles = Troubles(site)
     began = trio.current_time()
     async with trio.open_nursery() as nursery:
         for trouble in plan:
             await trio.sleep_until(began + trouble.at)
-            nursery.start_soon(site.play, trouble)
+            nursery.start_soon(troubles.play, trouble)
 
 
 async def _check_recovery(site: Site) -> None:
