--- /dev/null
+++ b/deploy/node/src/verbenamill_node/starting.py
@@ -0,0 +1,95 @@
+"""Joins the daemon and the platform's adapter, and runs them."""
+
+import gc
+import os
+import sys
+from datetime import UTC, datetime
+from pathlib import Path
+from random import SystemRandom
+
+import trio
+from returns.result import Failure, Success
+
+from verbenamill_http.addresses import parse_address
+from verbenamill_platform import HEADERS, PlatformStore, read_announcement
+from verbenamill_sidecar.daemon import Daemon, DaemonContext
+from verbenamill_sidecar.settings import (
+    LoggingSettings,
+    Settings,
+    load_settings,
+)
+from verbenamill_sidecar.signals import watch_signals
+from verbenamill_telemetry import Event, log, set_up_logs
+from verbenamill_telemetry.streams import BoundedStream
+
+#: Names the settings file, where no argument does.
+SETTINGS_VARIABLE = 'VERBENAMILL_BOOT'
+BAD_SETTINGS = 2
+#: Objects between two collections. What a request makes is freed by counting
+#: references; a collection would only walk what lives for long.
+_GC_THRESHOLD = 50_000
+
+
+def main() -> int:
+    """Run the daemon until SIGTERM or SIGINT."""
+    path = Path(_find_path())
+    match load_settings(path):
+        case Success(settings):
+            return _run(settings, path)
+        case Failure(faults):
+            set_up_logs(LoggingSettings(), stream=BoundedStream(1))
+            for fault in faults:
+                log(Event.SETTINGS_FAULT, path=path, fault=fault)
+    return BAD_SETTINGS
+
+
+def _find_path() -> str:
+    if len(sys.argv) > 1:
+        return sys.argv[1]
+    return os.environ.get(SETTINGS_VARIABLE, 'daemon.toml')
+
+
+def _run(settings: Settings, path: Path) -> int:
+    set_up_logs(
+        settings.logging,
+        stream=BoundedStream(1),
+        vm=settings.vm.id,
+    )
+    gc.freeze()
+    gc.set_threshold(_GC_THRESHOLD, 10, 10)
+    try:
+        trio.run(_serve, settings, path)
+    except BaseException as error:
+        log(Event.INVARIANT_BROKEN, detail=_find_cause(error))
+        raise
+    return 0
+
+
+def _find_cause(error: BaseException) -> str:
+    """First innermost exception of nested groups, in one line."""
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return repr(error)
+
+
+async def _serve(settings: Settings, path: Path) -> None:
+    random = SystemRandom()
+    daemon = Daemon(
+        DaemonContext(
+            settings=settings,
+            store=PlatformStore(parse_address(settings.store.address)),
+            names=HEADERS,
+            read_announcement=read_announcement,
+            now=_now,
+            random=random,
+        ),
+    )
+    stopping = trio.Event()
+    async with trio.open_nursery() as nursery:
+        await nursery.start(watch_signals, stopping, path)
+        await daemon.run(stopping)
+        nursery.cancel_scope.cancel()
+
+
+def _now() -> datetime:
+    return datetime.now(UTC)
--- a/libs/soak/src/verbenamill_soak/launch.py
+++ b/libs/soak/src/verbenamill_soak/launch.py
@@ -3,7 +3,7 @@
 import sys
 from datetime import UTC, datetime, timedelta
 
-from verbenamill_node import __main__ as node
+from verbenamill_node import starting
 
 
 def main() -> int:
@@ -13,8 +13,8 @@
     the daemon takes its wall clock from one function.
     """
     behind = timedelta(seconds=float(sys.argv.pop(1)))
-    node._now = lambda: datetime.now(UTC) - behind  # noqa: SLF001
-    return node.main()
+    starting._now = lambda: datetime.now(UTC) - behind  # noqa: SLF001
+    return starting.main()
 
 
 if __name__ == '__main__':
