--- a/libs/sidecar/src/verbenamill_sidecar/feeding.py
+++ b/libs/sidecar/src/verbenamill_sidecar/feeding.py
@@ -38,6 +38,7 @@
         self._rank = 0
         self._is_leaving = False
         self._children: list[MemberRecord] = []
+        self._wards: list[MemberRecord] = []
         self._readers: list[MemberRecord] = []
         self._fed_at = float('-inf')
         self._starved_since: float | None = None
@@ -54,6 +55,17 @@
         self._refresh()
         return self._children
 
+    @property
+    def wards(self) -> list[MemberRecord]:
+        """Children of another daemon that are told from here as well.
+
+        A parent that was just cut off from the store does not notice that
+        until its read is overdue, and goes on telling its children that they
+        are fed. With a second one they have the news all the same.
+        """
+        self._refresh()
+        return self._wards
+
     @property
     def other_readers(self) -> list[MemberRecord]:
         """Daemons of the zone that read the store, but for this one."""
@@ -111,8 +123,17 @@
         self._readers = [
             record for record in neighbours[:READERS] if record.vm != self._own
         ]
-        first = READERS + self._rank * FANOUT
-        self._children = neighbours[first : first + FANOUT]
+        self._children = neighbours[_children_of(self._rank)]
+        self._wards = neighbours[_children_of(self._rank ^ 1)]
+
+
+def _children_of(rank: int) -> slice:
+    """Ranks of a daemon's children; always higher than its own.
+
+    They are higher than that of its neighbour in rank, too.
+    """
+    first = READERS + rank * FANOUT
+    return slice(first, first + FANOUT)
 
 
 def _order(record: MemberRecord) -> tuple[int, VmId]:
--- a/libs/sidecar/src/verbenamill_sidecar/following.py
+++ b/libs/sidecar/src/verbenamill_sidecar/following.py
@@ -258,9 +258,12 @@
             self._fetching.discard(peer.record.vm)
 
     def _head_start(self, is_parent: bool) -> float:
-        if self._wishes.version < 0 or is_parent:
+        if self._wishes.version < 0:
             return _FIRST_START
-        return _HEAD_START
+        # Both parents tell the same at about the same time; the second one
+        # is asked only if the first does not answer.
+        is_first = is_parent and len(self._fetching) == 1
+        return _FIRST_START if is_first else _HEAD_START
 
     async def _fetch_now(self, peer: Peer) -> None:
         known = await fetch_knowledge(peer.pool)
--- a/libs/sidecar/src/verbenamill_sidecar/gossip.py
+++ b/libs/sidecar/src/verbenamill_sidecar/gossip.py
@@ -207,7 +207,7 @@
     def feed_children(self) -> None:
         """Tell the children in the tree what is known here."""
         notice = Notice(self._own.vm, self._wishes.stamp)
-        for child in self._feeding.children:
+        for child in (*self._feeding.children, *self._feeding.wards):
             self._send(child, notice)
 
     def compare_soon(self) -> None:
--- a/libs/sidecar/tests/test_feeding.py
+++ b/libs/sidecar/tests/test_feeding.py
@@ -128,3 +128,33 @@
         assert feeding.must_read()
 
     trio.run(scene, clock=MockClock(autojump_threshold=0))
+
+
+@pytest.mark.parametrize('count', [5, 12, 40, 300])
+def test_a_second_parent_tells_the_children_as_well(count):
+    # The parent is cut off from the store and has not noticed yet: it says
+    # that nothing is new. Its children need the news from somebody else.
+    table = make_table(count)
+    feedings = {f'a{n}': Feeding(table, f'a{n}') for n in range(count)}
+    parents = {vm: set() for vm in feedings}
+    for vm, one in feedings.items():
+        for child in (*one.children, *one.wards):
+            parents[child.vm].add(vm)
+    for vm, one in feedings.items():
+        assert len(parents[vm]) == (0 if one.is_reader else 2)
+
+
+def test_a_child_is_reached_although_one_reader_is_not():
+    table = make_table(300)
+    feedings = {f'a{n}': Feeding(table, f'a{n}') for n in range(300)}
+    readers = [vm for vm, one in feedings.items() if one.is_reader]
+    for cut in readers:
+        reached = set(readers) - {cut}
+        wave = list(reached)
+        while wave:
+            one = feedings[wave.pop()]
+            for child in (*one.children, *one.wards):
+                if child.vm not in reached:
+                    reached.add(child.vm)
+                    wave.append(child.vm)
+        assert reached == set(feedings) - {cut}
