Tests take ports that the kernel does not hand out

Ports were found by binding to 0 and closing, and opened later; meanwhile the kernel may give them to any connection on the machine. The soak had the same fault. Change: ports from 15,000 to 32,000, checked for TCP and UDP.

--- a/deploy/tests/conftest.py
+++ b/deploy/tests/conftest.py
@@ -1,11 +1,11 @@
 """A small site in one loop: store, upstreams, daemons and callers."""
 
 import socket
-from contextlib import asynccontextmanager, ExitStack
+from contextlib import asynccontextmanager
 from datetime import UTC, datetime
 from functools import partial
 from itertools import count
-from random import Random
+from random import Random, SystemRandom
 
 import httptools
 import pytest
@@ -298,11 +298,25 @@
 
 
 def find_ports(number):
-    with ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(number)]
-        for one in sockets:
-            one.bind(('127.0.0.1', 0))
-        return [one.getsockname()[1] for one in sockets]
+    # Below the ports that the kernel hands out: one of those could go to
+    # another process before the daemon opens it, or opens it again.
+    random = SystemRandom()
+    ports = set()
+    while len(ports) < number:
+        port = random.randrange(15_000, 32_000)
+        if is_free(port):
+            ports.add(port)
+    return list(ports)
+
+
+def is_free(port):
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as sock:
+            try:
+                sock.bind(('127.0.0.1', port))
+            except OSError:
+                return False
+    return True
 
 
 @pytest.fixture
--- a/libs/sidecar/tests/conftest.py
+++ b/libs/sidecar/tests/conftest.py
@@ -1,7 +1,7 @@
 """Free ports for the daemons of a test."""
 
 import socket
-from contextlib import ExitStack
+from random import SystemRandom
 
 import pytest
 
@@ -11,18 +11,24 @@
     """Ports of which each has a free one behind it."""
 
     def find(count):
-        ports = []
-        with ExitStack() as stack:
-            while len(ports) < count:
-                first = stack.enter_context(socket.socket())
-                first.bind(('127.0.0.1', 0))
-                port = first.getsockname()[1]
-                second = stack.enter_context(socket.socket())
-                try:
-                    second.bind(('127.0.0.1', port + 1))
-                except OSError:
-                    continue
-                ports.append(port)
-        return ports
+        # Below the ports that the kernel hands out: one of those could go to
+        # another process before the daemon of the test opens it.
+        random = SystemRandom()
+        ports = set()
+        while len(ports) < count:
+            port = random.randrange(15_000, 32_000, 2)
+            if is_free(port) and is_free(port + 1):
+                ports.add(port)
+        return list(ports)
 
     return find
+
+
+def is_free(port):
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as sock:
+            try:
+                sock.bind(('127.0.0.1', port))
+            except OSError:
+                return False
+    return True
