--- a/deploy/tests/conftest.py
+++ b/deploy/tests/conftest.py
@@ -1,11 +1,10 @@
 """A small site in one loop: store, upstreams, daemons and callers."""
 
-import socket
 from contextlib import asynccontextmanager
 from datetime import UTC, datetime
 from functools import partial
 from itertools import count
-from random import Random, SystemRandom
+from random import Random
 
 import httptools
 import pytest
@@ -13,6 +12,7 @@
 
 from verbenamill_platform import HEADERS, PlatformStore, read_announcement
 from verbenamill_platform_standins import StoreStandIn, UpstreamStandIn
+from verbenamill_platform_standins.ports import find_ports
 from verbenamill_http.addresses import parse_address
 from verbenamill_sidecar.daemon import Daemon, DaemonContext
 from verbenamill_sidecar.settings import check_settings
@@ -297,28 +297,6 @@
         await self.until(is_in_force)
 
 
-def find_ports(number):
-    # Below the ports that the kernel hands out: one of those could go to
-    # another process before the daemon opens it, or opens it again.
-    random = SystemRandom()
-    ports = set()
-    while len(ports) < number:
-        port = random.randrange(15_000, 32_000)
-        if is_free(port):
-            ports.add(port)
-    return list(ports)
-
-
-def is_free(port):
-    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-        with socket.socket(socket.AF_INET, kind) as sock:
-            try:
-                sock.bind(('127.0.0.1', port))
-            except OSError:
-                return False
-    return True
-
-
 @pytest.fixture
 def play():
     """Run a scene on a site of its own."""
--- a/libs/soak/src/verbenamill_soak/nodes.py
+++ b/libs/soak/src/verbenamill_soak/nodes.py
@@ -2,26 +2,22 @@
 
 import os
 import signal
-import socket
 import sys
 from collections.abc import Iterator
 from contextlib import contextmanager
 from pathlib import Path
-from random import SystemRandom
 
 import h11
 import trio
 
 from verbenamill_platform_standins import UpstreamStandIn
 from verbenamill_platform_standins.callers import READINESS, SEAL
+from verbenamill_platform_standins.ports import find_ports
 from verbenamill_platform_standins.serving import Asked, Told
 from verbenamill_soak.relays import Switch, TcpRelay, UdpRelay
 from verbenamill_soak.timeline import Timeline
 
 _HOST = '127.0.0.1'
-#: Ports for daemons: the kernel hands out those from 32,768 on.
-_FIRST_PORT = 15_000
-_LAST_PORT = 32_000
 #: Time for a killed process to be gone, in seconds.
 _END_LIMIT = 5.0
 #: How often an upstream beats, in seconds.
@@ -63,31 +59,6 @@
 """
 
 
-def find_ports(number: int) -> list[int]:
-    """Ports that nobody uses, for TCP and for UDP.
-
-    They lie below those that the kernel hands out by itself; a relay, or
-    another soak, could otherwise get one while its daemon restarts.
-    """
-    random = SystemRandom()
-    found: set[int] = set()
-    while len(found) < number:
-        port = random.randrange(_FIRST_PORT, _LAST_PORT)
-        if _is_free(port):
-            found.add(port)
-    return list(found)
-
-
-def _is_free(port: int) -> bool:
-    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
-        with socket.socket(socket.AF_INET, kind) as sock:
-            try:
-                sock.bind((_HOST, port))
-            except OSError:
-                return False
-    return True
-
-
 class Upstream(UpstreamStandIn):
     """One upstream of a run.
 
