A version that was taken back gets nothing in later moves either

Cause: a daemon remembered the newest order of a service and its verdict only. Once the next move was ordered, the version taken back before counted among the old ones, while its upstreams still ran.

Ruled out: barring every version but the base of the move (operators replace upstreams by a version of another name without an order; these would get nothing); keeping it in the store (its status record holds the newest word per service in the platform's format).

Change: verdicts are kept by service and version, a later verdict on the same version replaces the earlier one; they are a join, and a daemon that fetches from a neighbour gets them too. Not covered: all daemons gone at once while a bad version still runs and the next move is already ordered.

--- a/libs/policy/src/verbenamill_policy/rollouts.py
+++ b/libs/policy/src/verbenamill_policy/rollouts.py
@@ -65,6 +65,9 @@
 LAST_STAGE = len(STAGES) - 1
 #: Part of the window at which a move without a finding is declared done.
 DONE_AT = 0.8
+#: Versions of a service whose verdicts are remembered. One that was taken
+#: back is stopped within minutes; a service sees a few moves in that time.
+MAX_VERSIONS = 16
 #: Part of the window at which a move whose version never showed is given up.
 LOST_AT = 0.95
 
@@ -102,10 +105,12 @@
 
     :param target: version of the newest order; ``None`` before any.
     :param share: part of the requests that the target gets, 0 to 1.
+    :param taken_back: versions of earlier moves that were found bad.
     """
 
     target: VersionName | None = None
     share: float = 0
+    taken_back: frozenset[VersionName] = frozenset()
 
     def allows(self, version: VersionName) -> bool:
         """Whether a version may get any request."""
@@ -113,13 +118,60 @@
             return True
         if version == self.target:
             return self.share > 0
-        return self.share < 1
+        return self.share < 1 and version not in self.taken_back
+
+
+class Verdicts:
+    """The verdict on each version of one service.
+
+    The upstreams of a version that was taken back run on for seconds. With
+    only the newest order remembered, such a version would count among the
+    old ones as soon as the next move is ordered, and fail requests again.
+    A later verdict on the same version replaces the earlier one, so that a
+    version that was mended under its old name is not barred for ever.
+    """
+
+    def __init__(self) -> None:
+        self._by_version: dict[VersionName, Settled] = {}
+
+    @property
+    def taken_back(self) -> frozenset[VersionName]:
+        """Versions whose last verdict was against them."""
+        return frozenset(
+            version
+            for version, settled in self._by_version.items()
+            if settled.verdict is Verdict.TAKEN_BACK
+        )
+
+    @property
+    def known(self) -> list[Settled]:
+        """All verdicts, as one daemon tells them to another."""
+        return list(self._by_version.values())
+
+    def add(self, settled: Settled) -> bool:
+        """Take in a verdict; tells whether it was news.
+
+        The order in which verdicts come does not matter.
+        """
+        if settled.verdict is Verdict.RUNNING:
+            return False
+        known = self._by_version.get(settled.target)
+        if known is not None and known.order >= settled.order:
+            return False
+        self._by_version[settled.target] = settled
+        if len(self._by_version) <= MAX_VERSIONS:
+            return True
+        oldest = min(self.known, key=lambda one: one.order)
+        self._by_version.pop(oldest.target)
+        return oldest is not settled
 
 
 def find_shares(
     order: Order | None,
     settled: Settled | None,
     progress: Progress | None,
+    *,
+    taken_back: frozenset[VersionName] = frozenset(),
 ) -> Shares:
     """Shares in force for a service.
 
@@ -128,15 +180,17 @@
     """
     if settled is not None and (order is None or settled.order >= order.id):
         if settled.verdict is Verdict.DONE:
-            return Shares(target=settled.target, share=1)
+            return Shares(target=settled.target, share=1, taken_back=taken_back)
         if settled.verdict is Verdict.TAKEN_BACK:
-            return Shares(target=settled.target, share=0)
+            return Shares(target=settled.target, share=0, taken_back=taken_back)
     if order is None:
         return Shares()
     if progress is None or progress.order != order.id or progress.vetoed:
-        return Shares(target=order.target, share=0)
+        return Shares(target=order.target, share=0, taken_back=taken_back)
     stage = min(progress.stage, LAST_STAGE)
-    return Shares(target=order.target, share=STAGES[stage].share)
+    return Shares(
+        target=order.target, share=STAGES[stage].share, taken_back=taken_back
+    )
 
 
 class VersionCounter:
--- a/libs/sidecar/src/verbenamill_sidecar/knowledge.py
+++ b/libs/sidecar/src/verbenamill_sidecar/knowledge.py
@@ -13,6 +13,7 @@
     Settled,
     Shares,
     Verdict,
+    Verdicts,
     find_shares,
     merge_progress,
 )
@@ -26,12 +27,17 @@
 
 
 class Knowledge(Struct, kw_only=True):
-    """All of it, as one daemon gives it to another."""
+    """All of it, as one daemon gives it to another.
+
+    :param settled: what operators were told last of each service.
+    :param verdicts: those on versions of earlier moves as well.
+    """
 
     configuration: Configuration | None = None
     orders: dict[ServiceName, Order] = {}
     settled: dict[ServiceName, Settled] = {}
     progress: dict[ServiceName, Progress] = {}
+    verdicts: list[Settled] = []
 
 
 _decoder = msgspec.msgpack.Decoder(Knowledge)
@@ -68,6 +74,7 @@
         self._known = Knowledge()
         self._table: RouteTable | None = None
         self._shares: dict[ServiceName, Shares] = {}
+        self._verdicts: dict[ServiceName, Verdicts] = {}
         self.changes = 0
 
     @property
@@ -100,6 +107,11 @@
     @property
     def known(self) -> Knowledge:
         """All of it."""
+        self._known.verdicts = [
+            settled
+            for verdicts in self._verdicts.values()
+            for settled in verdicts.known
+        ]
         return self._known
 
     def shares(self, service: ServiceName) -> Shares:
@@ -110,6 +122,7 @@
                 self._known.orders.get(service),
                 self._known.settled.get(service),
                 self._known.progress.get(service),
+                taken_back=self._verdicts_of(service).taken_back,
             )
             self._shares[service] = found
         return found
@@ -167,6 +180,8 @@
 
     def take_settled(self, settled: Settled) -> bool:
         """Take in a verdict, unless one of a later order is known."""
+        if self._verdicts_of(settled.service).add(settled):
+            self._change(settled.service)
         known = self._known.settled.get(settled.service)
         if known is not None and _rank(known) >= _rank(settled):
             return False
@@ -207,6 +222,8 @@
             self.take_order(order)
         for settled in other.settled.values():
             self.take_settled(settled)
+        for verdict in other.verdicts:
+            self.take_settled(verdict)
         for progress in other.progress.values():
             self.take_progress(progress)
 
@@ -214,6 +231,9 @@
         """Whether a version gets no requests any more."""
         return not self.shares(service).allows(version)
 
+    def _verdicts_of(self, service: ServiceName) -> Verdicts:
+        return self._verdicts.setdefault(service, Verdicts())
+
     def _is_settled(self, service: ServiceName, order: Order) -> bool:
         settled = self._known.settled.get(service)
         return (
--- a/libs/sidecar/src/verbenamill_sidecar/peers.py
+++ b/libs/sidecar/src/verbenamill_sidecar/peers.py
@@ -191,9 +191,17 @@
     *,
     target: bool,
 ) -> list[Peer]:
-    """Peers whose upstream runs the target of a move, or does not."""
+    """Peers whose upstream runs the target of a move, or an old version.
+
+    A version that an earlier move took back is neither.
+    """
+    if target:
+        return [peer for peer in peers if _version_of(peer) == shares.target]
     return [
-        peer for peer in peers if (_version_of(peer) == shares.target) is target
+        peer
+        for peer in peers
+        if _version_of(peer) not in shares.taken_back
+        and _version_of(peer) != shares.target
     ]
 
 
--- a/libs/sidecar/tests/test_knowledge.py
+++ b/libs/sidecar/tests/test_knowledge.py
@@ -1,7 +1,11 @@
 """What a daemon concludes from orders and verdicts as they follow."""
 
 from verbenamill_policy.rollouts import Order, Settled, Verdict
-from verbenamill_sidecar.knowledge import Wishes
+from verbenamill_sidecar.knowledge import (
+    Wishes,
+    read_knowledge,
+    write_knowledge,
+)
 
 
 def test_a_version_that_was_taken_back_gets_nothing_in_the_next_move():
@@ -22,3 +26,35 @@
     wishes.take_order(Order(id=2, service='s', target='v3', window=6))
     assert wishes.shares('s').allows('v1')
     assert not wishes.shares('s').allows('v2')
+
+
+def _verdict(order, target, verdict):
+    return Settled(order=order, service='s', target=target, verdict=verdict)
+
+
+def test_a_restarted_daemon_learns_what_was_taken_back_from_a_neighbour():
+    # A daemon is restarted while the move after a bad one runs. The store
+    # tells the newest order only, so the daemon hears of the bad version
+    # from whom it fetches the rest; without that it would send it requests.
+    neighbour = Wishes()
+    neighbour.take_settled(_verdict(1, 'v2', Verdict.TAKEN_BACK))
+    neighbour.take_order(Order(id=2, service='s', target='v3', window=6))
+    neighbour.take_settled(_verdict(2, 'v3', Verdict.RUNNING))
+    told = read_knowledge(write_knowledge(neighbour.known))
+    restarted = Wishes()
+    restarted.take_order(Order(id=2, service='s', target='v3', window=6))
+    restarted.take_all(told, 'neighbour')
+    assert restarted.shares('s').allows('v1')
+    assert not restarted.shares('s').allows('v2')
+
+
+def test_a_version_that_was_mended_under_its_name_is_used_again():
+    # An operator orders the version once more after it was taken back, and
+    # it is found good. In the move after that it is the old version, which
+    # has to carry all requests until the next one is trusted.
+    wishes = Wishes()
+    wishes.take_settled(_verdict(1, 'v2', Verdict.TAKEN_BACK))
+    wishes.take_settled(_verdict(3, 'v2', Verdict.DONE))
+    wishes.take_settled(_verdict(1, 'v2', Verdict.TAKEN_BACK))
+    wishes.take_order(Order(id=4, service='s', target='v3', window=6))
+    assert wishes.shares('s').allows('v2')
