Queues are told by priority: less urgent work stands behind

Change: owners tell how many wait by priority; places ahead count those of the same or a higher rank.

--- a/libs/policy/src/verbenamill_policy/admission.py
+++ b/libs/policy/src/verbenamill_policy/admission.py
@@ -4,6 +4,7 @@
 from enum import Enum, unique
 
 from verbenamill_model.typing import RouteName
+from verbenamill_policy.placement import Queue
 from verbenamill_policy.service_times import ServiceTimes
 
 #: Share of the time left that a wait and the work behind it may take. The
@@ -16,6 +17,8 @@
 #: Requests that may wait for each slot: with more, the last would wait for
 #: several service times, longer than any latency objective seen.
 QUEUE_FACTOR = 4
+#: Priorities that others are told of apart; the rest count as the last.
+_PRIORITIES = 4
 
 
 @unique
@@ -75,6 +78,11 @@
         self.started = arrived
         self.settle = settle
 
+    @property
+    def priority(self) -> int:
+        """Priority of its route; 0 is served first."""
+        return self._order[0]
+
     @property
     def order(self) -> tuple[int, bool, float]:
         """Place in the queue; the lowest goes first.
@@ -116,14 +124,17 @@
         """Requests at the upstream and in the queue."""
         return len(self._running) + len(self._waiting)
 
-    @property
-    def turn(self) -> float:
-        """Time in which one place of the queue is worked off, in seconds."""
+    def describe(self) -> Queue:
+        """What others are told of the queue."""
         present = [*self._running, *self._waiting]
         if not present:
-            return 0
+            return Queue()
         work = sum(ticket.expected for ticket in present)
-        return work / len(present) / max(self.slots, 1)
+        turn = work / len(present) / max(self.slots, 1)
+        counts = [0] * _PRIORITIES
+        for ticket in self._waiting:
+            counts[min(ticket.priority, _PRIORITIES - 1)] += 1
+        return Queue(int(turn * 1_000_000), tuple(counts))
 
     def enter(self, ticket: Ticket, now: float) -> Entry | None:
         """Ask for a slot; ``None`` when the request waits for one."""
--- a/libs/policy/src/verbenamill_policy/placement.py
+++ b/libs/policy/src/verbenamill_policy/placement.py
@@ -58,13 +58,24 @@
 LONGEST_PAUSE = 4.0
 
 
+class Queue(Struct, frozen=True, array_like=True):
+    """What an owner tells of its queue.
+
+    :param turn: time in which one place of it is worked off, in
+        microseconds; 0 if not known.
+    :param waiting: requests in it by priority, the most urgent first.
+    """
+
+    turn: int = 0
+    waiting: tuple[int, ...] = ()
+
+
 class Owner:
     """What an ingress believes of one daemon and its upstream.
 
     :ivar pace: service time in relation to the mean of its service.
     :ivar load: requests running and queued there.
-    :ivar turn: time in which one place of its queue is worked off, in s; 0 if
-        it has told none.
+    :ivar queue: what it told of its queue.
     """
 
     __slots__ = (
@@ -73,7 +84,7 @@
         'slots',
         'pace',
         'load',
-        'turn',
+        'queue',
         'told_at',
         'failing',
         'down_until',
@@ -93,7 +104,7 @@
         self.slots = max(slots, 1)
         self.pace = _FIRST_PACE
         self.load = float(0)
-        self.turn = float(0)
+        self.queue = Queue()
         self.told_at = float(0)
         self.failing = float(0)
         self.down_until = float(0)
@@ -104,10 +115,16 @@
         """Count a request that goes there now."""
         self.load += 1
 
-    def tell_load(self, load: int, now: float, *, turn: float = 0) -> None:
+    def tell_load(
+        self,
+        load: int,
+        now: float,
+        *,
+        queue: Queue | None = None,
+    ) -> None:
         """Take in the load that came with a reply."""
         self.load = float(load)
-        self.turn = turn
+        self.queue = queue or Queue()
         self.told_at = now
         self.pause = FIRST_PAUSE
         self.down_until = 0
@@ -142,12 +159,14 @@
     :param usual: mean service time of its route, in seconds.
     :param spread: standard deviation of the logarithm of these times.
     :param left: time to its latency objective, in seconds.
+    :param priority: of its route; 0 is served first.
     :param patience: time until its caller gives up, in seconds.
     :param size: bytes of its body and of the answer that is expected.
     """
 
     usual: float
     left: float
+    priority: int = 0
     spread: float = FIRST_SPREAD
     patience: float = 0
     size: float = 0
@@ -189,14 +208,28 @@
     service = wish.usual * (1 + (owner.pace - 1) * trust)
     crowded = 1 + _CROWDING * min(load / slots, 1) ** 2
     # What waits there may be other work than this request.
-    turn = owner.turn or service / slots
+    turn = owner.queue.turn / 1_000_000 or service / slots
     return Forecast(
-        wait=max(load + 1 - slots, 0) * turn,
+        wait=_places_ahead(owner, load, wish.priority) * turn,
         service=service * crowded,
         failing=owner.failing * trust,
     )
 
 
+def _places_ahead(owner: Owner, load: float, priority: int) -> float:
+    """Places that are worked off before a newcomer gets a slot.
+
+    Who is less urgent stands behind it. Counted with the others, a queue of
+    long requests would seem to leave no room for short urgent calls, and
+    all requests that make such calls would be refused.
+    """
+    excess = load + 1 - owner.slots
+    if excess <= 0:
+        return 0
+    behind = sum(owner.queue.waiting[priority + 1 :])
+    return max(excess - behind, 1)
+
+
 def expect_time(owner: Owner, wish: Wish, now: float) -> float:
     """Expected time until an owner's answer, in seconds."""
     return forecast(owner, wish, now).time
--- a/libs/sidecar/src/verbenamill_sidecar/call.py
+++ b/libs/sidecar/src/verbenamill_sidecar/call.py
@@ -7,6 +7,7 @@
 from verbenamill_http.client import Answer
 from verbenamill_http.messages import Header
 from verbenamill_model.typing import ServiceName
+from verbenamill_policy.placement import Queue
 from verbenamill_policy.routes import Route
 
 
@@ -67,7 +68,7 @@
     :param everywhere: whether other owners would say the same.
     :param took: time at the upstream, in seconds.
     :param load: requests running and queued at the owner.
-    :param turn: time in which one place of its queue is worked off, in s.
+    :param queue: what the owner told of its queue.
     """
 
     fate: Fate
@@ -79,7 +80,7 @@
     everywhere: bool = False
     took: float | None = None
     load: int = -1
-    turn: float = 0
+    queue: Queue | None = None
 
 
 def not_run(
--- a/libs/sidecar/src/verbenamill_sidecar/hop.py
+++ b/libs/sidecar/src/verbenamill_sidecar/hop.py
@@ -15,6 +15,7 @@
     ServiceName,
     VersionName,
 )
+from verbenamill_policy.placement import Queue
 from verbenamill_policy.routes import RouteKind
 from verbenamill_sidecar.call import Fate, Outcome
 
@@ -57,8 +58,7 @@
 
     :param took: time at the upstream in milliseconds; -1 if not known.
     :param wait: when there may be room, in milliseconds.
-    :param turn: time in which one place of the queue is worked off, in
-        microseconds.
+    :param queue: who waits for a slot.
     """
 
     load: int
@@ -68,7 +68,7 @@
     wait: int = 0
     reached: bool = False
     everywhere: bool = False
-    turn: int = 0
+    queue: Queue | None = None
 
 
 _calls = msgspec.json.Decoder(HopCall)
@@ -95,7 +95,7 @@
 def encode_outcome(
     outcome: Outcome,
     load: int,
-    turn: float = 0,
+    queue: Queue | None = None,
 ) -> Response:
     """Reply of an owner."""
     took = outcome.took
@@ -107,7 +107,7 @@
         wait=int(outcome.wait * 1000),
         reached=outcome.reached,
         everywhere=outcome.everywhere,
-        turn=int(turn * 1_000_000),
+        queue=queue,
     )
     told = (OWNER_HEADER, _encoder.encode(report))
     answer = outcome.answer
@@ -139,7 +139,7 @@
         everywhere=report.everywhere,
         took=None if report.took < 0 else report.took / 1000,
         load=report.load,
-        turn=report.turn / 1_000_000,
+        queue=report.queue,
     )
     if report.fate is Fate.ANSWERED:
         answer.headers = end_to_end(answer.headers)
--- a/libs/sidecar/src/verbenamill_sidecar/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/ingress.py
@@ -162,6 +162,7 @@
                 split.service,
                 usual=self._usual(route),
                 objective=route.objective,
+                priority=route.priority,
             )
 
     def _clean(self, headers: list[Header]) -> list[Header]:
@@ -207,6 +208,7 @@
                 usual=self._usual(call.route),
                 spread=self._times.spread(call.route.name),
                 left=max(call.objective - now, patience / 2),
+                priority=call.route.priority,
                 patience=patience,
                 size=len(call.body) + self._sizes.get(call.route.name, 0),
             ),
@@ -253,7 +255,7 @@
                 version=upstream.version,
             )
             outcome.load = self._context.own.load
-            outcome.turn = self._context.own.turn
+            outcome.queue = self._context.own.queue
         else:
             outcome = await self._pass_on(
                 call,
@@ -323,7 +325,7 @@
         now = trio.current_time()
         owner = peer.owner
         if outcome.load >= 0:
-            owner.tell_load(outcome.load, now, turn=outcome.turn)
+            owner.tell_load(outcome.load, now, queue=outcome.queue)
         if outcome.took is not None:
             usual = self._usual(call.route)
             owner.tell_time(outcome.took, usual)
--- a/libs/sidecar/src/verbenamill_sidecar/owner.py
+++ b/libs/sidecar/src/verbenamill_sidecar/owner.py
@@ -25,7 +25,7 @@
 from verbenamill_policy.heartbeats import Belief, Heartbeat, UpstreamRegister
 from verbenamill_policy.members import UpstreamRecord
 from verbenamill_policy.nesting import NestedCall, Nesting, has_room
-from verbenamill_policy.placement import Owner
+from verbenamill_policy.placement import Owner, Queue
 from verbenamill_sidecar.call import Call, Fate, Outcome, not_run, unknown
 from verbenamill_sidecar.protocol import HeaderNames, Left
 
@@ -101,9 +101,9 @@
         return self._admission.load
 
     @property
-    def turn(self) -> float:
-        """Time in which one place of the queue is worked off, in seconds."""
-        return self._admission.turn
+    def queue(self) -> Queue:
+        """What others are told of the queue."""
+        return self._admission.describe()
 
     @property
     def running(self) -> int:
