--- a/libs/policy/src/verbenamill_policy/admission.py
+++ b/libs/policy/src/verbenamill_policy/admission.py
@@ -131,7 +131,7 @@
             return Queue()
         work = sum(ticket.expected for ticket in present)
         turn = work / len(present) / max(self.slots, 1)
-        counts = [0] * _PRIORITIES
+        counts = [0 for _ in range(_PRIORITIES)]
         for ticket in self._waiting:
             counts[min(ticket.priority, _PRIORITIES - 1)] += 1
         return Queue(int(turn * 1_000_000), tuple(counts))
