Callers that come back after a refusal are known, and no longer taken for new

Cause: the objective of a caller that was refused and returned began anew. In overload such requests, late already, were served in place of fresh ones.

Ruled out: remembering ids (each try has its own); a header of our own (the callers are not ours).

Change: callers of a route give the same time at first; the common value is learned, and who gives less first asked that much earlier.

--- /dev/null
+++ b/libs/policy/tests/test_returning.py
@@ -0,0 +1,50 @@
+"""Callers that come back are told from new ones by the time they give."""
+
+from random import Random
+
+from verbenamill_policy.returning import Returning
+
+
+def test_who_comes_back_is_known_by_the_time_that_is_left():
+    # In overload each second request is one that was refused and comes back
+    # with what is left of its 2 s. All first requests give 2 s.
+    random = Random(3)
+    returning = Returning()
+    for _ in range(200):
+        returning.elapsed('r', 2000)
+        returning.elapsed('r', random.randrange(1300, 1990))
+    assert returning.elapsed('r', 2000) == 0
+    assert returning.elapsed('r', 1500) == 0.5
+
+
+def test_nothing_is_concluded_where_every_caller_gives_another_time():
+    random = Random(3)
+    returning = Returning()
+    told = [returning.elapsed('r', random.randrange(500, 5000))]
+    told += [
+        returning.elapsed('r', random.randrange(500, 5000)) for _ in range(300)
+    ]
+    assert not any(told)
+
+
+def test_one_patient_caller_makes_nobody_else_look_late():
+    returning = Returning()
+    for place in range(300):
+        patient = place % 10 == 0
+        assert not returning.elapsed('r', 60_000 if patient else 2000)
+
+
+def test_callers_that_give_another_time_from_now_on_are_learned():
+    returning = Returning()
+    for _ in range(300):
+        returning.elapsed('r', 5000)
+    for _ in range(100):
+        returning.elapsed('r', 2000)
+    assert returning.elapsed('r', 2000) == 0
+
+
+def test_routes_are_told_apart():
+    returning = Returning()
+    for _ in range(50):
+        returning.elapsed('slow', 8000)
+        assert returning.elapsed('quick', 500) == 0
--- a/libs/sidecar/src/verbenamill_sidecar/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/ingress.py
@@ -26,6 +26,7 @@
 )
 from verbenamill_policy.budget import RetryBudget
 from verbenamill_policy.placement import Owner, Wish, choose
+from verbenamill_policy.returning import Returning
 from verbenamill_policy.rollouts import Shares, VersionCounter
 from verbenamill_policy.routes import Route, RouteTable, SplitCounter
 from verbenamill_policy.service_times import ServiceTimes
@@ -89,6 +90,7 @@
         self._versions = VersionCounter()
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._times = ServiceTimes()
+        self._returning = Returning()
         self._sizes: dict[RouteName, float] = {}
 
     async def handle(self, request: Request) -> Response:
@@ -139,6 +141,13 @@
         parent = self._context.own.find_parent(id)
         if parent is not None:
             self._note_nested(parent, route)
+        told = self._told_ms(head)
+        asked = arrived
+        if told is not None and parent is None:
+            asked -= self._returning.elapsed(route.name, told)
+        patience = route.timeout
+        if told is not None:
+            patience = min(told / 1000, patience)
         return Call(
             id=id,
             route=route,
@@ -149,8 +158,8 @@
             body=request.body,
             origin=self._context.origin.encode(),
             arrived=arrived,
-            objective=arrived + route.objective,
-            deadline=arrived + self._time_for(head, route),
+            objective=asked + route.objective,
+            deadline=arrived + patience,
             is_nested=parent is not None,
         )
 
@@ -171,11 +180,12 @@
         own = (names.deadline, names.instance, names.caller, b'expect')
         return [pair for pair in end_to_end(headers) if pair[0] not in own]
 
-    def _time_for(self, head: RequestHead, route: Route) -> float:
+    def _told_ms(self, head: RequestHead) -> int | None:
+        """Time that the caller gives, in milliseconds."""
         told = header(head.headers, self._context.names.deadline)
         if told is None or not told.isdigit():
-            return route.timeout
-        return min(int(told[:12]) / 1000, route.timeout)
+            return None
+        return int(told[:12])
 
     async def _answer(self, call: Call, tries: Tries) -> Response:
         budget = self._budgets.setdefault(call.service, RetryBudget())
