Requests that were refused unrun may go on more often than failed ones

A second upstream takes every other one, but repeats were kept to a tenth, because a second run makes its calls again. One that was refused unrun made none.

Change: a daemon earns 0.15 repeats a request; a rerun costs 1.5, so reruns stay within a tenth. Operators allow a fifth.

--- a/libs/policy/src/verbenamill_policy/budget.py
+++ b/libs/policy/src/verbenamill_policy/budget.py
@@ -1,10 +1,15 @@
 """How many requests may be sent to a second upstream."""
 
-#: Share of requests that may be repeated. Half of what operators allow for
-#: the fleet by default, since calls made by a repeated run count as well.
-RATIO = 0.1
+#: Share of requests that a daemon may send to a second upstream. Operators
+#: allow a fifth for the fleet by default; what is kept back covers calls of
+#: repeated runs, which count at the services that they call.
+RATIO = 0.15
 #: Repeats that a daemon saves up while nothing fails.
-BURST = 3.0
+BURST = 4.0
+#: What a repeat costs after an upstream has run the request, in repeats of
+#: one that was refused unrun: its run may have made calls, and a second run
+#: makes them again. So reruns stay within a tenth of the requests.
+RERUN_COST = 1.5
 
 
 class RetryBudget:
@@ -28,9 +33,13 @@
         """Count a request."""
         self._tokens = min(self._tokens + self._ratio, self._burst)
 
-    def take(self) -> bool:
-        """Spend a repeat, if there is one."""
-        if self._tokens < 1:
+    def take(self, *, has_run: bool) -> bool:
+        """Spend a repeat, if there is one.
+
+        :param has_run: whether an upstream may have run the request.
+        """
+        cost = RERUN_COST if has_run else 1
+        if self._tokens < cost:
             return False
-        self._tokens -= 1
+        self._tokens -= cost
         return True
--- a/libs/sidecar/src/verbenamill_sidecar/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/ingress.py
@@ -369,7 +369,7 @@
         left = call.deadline - trio.current_time()
         if left < _RETRY_ROOM * self._usual(call.route):
             return False
-        if not budget.take():
+        if not budget.take(has_run=tries.has_run):
             return False
         self._context.stats.retries += 1
         return True
--- a/libs/sidecar/src/verbenamill_sidecar/tries.py
+++ b/libs/sidecar/src/verbenamill_sidecar/tries.py
@@ -23,6 +23,11 @@
         self.wait = float(0)
         self.story: list[str] = []
 
+    @property
+    def has_run(self) -> bool:
+        """Whether an upstream has run the request, or may have."""
+        return self.may_have_run or self.answer is not None
+
     def add(self, peer: Peer, outcome: Outcome) -> None:
         """Note one try."""
         self.vms.add(peer.record.vm)
