Owners tell their own mean of a route; chance does not send requests away

Each daemon sees a few requests a second, so its belief of an owner's pace moved by a third at random, and the random part of estimates decided on the zone as well.

Change: the owner's mean comes with each answer; the spread is averaged over more requests; the random part ranks owners of one side only.

--- a/libs/policy/src/verbenamill_policy/placement.py
+++ b/libs/policy/src/verbenamill_policy/placement.py
@@ -130,7 +130,12 @@
         self.down_until = 0
 
     def tell_time(self, took: float, usual: float) -> None:
-        """Take in a service time, beside the usual one of its route."""
+        """Take in its mean time of a route, beside that of all owners.
+
+        It is the owner's own mean, of the requests of all daemons. Single
+        times, of which each daemon sees few, made a good upstream look a
+        third slower for a second, and its requests left the zone.
+        """
         pace = min(max(took / max(usual, 0.001), _MIN_PACE), _MAX_PACE)
         weight = max(_WEIGHT, 1 / (self.samples + 2))
         self.samples += 1
@@ -289,11 +294,14 @@
         owners = random.sample(owners, _MAX_LOOKS)
     best = None
     most = float('-inf')
+    worth = most
     for owner in owners:
         expected = forecast(owner, wish, now)
+        likely = expect_worth(expected, wish)
         expected.service *= 1 + _NOISE * random.random()
-        worth = expect_worth(expected, wish)
-        if worth > most:
+        ranked = expect_worth(expected, wish)
+        if ranked > most:
             best = owner
-            most = worth
-    return best, most
+            most = ranked
+            worth = likely
+    return best, worth
--- a/libs/policy/src/verbenamill_policy/service_times.py
+++ b/libs/policy/src/verbenamill_policy/service_times.py
@@ -6,6 +6,8 @@
 
 #: Weight of the newest request.
 WEIGHT = 0.1
+#: The same for the spread, which a single long time would move too far.
+_SPREAD_WEIGHT = 0.03
 #: Assumed before any request of a route was seen, as a part of its latency
 #: objective. Operators set an objective at three to four times the usual
 #: service time. With a fixed 50 ms in its place, a daemon that was just
@@ -36,7 +38,7 @@
     def add(self, took: float) -> None:
         median = self.mean * exp(-self.variance / 2)
         deviation = log(max(took, 0.001) / max(median, 0.001))
-        self.variance += WEIGHT * (deviation**2 - self.variance)
+        self.variance += _SPREAD_WEIGHT * (deviation**2 - self.variance)
         self.variance = min(self.variance, _MOST_SPREAD**2)
         self.mean += WEIGHT * (took - self.mean)
 
--- a/libs/sidecar/src/verbenamill_sidecar/call.py
+++ b/libs/sidecar/src/verbenamill_sidecar/call.py
@@ -67,6 +67,7 @@
     :param reached: whether an upstream has seen the request.
     :param everywhere: whether other owners would say the same.
     :param took: time at the upstream, in seconds.
+    :param usual: what requests of this route take at this upstream, in s.
     :param load: requests running and queued at the owner.
     :param queue: what the owner told of its queue.
     """
@@ -79,6 +80,7 @@
     reached: bool = False
     everywhere: bool = False
     took: float | None = None
+    usual: float | None = None
     load: int = -1
     queue: Queue | None = None
 
--- a/libs/sidecar/src/verbenamill_sidecar/hop.py
+++ b/libs/sidecar/src/verbenamill_sidecar/hop.py
@@ -57,6 +57,7 @@
     """What an owner tells beside its reply.
 
     :param took: time at the upstream in milliseconds; -1 if not known.
+    :param usual: mean time of the route there in milliseconds; -1 if not known.
     :param wait: when there may be room, in milliseconds.
     :param queue: who waits for a slot.
     """
@@ -69,6 +70,7 @@
     reached: bool = False
     everywhere: bool = False
     queue: Queue | None = None
+    usual: int = -1
 
 
 _calls = msgspec.json.Decoder(HopCall)
@@ -99,10 +101,12 @@
 ) -> Response:
     """Reply of an owner."""
     took = outcome.took
+    usual = outcome.usual
     report = OwnerReport(
         load=load,
         fate=outcome.fate,
         took=-1 if took is None else int(took * 1000),
+        usual=-1 if usual is None else int(usual * 1000),
         reason=outcome.reason,
         wait=int(outcome.wait * 1000),
         reached=outcome.reached,
@@ -138,6 +142,7 @@
         reached=report.reached,
         everywhere=report.everywhere,
         took=None if report.took < 0 else report.took / 1000,
+        usual=None if report.usual < 0 else report.usual / 1000,
         load=report.load,
         queue=report.queue,
     )
--- a/libs/sidecar/src/verbenamill_sidecar/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/ingress.py
@@ -337,8 +337,8 @@
         if outcome.load >= 0:
             owner.tell_load(outcome.load, now, queue=outcome.queue)
         if outcome.took is not None:
-            usual = self._usual(call.route)
-            owner.tell_time(outcome.took, usual)
+            told = outcome.usual or outcome.took
+            owner.tell_time(told, self._usual(call.route))
             self._times.add(call.route.name, outcome.took)
         answer = outcome.answer
         if answer is not None:
--- a/libs/sidecar/src/verbenamill_sidecar/owner.py
+++ b/libs/sidecar/src/verbenamill_sidecar/owner.py
@@ -443,6 +443,10 @@
             fate=Fate.ANSWERED,
             answer=answer,
             reached=True,
+            usual=self._admission.times.expect(
+                call.route.name,
+                objective=call.route.objective,
+            ),
             # Another upstream would make the same call and be refused.
             everywhere=is_excused and call.nested_status == _UNAVAILABLE,
             took=took,
