No surcharge for taken slots; what was slow is forgotten by time

Cause: estimates added 40 % for an owner with all slots taken. Measured on an instrumented copy, the service time of an upstream is the same at 3 and at 18 of 18 running requests; where it does rise, the owner's mean shows it.

And an owner that few requests are sent to took 20 of them to show that it had recovered, since its mean moved by a tenth with each.

Change: the surcharge goes. A mean forgets half each second at an owner, each 5 s at an ingress.

--- a/libs/policy/src/verbenamill_policy/admission.py
+++ b/libs/policy/src/verbenamill_policy/admission.py
@@ -166,7 +166,7 @@
         if ticket in self._running:
             self._running.discard(ticket)
             if took is not None:
-                self.times.add(ticket.route, took)
+                self.times.add(ticket.route, took, now)
             self.admit(now)
         elif ticket in self._waiting:
             self._waiting.remove(ticket)
--- a/libs/policy/src/verbenamill_policy/placement.py
+++ b/libs/policy/src/verbenamill_policy/placement.py
@@ -17,8 +17,6 @@
 #: Pace of an owner that was not tried yet: a little better than the mean, so
 #: that a new upstream gets requests at once.
 _FIRST_PACE = 0.8
-#: How much slower an upstream is expected to be when all slots are taken.
-_CROWDING = 0.4
 #: Time a failed answer is taken to cost, in seconds: the request has to be
 #: sent again, and its first run was for nothing.
 _FAILURE_COST = 0.6
@@ -211,12 +209,11 @@
     slots = owner.slots
     trust = _halved(max(now - owner.told_at, 0), _BELIEF_HALVES)
     service = wish.usual * (1 + (owner.pace - 1) * trust)
-    crowded = 1 + _CROWDING * min(load / slots, 1) ** 2
     # What waits there may be other work than this request.
     turn = owner.queue.turn / 1_000_000 or service / slots
     return Forecast(
         wait=_places_ahead(owner, load, wish.priority) * turn,
-        service=service * crowded,
+        service=service,
         failing=owner.failing * trust,
     )
 
--- a/libs/policy/src/verbenamill_policy/service_times.py
+++ b/libs/policy/src/verbenamill_policy/service_times.py
@@ -4,8 +4,13 @@
 
 from verbenamill_model.typing import RouteName
 
-#: Weight of the newest request.
+#: Least weight of the newest request.
 WEIGHT = 0.1
+#: After this long, half of what was measured before is forgotten, in seconds.
+#: An upstream that was slow gets few requests. By number alone it would take
+#: some 20 of them to show that it has recovered, and until then its owner
+#: refuses and the others avoid it; one or two a second are enough so.
+HALVES = 1.0
 #: The same for the spread, which a single long time would move too far.
 _SPREAD_WEIGHT = 0.03
 #: Assumed before any request of a route was seen, as a part of its latency
@@ -29,24 +34,31 @@
 class _Route:
     """Mean time of one route, and the variance of its logarithm."""
 
-    __slots__ = ('mean', 'variance')
+    __slots__ = ('mean', 'variance', '_at')
 
-    def __init__(self, took: float) -> None:
+    def __init__(self, took: float, now: float) -> None:
         self.mean = took
         self.variance = FIRST_SPREAD**2
+        self._at = now
 
-    def add(self, took: float) -> None:
+    def add(self, took: float, now: float, halves: float) -> None:
         median = self.mean * exp(-self.variance / 2)
         deviation = log(max(took, 0.001) / max(median, 0.001))
         self.variance += _SPREAD_WEIGHT * (deviation**2 - self.variance)
         self.variance = min(self.variance, _MOST_SPREAD**2)
-        self.mean += WEIGHT * (took - self.mean)
+        forgotten = 1 - pow(2, -max(now - self._at, 0) / halves)
+        self.mean += max(WEIGHT, forgotten) * (took - self.mean)
+        self._at = now
 
 
 class ServiceTimes:
-    """Service time of each route and of all, in seconds."""
+    """Service time of each route and of all, in seconds.
 
-    def __init__(self) -> None:
+    :param halves: after this long, half of a mean is forgotten, in seconds.
+    """
+
+    def __init__(self, *, halves: float = HALVES) -> None:
+        self._halves = halves
         self._routes: dict[RouteName, _Route] = {}
         self._mean: float | None = None
 
@@ -73,13 +85,16 @@
             return FIRST_SPREAD
         return max(sqrt(known.variance), _LEAST_SPREAD)
 
-    def add(self, route: RouteName, took: float) -> None:
-        """Count a request that was answered."""
+    def add(self, route: RouteName, took: float, now: float) -> None:
+        """Count a request that was answered.
+
+        :param now: on the monotonic clock, in seconds.
+        """
         known = self._routes.get(route)
         if known is not None:
-            known.add(took)
+            known.add(took, now, self._halves)
         elif len(self._routes) < MAX_ROUTES:
-            self._routes[route] = _Route(took)
+            self._routes[route] = _Route(took, now)
         before = took if self._mean is None else self._mean
         self._mean = before + WEIGHT * (took - before)
 
--- a/libs/policy/tests/test_admission.py
+++ b/libs/policy/tests/test_admission.py
@@ -38,7 +38,7 @@
 
 def make_admission(slots, mean):
     admission = Admission(slots=slots)
-    admission.times.add('r', mean)
+    admission.times.add('r', mean, 0)
     return admission
 
 
@@ -155,7 +155,7 @@
     # start later. Put behind each of them, the pack would be refused in the
     # end, having waited for most of its time.
     admission = make_admission(1, 0.3)
-    admission.times.add('pack', 0.64)
+    admission.times.add('pack', 0.64, 0)
     running = enter(admission, objective=9)
     pack = enter(admission, objective=2, deadline=8, route='pack')
     drawing = enter(admission, now=0.25, objective=1.7, deadline=5)
--- a/libs/sidecar/src/verbenamill_sidecar/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/ingress.py
@@ -52,6 +52,10 @@
 _HINT_SPREAD = 0.5
 #: Hint while no configuration is known, or no owner, in seconds.
 _UNKNOWN_HINT = 0.3
+#: After this long, half of a route's mean over all owners is forgotten, in s.
+#: It is the measure that owners are compared by and need not follow one of
+#: them; a daemon sees few requests of a route.
+_FLEET_HALVES = 5.0
 #: Weight of the newest answer in the usual size of a route's answers.
 _WEIGHT = 0.05
 
@@ -89,7 +93,7 @@
         self._splits = SplitCounter()
         self._versions = VersionCounter()
         self._budgets: dict[ServiceName, RetryBudget] = {}
-        self._times = ServiceTimes()
+        self._times = ServiceTimes(halves=_FLEET_HALVES)
         self._returning = Returning()
         self._sizes: dict[RouteName, float] = {}
 
@@ -339,7 +343,7 @@
         if outcome.took is not None:
             told = outcome.usual or outcome.took
             owner.tell_time(told, self._usual(call.route))
-            self._times.add(call.route.name, outcome.took)
+            self._times.add(call.route.name, outcome.took, now)
         answer = outcome.answer
         if answer is not None:
             known = self._sizes.get(call.route.name, len(answer.body))
