--- a/libs/sidecar/src/verbenamill_sidecar/owner.py
+++ b/libs/sidecar/src/verbenamill_sidecar/owner.py
@@ -26,7 +26,6 @@
 from verbenamill_policy.members import UpstreamRecord
 from verbenamill_policy.nesting import NestedCall, Nesting, has_room
 from verbenamill_policy.placement import Owner, Queue
-from verbenamill_policy.returns import Returns
 from verbenamill_sidecar.call import Call, Fate, Outcome, not_run, unknown
 from verbenamill_sidecar.protocol import HeaderNames, Left
 
@@ -86,7 +85,6 @@
         self.in_hand = 0
         self._context = context
         self._admission = Admission(slots=1)
-        self._returns = Returns()
         self._instance = ('', 0)
         self._calls: dict[bytes, Call] = {}
         self._warm_at = float(0)
@@ -290,9 +288,7 @@
 
     def _no_room(self, admission: Admission) -> Outcome:
         wait = admission.wait_behind(admission.waiting)
-        turn = admission.describe().turn / 1_000_000
-        told = self._returns.assign(trio.current_time(), wait=wait, turn=turn)
-        return not_run('no slot in time', wait=told)
+        return not_run('no slot in time', wait=wait)
 
     def _slow_time(
         self,
