A single failure of a good upstream sends nobody away

Ruled out: no such belief at all (a grey upstream that fails half is left within a second because of it; a test says so).

Change: a failure weighs 0.05.

--- a/libs/policy/src/verbenamill_policy/placement.py
+++ b/libs/policy/src/verbenamill_policy/placement.py
@@ -11,6 +11,9 @@
 
 #: Weight of the newest answer in what is believed of an owner.
 _WEIGHT = 0.15
+#: The same for failures. A good upstream fails one request in a hundred; with
+#: more weight, each such failure sent the next seconds' requests away.
+_FAILURE_WEIGHT = 0.05
 #: Bounds of an owner's pace; beyond them a single answer would decide.
 _MIN_PACE = 0.25
 _MAX_PACE = 12.0
@@ -143,7 +146,7 @@
 
     def tell_outcome(self, *, failed: bool) -> None:
         """Take in whether an answer was a failure."""
-        self.failing += _WEIGHT * (float(failed) - self.failing)
+        self.failing += _FAILURE_WEIGHT * (float(failed) - self.failing)
 
     def mark_down(self, now: float) -> None:
         """It could not be reached: leave it alone for a while."""
--- a/libs/policy/tests/test_placement.py
+++ b/libs/policy/tests/test_placement.py
@@ -119,3 +119,22 @@
     patient = forecast(archive, Wish(usual=0.04, left=0.15, priority=2), 0)
     assert urgent.wait < 0.05
     assert patient.wait > 0.2
+
+
+def test_one_failure_of_a_good_upstream_sends_nobody_away():
+    # A good upstream fails one request in a hundred. With the belief moved
+    # far by each failure, the next seconds' requests leave their zone, each
+    # time, and carry their bytes across for nothing.
+    near = make_owner('near')
+    near.tell_outcome(failed=True)
+    near.tell_load(3, 0)
+    assert pick([near, make_owner('far', 'b')], left=0.5).vm == 'near'
+
+
+def test_an_upstream_that_fails_half_loses_its_zone_within_a_second():
+    # A daemon sends some ten requests a second to the upstream of its zone.
+    near = make_owner('near')
+    for place in range(10):
+        near.tell_outcome(failed=place % 2 == 0)
+    near.tell_load(3, 0)
+    assert pick([near, make_owner('far', 'b')], left=0.5).vm == 'far'
