--- a/libs/policy/src/verbenamill_policy/admission.py
+++ b/libs/policy/src/verbenamill_policy/admission.py
@@ -4,7 +4,6 @@
 from enum import Enum, unique
 
 from verbenamill_model.typing import RouteName
-from verbenamill_policy.placement import Queue
 from verbenamill_policy.service_times import ServiceTimes
 
 #: Share of the time left that a wait and the work behind it may take. The
@@ -17,8 +16,6 @@
 #: Requests that may wait for each slot: with more, the last would wait for
 #: several service times, longer than any latency objective seen.
 QUEUE_FACTOR = 4
-#: Priorities that others are told of apart; the rest count as the last.
-_PRIORITIES = 4
 
 
 @unique
@@ -127,18 +124,6 @@
         """Requests at the upstream and in the queue."""
         return len(self._running) + len(self._waiting)
 
-    def describe(self) -> Queue:
-        """What others are told of the queue."""
-        present = [*self._running, *self._waiting]
-        if not present:
-            return Queue()
-        work = sum(ticket.expected for ticket in present)
-        turn = work / len(present) / max(self.slots, 1)
-        counts = [0 for _ in range(_PRIORITIES)]
-        for ticket in self._waiting:
-            counts[min(ticket.priority, _PRIORITIES - 1)] += 1
-        return Queue(int(turn * 1_000_000), tuple(counts))
-
     def enter(self, ticket: Ticket, now: float) -> Entry | None:
         """Ask for a slot; ``None`` when the request waits for one."""
         ticket.expected = self.times.expect(ticket.route, objective=ticket.span)
--- a/libs/policy/src/verbenamill_policy/nesting.py
+++ b/libs/policy/src/verbenamill_policy/nesting.py
@@ -19,7 +19,6 @@
     :ivar share: part of the requests that make it, as a moving average.
     :ivar usual: its service time, in seconds.
     :ivar objective: its latency objective, in seconds.
-    :ivar priority: of its route.
     :ivar expected: time of an answer when last looked at, in seconds;
         infinite if no owner could be reached.
     """
@@ -29,7 +28,6 @@
         self.share = float(0)
         self.usual = float(0)
         self.objective = float(0)
-        self.priority = 0
         self.expected = float('inf')
 
 
@@ -46,7 +44,6 @@
         *,
         usual: float,
         objective: float,
-        priority: int = 0,
     ) -> None:
         """A request of a route has made a call."""
         if parent not in self._routes and len(self._routes) >= MAX_ROUTES:
@@ -56,7 +53,6 @@
         call.share += _WEIGHT
         call.usual = usual
         call.objective = objective
-        call.priority = priority
 
     def tell_end(self, route: RouteName) -> None:
         """A request of a route has ended."""
@@ -85,7 +81,6 @@
     wish = Wish(
         usual=call.usual,
         left=call.objective,
-        priority=call.priority,
     )
     expected = [
         forecast(owner, wish, now)
--- a/libs/policy/src/verbenamill_policy/placement.py
+++ b/libs/policy/src/verbenamill_policy/placement.py
@@ -61,24 +61,11 @@
 LONGEST_PAUSE = 4.0
 
 
-class Queue(Struct, frozen=True, array_like=True):
-    """What an owner tells of its queue.
-
-    :param turn: time in which one place of it is worked off, in
-        microseconds; 0 if not known.
-    :param waiting: requests in it by priority, the most urgent first.
-    """
-
-    turn: int = 0
-    waiting: tuple[int, ...] = ()
-
-
 class Owner:
     """What an ingress believes of one daemon and its upstream.
 
     :ivar pace: service time in relation to the mean of its service.
     :ivar load: requests running and queued there.
-    :ivar queue: what it told of its queue.
     """
 
     __slots__ = (
@@ -87,7 +74,6 @@
         'slots',
         'pace',
         'load',
-        'queue',
         'told_at',
         'failing',
         'down_until',
@@ -107,7 +93,6 @@
         self.slots = max(slots, 1)
         self.pace = _FIRST_PACE
         self.load = float(0)
-        self.queue = Queue()
         self.told_at = float(0)
         self.failing = float(0)
         self.down_until = float(0)
@@ -118,16 +103,9 @@
         """Count a request that goes there now."""
         self.load += 1
 
-    def tell_load(
-        self,
-        load: int,
-        now: float,
-        *,
-        queue: Queue | None = None,
-    ) -> None:
+    def tell_load(self, load: int, now: float) -> None:
         """Take in the load that came with a reply."""
         self.load = float(load)
-        self.queue = queue or Queue()
         self.told_at = now
         self.pause = FIRST_PAUSE
         self.down_until = 0
@@ -167,14 +145,12 @@
     :param usual: mean service time of its route, in seconds.
     :param spread: standard deviation of the logarithm of these times.
     :param left: time to its latency objective, in seconds.
-    :param priority: of its route; 0 is served first.
     :param patience: time until its caller gives up, in seconds.
     :param size: bytes of its body and of the answer that is expected.
     """
 
     usual: float
     left: float
-    priority: int = 0
     spread: float = FIRST_SPREAD
     patience: float = 0
     size: float = 0
@@ -214,29 +190,13 @@
     slots = owner.slots
     trust = _halved(max(now - owner.told_at, 0), _BELIEF_HALVES)
     service = wish.usual * (1 + (owner.pace - 1) * trust)
-    # What waits there may be other work than this request.
-    turn = owner.queue.turn / 1_000_000 or service / slots
     return Forecast(
-        wait=_places_ahead(owner, load, wish.priority) * turn,
+        wait=max(load + 1 - slots, 0) * service / slots,
         service=service,
         failing=owner.failing * trust,
     )
 
 
-def _places_ahead(owner: Owner, load: float, priority: int) -> float:
-    """Places that are worked off before a newcomer gets a slot.
-
-    Who is less urgent stands behind it. Counted with the others, a queue of
-    long requests would seem to leave no room for short urgent calls, and
-    all requests that make such calls would be refused.
-    """
-    excess = load + 1 - owner.slots
-    if excess <= 0:
-        return 0
-    behind = sum(owner.queue.waiting[priority + 1 :])
-    return max(excess - behind, 1)
-
-
 def expect_worth(expected: Forecast, wish: Wish) -> float:
     """Expected worth of an answer, where one in time is worth 1."""
     left = wish.left * _HEADROOM
--- a/libs/sidecar/src/verbenamill_sidecar/call.py
+++ b/libs/sidecar/src/verbenamill_sidecar/call.py
@@ -7,7 +7,6 @@
 from verbenamill_http.client import Answer
 from verbenamill_http.messages import Header
 from verbenamill_model.typing import ServiceName
-from verbenamill_policy.placement import Queue
 from verbenamill_policy.routes import Route
 
 
@@ -73,7 +72,6 @@
     :param took: time at the upstream, in seconds.
     :param usual: what requests of this route take at this upstream, in s.
     :param load: requests running and queued at the owner.
-    :param queue: what the owner told of its queue.
     """
 
     fate: Fate
@@ -86,7 +84,6 @@
     took: float | None = None
     usual: float | None = None
     load: int = -1
-    queue: Queue | None = None
 
 
 def not_run(
--- a/libs/sidecar/src/verbenamill_sidecar/hop.py
+++ b/libs/sidecar/src/verbenamill_sidecar/hop.py
@@ -15,7 +15,6 @@
     ServiceName,
     VersionName,
 )
-from verbenamill_policy.placement import Queue
 from verbenamill_policy.routes import RouteKind
 from verbenamill_sidecar.call import Fate, Outcome
 
@@ -59,7 +58,6 @@
     :param took: time at the upstream in milliseconds; -1 if not known.
     :param usual: mean time of the route there in milliseconds; -1 if not known.
     :param wait: when there may be room, in milliseconds.
-    :param queue: who waits for a slot.
     """
 
     load: int
@@ -69,7 +67,6 @@
     wait: int = 0
     reached: bool = False
     everywhere: bool = False
-    queue: Queue | None = None
     usual: int = -1
 
 
@@ -97,7 +94,6 @@
 def encode_outcome(
     outcome: Outcome,
     load: int,
-    queue: Queue | None = None,
 ) -> Response:
     """Reply of an owner."""
     took = outcome.took
@@ -111,7 +107,6 @@
         wait=int(outcome.wait * 1000),
         reached=outcome.reached,
         everywhere=outcome.everywhere,
-        queue=queue,
     )
     told = (OWNER_HEADER, _encoder.encode(report))
     answer = outcome.answer
@@ -144,7 +139,6 @@
         took=None if report.took < 0 else report.took / 1000,
         usual=None if report.usual < 0 else report.usual / 1000,
         load=report.load,
-        queue=report.queue,
     )
     if report.fate is Fate.ANSWERED:
         answer.headers = end_to_end(answer.headers)
--- a/libs/sidecar/src/verbenamill_sidecar/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/ingress.py
@@ -157,7 +157,6 @@
                 split.service,
                 usual=self._learned.usual(route),
                 objective=route.objective,
-                priority=route.priority,
             )
 
     def _clean(self, headers: list[Header]) -> list[Header]:
@@ -239,7 +238,6 @@
                 version=upstream.version,
             )
             outcome.load = self._context.own.load
-            outcome.queue = self._context.own.queue
         else:
             outcome = await pass_on(
                 call,
--- a/libs/sidecar/src/verbenamill_sidecar/learned.py
+++ b/libs/sidecar/src/verbenamill_sidecar/learned.py
@@ -44,7 +44,6 @@
             usual=self.usual(route),
             spread=self._times.spread(route.name),
             left=max(call.objective - now, patience / 2),
-            priority=route.priority,
             patience=patience,
             size=len(call.body) + self._sizes.get(route.name, 0),
         )
@@ -53,7 +52,7 @@
         """Take in what became of a request at an owner."""
         now = trio.current_time()
         if outcome.load >= 0:
-            owner.tell_load(outcome.load, now, queue=outcome.queue)
+            owner.tell_load(outcome.load, now)
         if outcome.took is not None:
             told = outcome.usual or outcome.took
             owner.tell_time(told, self.usual(call.route))
--- a/libs/sidecar/src/verbenamill_sidecar/owner.py
+++ b/libs/sidecar/src/verbenamill_sidecar/owner.py
@@ -25,7 +25,7 @@
 from verbenamill_policy.heartbeats import Belief, Heartbeat, UpstreamRegister
 from verbenamill_policy.members import UpstreamRecord
 from verbenamill_policy.nesting import NestedCall, Nesting, has_room
-from verbenamill_policy.placement import Owner, Queue
+from verbenamill_policy.placement import Owner
 from verbenamill_sidecar.call import Call, Fate, Outcome, not_run, unknown
 from verbenamill_sidecar.protocol import HeaderNames, Left
 
@@ -100,11 +100,6 @@
         """Requests running and queued."""
         return self._admission.load
 
-    @property
-    def queue(self) -> Queue:
-        """What others are told of the queue."""
-        return self._admission.describe()
-
     @property
     def running(self) -> int:
         """Requests at the upstream."""
--- a/libs/sidecar/src/verbenamill_sidecar/passed_on.py
+++ b/libs/sidecar/src/verbenamill_sidecar/passed_on.py
@@ -52,7 +52,7 @@
         )
         if outcome.fate is not Fate.ANSWERED:
             self._tell(hop, outcome)
-        return encode_outcome(outcome, self._own.load, self._own.queue)
+        return encode_outcome(outcome, self._own.load)
 
     def _other(self, request: Request) -> Response:
         headers = request.head.headers
@@ -64,7 +64,7 @@
         if header(headers, CALL_HEADER) is not None:
             # A daemon of another version of the program.
             outcome = not_run('the headers between daemons cannot be read')
-            return encode_outcome(outcome, self._own.load, self._own.queue)
+            return encode_outcome(outcome, self._own.load)
         return refusal(HTTPStatus.BAD_REQUEST, 'this port is for daemons')
 
     def _make_call(self, request: Request, hop: HopCall) -> Call:
