A late request of a route never seen is not taken for work of no time

Cause: found by reading. What is left of an objective travels with a request and may be below zero, now more often, since callers that came back keep their first objective. A route never seen was then taken to need less than no time, and the queue of a daemon that just started seemed to have room.

Ruled out: passing the whole objective between daemons as well (bytes on each hop for the first second after a start).

Change: judged by the mean of what was seen.

--- a/libs/policy/src/verbenamill_policy/service_times.py
+++ b/libs/policy/src/verbenamill_policy/service_times.py
@@ -71,12 +71,13 @@
         """Expected time of a request.
 
         :param objective: latency objective of the route in seconds, from
-            which a route that was never seen is judged; 0 if not known.
+            which a route that was never seen is judged; 0 if not known, and
+            below where only what is left of it is known, and that is over.
         """
         known = self._routes.get(route)
         if known is not None:
             return known.mean
-        return PRIOR_SHARE * objective or self.mean
+        return PRIOR_SHARE * objective if objective > 0 else self.mean
 
     def spread(self, route: RouteName) -> float:
         """Standard deviation of the logarithm of a route's times."""
--- a/libs/policy/tests/test_service_times.py
+++ b/libs/policy/tests/test_service_times.py
@@ -18,6 +18,13 @@
     assert times.expect('short', objective=2) == 0.04
 
 
+def test_a_request_whose_objective_has_passed_takes_time_as_well():
+    # A caller comes back late to a daemon that was just started. What is
+    # left of its objective is below zero; taken for work of less than no
+    # time, it would make room in the queue that is not there.
+    assert ServiceTimes().expect('r', objective=-1) > 0
+
+
 def test_what_was_measured_counts_more_than_the_objective():
     times = ServiceTimes()
     for _ in range(50):
