--- /dev/null
+++ b/libs/sidecar/tests/test_hop.py
@@ -0,0 +1,36 @@
+"""What daemons tell each other beside a request and its answer."""
+
+from verbenamill_http.client import Answer
+from verbenamill_sidecar.call import Fate, Outcome, not_run
+from verbenamill_sidecar.hop import encode_outcome, read_outcome
+
+
+def answer_of(response):
+    return Answer(
+        status=response.status,
+        headers=response.headers,
+        body=response.body,
+        is_reusable=True,
+    )
+
+
+def test_an_owner_tells_its_own_mean_of_the_route():
+    # One answer took long by chance. The ingress compares owners by the mean
+    # that comes with it; with the single time, it would send the next
+    # requests to another zone.
+    outcome = Outcome(
+        fate=Fate.ANSWERED,
+        answer=Answer(status=200, headers=[], body=b'x', is_reusable=True),
+        took=0.9,
+        usual=0.15,
+        reached=True,
+    )
+    told = read_outcome(answer_of(encode_outcome(outcome, 7)))
+    assert (told.took, told.usual, told.load) == (0.9, 0.15, 7)
+
+
+def test_a_refusal_tells_no_times():
+    response = encode_outcome(not_run('no slot in time', wait=0.25), 40)
+    told = read_outcome(answer_of(response))
+    assert told.fate is Fate.NOT_RUN
+    assert (told.took, told.usual, told.wait) == (None, None, 0.25)
