--- a/libs/sidecar/src/verbenamill_sidecar/daemon.py
+++ b/libs/sidecar/src/verbenamill_sidecar/daemon.py
@@ -11,14 +11,14 @@
 from verbenamill_http.addresses import parse_address
 from verbenamill_http.server import Handler, HttpServer, ServerLimits
 from verbenamill_http.sockets import listen
-from verbenamill_model.typing import ServiceName, UpstreamState
+from verbenamill_model.typing import UpstreamState
 from verbenamill_policy.heartbeats import Heartbeat
 from verbenamill_policy.members import (
     MemberRecord,
     MemberTable,
     UpstreamRecord,
 )
-from verbenamill_policy.placement import Owner
+
 from verbenamill_sidecar.announcing import Announcements
 from verbenamill_sidecar.feeding import Feeding
 from verbenamill_sidecar.following import Follower
@@ -89,7 +89,6 @@
                 changed=self._tell_upstream,
                 allows=self._allows,
                 wall_ms=lambda: int(context.now().timestamp() * 1000),
-                owners=self._owners_of,
             ),
         )
         self._moving = Moving(
@@ -301,9 +300,6 @@
         shares = self._wishes.shares(upstream.service)
         return shares.allows(upstream.version)
 
-    def _owners_of(self, service: ServiceName) -> list[Owner]:
-        return [peer.owner for peer in self._peers.of_service(service)]
-
     def _is_known(self, beat: Heartbeat) -> bool:
         """Whether a heartbeat names a service that there is.
 
--- a/libs/sidecar/src/verbenamill_sidecar/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/ingress.py
@@ -95,17 +95,25 @@
                 HTTPStatus.GATEWAY_TIMEOUT,
                 'no answer by the deadline',
             )
-        if call.is_nested and response.status >= _FAILURE:
-            self._blame(call, response.status)
+        if call.is_nested:
+            self._tell_parent(call, response.status)
         if call.method == b'HEAD':
             response.is_bodiless = True
         return response
 
-    def _blame(self, call: Call, status: int) -> None:
-        """Remember that a call failed that the own upstream made."""
+    def _tell_parent(self, call: Call, status: int) -> None:
+        """Remember what became of a call that the own upstream made."""
         parent = self._context.own.find_parent(call.id)
-        if parent is not None:
+        if parent is None:
+            return
+        if status >= _FAILURE:
             parent.nested_status = status
+        self._context.own.nesting.tell_outcome(
+            parent.route.name,
+            call.service,
+            refused=status == HTTPStatus.SERVICE_UNAVAILABLE,
+            now=trio.current_time(),
+        )
 
     def _make_call(self, request: Request) -> Call | Response:
         head = request.head
@@ -151,13 +159,9 @@
 
     def _note_nested(self, parent: Call, route: Route) -> None:
         """Learn that requests of a route make calls of another one."""
+        nesting = self._context.own.nesting
         for split in route.splits:
-            self._context.own.nesting.tell_call(
-                parent.route.name,
-                split.service,
-                usual=self._learned.usual(route),
-                objective=route.objective,
-            )
+            nesting.tell_call(parent.route.name, split.service)
 
     def _clean(self, headers: list[Header]) -> list[Header]:
         """Headers that go on; those that we set are not believed."""
--- a/libs/sidecar/src/verbenamill_sidecar/owner.py
+++ b/libs/sidecar/src/verbenamill_sidecar/owner.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable, Iterator
 from functools import partial
-from math import isinf
 
 import trio
 from msgspec import Struct
@@ -16,7 +15,6 @@
     header,
 )
 from verbenamill_model.typing import (
-    ServiceName,
     UpstreamState,
     VersionName,
 )
@@ -24,8 +22,7 @@
 from verbenamill_policy.evidence import OwnCounts
 from verbenamill_policy.heartbeats import Belief, Heartbeat, UpstreamRegister
 from verbenamill_policy.members import UpstreamRecord
-from verbenamill_policy.nesting import NestedCall, Nesting, has_room
-from verbenamill_policy.placement import Owner
+from verbenamill_policy.nesting import NestedCall, Nesting
 from verbenamill_sidecar.call import Call, Fate, Outcome, not_run, unknown
 from verbenamill_sidecar.protocol import HeaderNames, Left
 
@@ -46,6 +43,9 @@
 #: Wait where there is no queue, in seconds: a moment, so that it is told at
 #: all. A caller that comes back at once is still within its objective.
 _NO_QUEUE = 0.01
+#: When to come back if a service that a request calls is full, in seconds: by
+#: then half of its refusals are forgotten, so that the next ones try again.
+_FULL_SERVICE = 0.25
 #: A request that is given up on tells its time if it ran this many times
 #: longer than usual; otherwise only its caller was impatient.
 _SLOW = 2.0
@@ -63,7 +63,6 @@
     :param changed: told when the upstream is another, or in another state.
     :param allows: whether a version may get requests at all.
     :param wall_ms: Unix time in milliseconds.
-    :param owners: what is believed of the owners of a service.
     """
 
     names: HeaderNames
@@ -71,7 +70,6 @@
     changed: Callable[[], None]
     allows: Callable[[UpstreamRecord], bool]
     wall_ms: Callable[[], int]
-    owners: Callable[[ServiceName], list[Owner]]
 
 
 class OwnUpstream:
@@ -175,8 +173,10 @@
         full = self._find_full(call)
         if full is not None:
             refused = not_run('a service that it calls has no room')
-            refused.detail = _tell_full(full)
-            refused.wait = _wait_for(full)
+            refused.detail = (
+                f'{full.service} refused {full.refused:.0%} of late'
+            )
+            refused.wait = _FULL_SERVICE
             refused.everywhere = True
             return refused
         self.in_hand += 1
@@ -189,8 +189,7 @@
         """A service that a request calls and that has no room for it."""
         now = trio.current_time()
         for nested in self.nesting.calls_of(call.route.name):
-            owners = self._context.owners(nested.service)
-            if not has_room(nested, owners, now):
+            if not nested.has_room(now):
                 return nested
         return None
 
@@ -470,20 +469,6 @@
         self._adopt()
 
 
-def _wait_for(full: NestedCall) -> float:
-    """When a service that is called may have room, in seconds from now."""
-    if isinf(full.expected):
-        return 0
-    return max(full.expected - full.objective, _NO_QUEUE)
-
-
-def _tell_full(full: NestedCall) -> str:
-    return (
-        f'{full.service} would take {full.expected * 1000:.0f} '
-        f'of {full.objective * 1000:.0f} ms'
-    )
-
-
 def _settle(settled: list[Entry], event: trio.Event, entry: Entry) -> None:
     settled.append(entry)
     event.set()
