Sight: requests broken off, standstills, and what waited for a lost peer

Cause: a run that is cut leaves no line at its owner, VM4001 does not tell how many requests waited for the daemon it names or for how long it was silent, and a daemon that stood still cannot be told from one whose neighbours are silent.

Change: VM6012 at the owner (request, sender, time, whether it stops), waiting and silent_ms in VM4001, VM1006 for a standstill of the own loop. No decision changes.

--- a/libs/sidecar/src/verbenamill_sidecar/gossip.py
+++ b/libs/sidecar/src/verbenamill_sidecar/gossip.py
@@ -49,6 +49,8 @@
 COMPARE_PERIOD = 1.0
 #: How often daemons that owe an answer are looked at, in seconds.
 WATCH_PERIOD = 0.1
+#: Delay of the own loop that is worth a line, in seconds.
+HELD_UP = 0.15
 #: How often one that is out of reach is asked for a sign of life, in s.
 PROBE_PERIOD = 0.5
 #: How long after a start it is waited for what others remember, in seconds;
@@ -356,8 +358,11 @@
 
     async def _watch(self) -> None:
         while True:
-            await trio.sleep(WATCH_PERIOD)
+            due = trio.current_time() + WATCH_PERIOD
+            await trio.sleep_until(due)
             now = trio.current_time()
+            if now - due >= HELD_UP:
+                log(Event.HELD_UP, ms=int((now - due) * 1000))
             for peer in list(self._peers.all()):
                 self._look_at(peer, now)
 
--- a/libs/sidecar/src/verbenamill_sidecar/passed_on.py
+++ b/libs/sidecar/src/verbenamill_sidecar/passed_on.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
+import trio
+
 from verbenamill_http.messages import end_to_end, header
 from verbenamill_http.server import Request, Response
 from verbenamill_policy.routes import Route, Split
@@ -45,11 +47,16 @@
         if hop is None:
             return self._other(request)
         call = self._make_call(request, hop)
-        outcome = await self._own.run(
-            call,
-            instance=hop.instance,
-            version=hop.version,
-        )
+        outcome = None
+        try:
+            outcome = await self._own.run(
+                call,
+                instance=hop.instance,
+                version=hop.version,
+            )
+        finally:
+            if outcome is None:
+                self._tell_broken_off(hop, call)
         if outcome.fate is not Fate.ANSWERED:
             self._tell(hop, outcome)
         return encode_outcome(outcome, self._own.load)
@@ -105,6 +112,18 @@
             received=request.arrived,
         )
 
+    def _tell_broken_off(self, hop: HopCall, call: Call) -> None:
+        elapsed = trio.current_time() - call.arrived
+        log(
+            Event.RUN_BROKEN_OFF,
+            request=hop.id,
+            route=hop.route,
+            ms=int(elapsed * 1000),
+            sender=hop.sender,
+            stopping=self._own.is_stopping,
+            left=hop.deadline - int(elapsed * 1000),
+        )
+
     def _tell(self, hop: HopCall, outcome: Outcome) -> None:
         log(
             Event.OWNER_REFUSED,
--- a/libs/sidecar/src/verbenamill_sidecar/peers.py
+++ b/libs/sidecar/src/verbenamill_sidecar/peers.py
@@ -100,7 +100,13 @@
         """Take it as out of reach, and fail what waits for it."""
         now = trio.current_time()
         if self.owner.down_until <= now:
-            log(Event.PEER_LOST, peer=self.record.vm, reason=reason)
+            log(
+                Event.PEER_LOST,
+                peer=self.record.vm,
+                reason=reason,
+                waiting=len(self.waiting),
+                silent_ms=int(self.silent_for(now) * 1000),
+            )
         self.owner.mark_down(now)
         self.pool.distrust()
         for scope in list(self.waiting):
--- a/libs/telemetry/src/verbenamill_telemetry/events.py
+++ b/libs/telemetry/src/verbenamill_telemetry/events.py
@@ -93,6 +93,16 @@
         'they were until the daemon is started again.',
         'If the outcome names a fault, correct the file.',
     )
+    HELD_UP = EventKind(
+        'VM1006',
+        logging.WARNING,
+        'this daemon stood still for {ms} ms',
+        'The process got no processor time, or one step of its own took this '
+        'long. Whatever it seems to have seen of others meanwhile is older '
+        'than it looks.',
+        'Compare the processor time of the VM with its share; look at the '
+        'line before for what the daemon was doing.',
+    )
     CONFIGURATION_ACCEPTED = EventKind(
         'VM2001',
         logging.INFO,
@@ -223,7 +233,8 @@
         logging.WARNING,
         'link to {peer} lost: {reason}',
         'A link that worked failed or was silent for too long. A new one is '
-        'opened and the request tried again.',
+        'opened and the request tried again. `waiting` counts the requests '
+        'that waited for its answers.',
         'Nothing for one. Many at once mean a network fault or dead VMs; '
         'look at `verbenamill status`.',
     )
@@ -391,6 +402,17 @@
         'Look at `load` and at the lines of the upstream before it.',
         rate=20,
     )
+    RUN_BROKEN_OFF = EventKind(
+        'VM6012',
+        logging.INFO,
+        'run of request {request} of {route} broken off after {ms} ms',
+        'The daemon that passed the request on has closed the connection: its '
+        'caller left, or it no longer waits for this daemon (`stopping` tells '
+        'whether this daemon is stopping).',
+        'Look at the lines of `sender` at the same time; VM4001 there tells '
+        'that it took this daemon for lost.',
+        rate=5,
+    )
     INVARIANT_BROKEN = EventKind(
         'VM9001',
         logging.CRITICAL,
