Requests at daemons that seem lost: tests that fail

Callers get 502 for requests that an upstream is running, once the daemon that took them hears nothing of the owner for 0.6 s or gets no further connection to it. The tests lose the owner's datagrams, or the way to a new connection, while its upstream works; the open connection works all the while.

--- /dev/null
+++ b/deploy/tests/test_suspicion.py
@@ -0,0 +1,117 @@
+"""What becomes of requests at a daemon that only seems to be lost."""
+
+import pytest
+import trio
+
+from verbenamill_http.addresses import parse_address
+from verbenamill_sidecar.peers import LOST_AFTER
+
+
+def mute(vm):
+    """Lose all datagrams that a daemon sends; its connections work."""
+    vm.daemon._gossip._send_to = lambda *_: None
+
+
+async def is_running(vm):
+    return bool(vm.upstream.running)
+
+
+async def call_one(vm, answers, path, method='GET'):
+    answers.append(await vm.call(path, method=method))
+
+
+@pytest.mark.parametrize('method', ['GET', 'POST'])
+def test_work_at_a_daemon_that_seems_lost_is_answered(play, method):
+    # Callers get 502 for requests that an upstream is running. The daemon
+    # that took a request hears nothing from the owner for a while, as its
+    # signs of life are lost on a full link, and breaks the run off; no other
+    # owner has room. Both daemons stop meanwhile, which must finish what they
+    # hold. Only the connection to the owner tells that the run has ended.
+    async def scene(site):
+        ingress = await site.add('vm1', service='catalog')
+        owner = await site.add('vm2')
+        await site.settled()
+        await site.in_force(1)
+        owner.upstream.work = 2 * LOST_AFTER
+        path = '/lookup/1' if method == 'GET' else '/fee/1'
+        answers = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call_one, ingress, answers, path, method)
+            await site.until(lambda: is_running(owner))
+            mute(owner)
+            owner.stopping.set()
+            ingress.stopping.set()
+        assert [answer.status for answer in answers] == [200]
+        assert len(owner.upstream.ran) == 1
+
+    play(scene)
+
+
+def test_one_connection_that_fails_breaks_nothing_off(play):
+    # Callers get 502 for requests that an upstream is running, at the moment
+    # at which the next request needs a further connection to the same daemon
+    # and gets none: a lost packet, or a queue of connections that is full.
+    # That is no proof that the daemon is gone; connections that are open
+    # still work, and their answers come.
+    async def scene(site):
+        ingress = await site.add('vm1', service='catalog')
+        owner = await site.add('vm2')
+        await site.settled()
+        await site.in_force(1)
+        owner.upstream.work = 0.5
+        answers = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call_one, ingress, answers, '/lookup/1')
+            await site.until(lambda: is_running(owner))
+            pool = ingress.daemon._peers.get('vm2').pool
+            pool.address = parse_address('127.0.0.1:1')
+            refused = await ingress.call('/lookup/2', id='r2')
+            assert refused.status == 503
+        assert [answer.status for answer in answers] == [200]
+        assert len(owner.upstream.ran) == 1
+
+    play(scene)
+
+
+def test_a_lookup_at_a_lost_daemon_is_answered_by_another_one(play):
+    # A zone is cut off while a lookup runs there. Nothing tells whether its
+    # answer will come; waited for, the caller would get none. Another owner
+    # answers it meanwhile.
+    async def scene(site):
+        ingress = await site.add('vm1', service='catalog')
+        lost = await site.add('vm2')
+        await site.settled()
+        await site.in_force(1)
+        lost.upstream.work = 30
+        answers = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call_one, ingress, answers, '/lookup/1')
+            await site.until(lambda: is_running(lost))
+            mute(lost)
+            other = await site.add('vm3', zone='z2')
+        assert [answer.status for answer in answers] == [200]
+        assert len(other.upstream.ran) == 1
+
+    play(scene)
+
+
+def test_the_first_answer_counts_if_the_lost_daemon_is_not_lost(play):
+    # A lookup's owner seems to be lost, and another one is asked as well. The
+    # second one refuses it or fails; the caller still gets the first answer.
+    async def scene(site):
+        ingress = await site.add('vm1', service='catalog')
+        slow = await site.add('vm2')
+        await site.settled()
+        await site.in_force(1)
+        slow.upstream.work = 2 * LOST_AFTER
+        answers = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call_one, ingress, answers, '/lookup/1')
+            await site.until(lambda: is_running(slow))
+            mute(slow)
+            full = await site.add('vm3', zone='z2')
+            full.upstream.slots = 0
+        assert [answer.body for answer in answers] == [b'answer to r1']
+        assert not full.upstream.ran
+
+    play(scene)
