Suspicion of a daemon breaks no request off

Callers got 502 for requests that an upstream was running. A daemon that got no further connection to an owner within 0.25 s, or heard nothing of it for 0.6 s, took it for lost and cancelled all that waited for it: the runs were cut, or their answers thrown away, and if no other owner had room the caller got 502.

Cause: the failure detector's verdict, which is a guess, was acted on as if it were proof. Class: false suspicion with an irrevocable consequence.

Change: an owner in doubt gets nothing new, and what waits for it goes on waiting; requests that may be repeated are also sent to another owner, within the same budget, and the first answer counts. Only the connection's end or the deadline ends a try. So a wrong guess costs a repeat at most; if the guess is right, the kernel ends the connection (1.5 s for unacknowledged bytes, 3 s for a silent one) and others have answered meanwhile.

--- a/libs/sidecar/src/verbenamill_sidecar/gossip.py
+++ b/libs/sidecar/src/verbenamill_sidecar/gossip.py
@@ -368,8 +368,8 @@
 
     def _look_at(self, peer: Peer, now: float) -> None:
         silent = peer.silent_for(now)
-        if silent >= LOST_AFTER:
-            peer.give_up('it gives no sign of life')
+        if silent >= LOST_AFTER and peer.owner.down_until <= now:
+            peer.seem_lost('it gives no sign of life')
         is_away = peer.owner.down_until > now or self._may_return(peer)
         if silent < ASK_AFTER and not is_away:
             return
--- a/libs/sidecar/src/verbenamill_sidecar/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/ingress.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Callable
+from functools import partial
 from http import HTTPStatus
 from random import Random
 
@@ -26,6 +27,7 @@
 from verbenamill_sidecar.passing_on import pass_on
 from verbenamill_sidecar.peers import Peer, Peers, with_version
 from verbenamill_sidecar.protocol import HeaderNames
+from verbenamill_sidecar.racing import Race
 from verbenamill_sidecar.refusing import find_fault, refusal
 from verbenamill_sidecar.stats import CallStats
 from verbenamill_sidecar.tries import Tries
@@ -179,19 +181,58 @@
     async def _answer(self, call: Call, tries: Tries) -> Response:
         budget = self._budgets.setdefault(call.service, RetryBudget())
         budget.earn()
-        while tries.hops < MAX_HOPS + tries.reached:
-            peer = self._choose(call, tries)
-            if peer is None:
-                break
-            if tries.reached and not self._may_repeat(call, tries, budget):
-                break
-            tries.story.append(f'{peer.record.vm}: no answer yet')
-            outcome = await self._try(call, peer)
-            tries.add(peer, outcome)
-            if self._is_final(call, outcome):
-                break
+        async with trio.open_nursery() as nursery:
+            await self._race(call, tries, budget, Race(nursery))
+            # What is still under way is idempotent, and answered elsewhere.
+            nursery.cancel_scope.cancel()
         return self._conclude(call, tries)
 
+    async def _race(
+        self,
+        call: Call,
+        tries: Tries,
+        budget: RetryBudget,
+        race: Race,
+    ) -> None:
+        """Make tries until one decides, or none is left."""
+        while True:
+            peer = self._next_owner(call, tries, budget, race)
+            if peer is not None:
+                tries.begin(peer)
+                race.start(peer, partial(self._try, call, peer))
+            elif not race.under_way:
+                return
+            ended = await race.wait()
+            if ended is None:
+                continue
+            peer, outcome = ended
+            tries.end(peer, outcome)
+            # A refusal says "not run", which nobody knows of the others yet.
+            is_known = outcome.answer is not None or not race.under_way
+            if is_known and self._is_final(call, outcome):
+                return
+
+    def _next_owner(
+        self,
+        call: Call,
+        tries: Tries,
+        budget: RetryBudget,
+        race: Race,
+    ) -> Peer | None:
+        """The owner of a further try; ``None`` if there is to be none now."""
+        if not race.is_in_doubt or (race.under_way and not call.is_idempotent):
+            return None
+        if tries.hops >= MAX_HOPS + tries.reached:
+            return None
+        peer = self._choose(call, tries)
+        # An owner in doubt may have run the request.
+        seen = tries.reached + race.under_way
+        if seen and peer is not None:
+            has_run = tries.has_run or race.under_way > 0
+            if not self._may_repeat(call, seen, budget, has_run=has_run):
+                return None
+        return peer
+
     def _choose(self, call: Call, tries: Tries) -> Peer | None:
         context = self._context
         peers = context.peers.of_service(call.service)
@@ -230,7 +271,12 @@
             return with_version(peers, shares, target=False)
         return chosen
 
-    async def _try(self, call: Call, peer: Peer) -> Outcome:
+    async def _try(
+        self,
+        call: Call,
+        peer: Peer,
+        doubt: Callable[[], None],
+    ) -> Outcome:
         upstream = peer.upstream
         if upstream is None:
             return not_run('the upstream has left')
@@ -248,6 +294,7 @@
                 peer,
                 upstream,
                 sender=self._context.sender,
+                doubt=doubt,
             )
         self._learned.learn(call, peer.owner, outcome)
         return outcome
@@ -263,16 +310,21 @@
     def _may_repeat(
         self,
         call: Call,
-        tries: Tries,
+        seen: int,
         budget: RetryBudget,
+        *,
+        has_run: bool,
     ) -> bool:
-        """Whether a second upstream may see the request."""
-        if tries.reached >= call.route.max_attempts:
+        """Whether a second upstream may see the request.
+
+        :param seen: upstreams that have seen it, or may have.
+        """
+        if seen >= call.route.max_attempts:
             return False
         left = call.deadline - trio.current_time()
         if left < _RETRY_ROOM * self._learned.usual(call.route):
             return False
-        if not budget.take(has_run=tries.has_run):
+        if not budget.take(has_run=has_run):
             return False
         self._context.stats.retries += 1
         return True
--- a/libs/sidecar/src/verbenamill_sidecar/passing_on.py
+++ b/libs/sidecar/src/verbenamill_sidecar/passing_on.py
@@ -1,5 +1,7 @@
 """A request's hop to the daemon beside another upstream."""
 
+from collections.abc import Callable
+
 import trio
 
 from verbenamill_http.client import Answer, Connection, Fault
@@ -17,22 +19,22 @@
     upstream: UpstreamRecord,
     *,
     sender: str,
+    doubt: Callable[[], None],
 ) -> Outcome:
     """Have another daemon run a request on its upstream.
 
     :param upstream: the one that the request is meant for; any other that
         the daemon has by now does not run it.
     :param sender: names this start of this daemon to the others.
+    :param doubt: called if the daemon seems to be lost while it runs it.
     """
     connection = await peer.pool.take()
     if connection is None:
-        peer.give_up('it takes no connection')
+        peer.seem_lost('it takes no connection')
         return not_run('the owner cannot be reached')
-    outcome = None
-    with peer.await_answer():
+    with peer.await_answer(doubt):
         data = _encode_call(call, upstream, sender)
-        outcome = await _exchange(call, peer, connection, data)
-    return outcome or unknown('the owner is silent')
+        return await _exchange(call, peer, connection, data)
 
 
 async def _exchange(
--- a/libs/sidecar/src/verbenamill_sidecar/peers.py
+++ b/libs/sidecar/src/verbenamill_sidecar/peers.py
@@ -1,8 +1,7 @@
 """The other daemons, as this one sends requests to them."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
-from collections.abc import Iterator
 
 import trio
 
@@ -26,10 +25,10 @@
 #: Open connections to one daemon: more than any upstream's slots and queue.
 MAX_CONNECTIONS = 128
 #: Silence after which a daemon that owes an answer is asked for a sign of
-#: life, and after which it is given up, in seconds. A daemon whose processor
-#: is busy or out of its quota answers 0.1 to 0.2 s late, so the second is well
-#: above such a delay; with 1 s, what was under way to a zone as it was cut off
-#: could not be answered elsewhere within the objective any more.
+#: life, and after which it seems to be lost, in seconds. A daemon whose
+#: processor is busy or out of its quota answers 0.1 to 0.2 s late, so the
+#: second is well above such a delay; with 1 s, what was under way to a zone as
+#: it was cut off could not be answered elsewhere within the objective any more.
 ASK_AFTER = 0.3
 LOST_AFTER = 0.6
 
@@ -37,14 +36,15 @@
 class Peer:
     """One daemon and its upstream.
 
-    :ivar waiting: scopes of requests that wait for its answer.
+    :ivar waiting: a callback of each request that waits for its answer, for
+        when it seems to be lost.
     :ivar heard_at: when it last gave a sign of life, on trio's clock.
     """
 
     def __init__(self, record: MemberRecord) -> None:
         upstream = record.upstream
         self.record = record
-        self.waiting: set[trio.CancelScope] = set()
+        self.waiting: set[Callable[[], None]] = set()
         self.waits_since = float(0)
         self.heard_at = float('-inf')
         self.owner = Owner(
@@ -70,17 +70,18 @@
         return upstream
 
     @contextmanager
-    def await_answer(self) -> Iterator[trio.CancelScope]:
-        """Wait for its answer, until it is given up."""
-        now = trio.current_time()
+    def await_answer(self, doubt: Callable[[], None]) -> Iterator[None]:
+        """Wait for its answer.
+
+        :param doubt: called each time that it seems to be lost meanwhile.
+        """
         if not self.waiting:
-            self.waits_since = now
-        with trio.CancelScope() as scope:
-            self.waiting.add(scope)
-            try:
-                yield scope
-            finally:
-                self.waiting.discard(scope)
+            self.waits_since = trio.current_time()
+        self.waiting.add(doubt)
+        try:
+            yield
+        finally:
+            self.waiting.discard(doubt)
 
     def hear(self) -> None:
         """It gave a sign of life."""
@@ -96,8 +97,14 @@
             return 0
         return now - max(self.heard_at, self.waits_since)
 
-    def give_up(self, reason: str) -> None:
-        """Take it as out of reach, and fail what waits for it."""
+    def seem_lost(self, reason: str) -> None:
+        """Send it nothing for a while, and warn what waits for it.
+
+        No request that it may be running is broken off: silence or a failed
+        connection does not tell a daemon that is gone from one that is slow
+        or behind a full link. If it is gone, the kernel ends the connection
+        (see :func:`~verbenamill_http.sockets.watch_peer`).
+        """
         now = trio.current_time()
         if self.owner.down_until <= now:
             log(
@@ -109,8 +116,8 @@
             )
         self.owner.mark_down(now)
         self.pool.distrust()
-        for scope in list(self.waiting):
-            scope.cancel()
+        for doubt in list(self.waiting):
+            doubt()
 
 
 class Peers:
--- a/libs/sidecar/src/verbenamill_sidecar/tries.py
+++ b/libs/sidecar/src/verbenamill_sidecar/tries.py
@@ -22,18 +22,26 @@
         self.reason = ''
         self.wait = float(0)
         self.story: list[str] = []
+        self._places: dict[VmId, int] = {}
 
     @property
     def has_run(self) -> bool:
         """Whether an upstream has run the request, or may have."""
         return self.may_have_run or self.answer is not None
 
-    def add(self, peer: Peer, outcome: Outcome) -> None:
-        """Note one try."""
-        self.vms.add(peer.record.vm)
+    def begin(self, peer: Peer) -> None:
+        """Note that a try begins."""
+        vm = peer.record.vm
+        self.vms.add(vm)
         self.hops += 1
+        self._places[vm] = len(self.story)
+        self.story.append(f'{vm}: no answer yet')
+
+    def end(self, peer: Peer, outcome: Outcome) -> None:
+        """Note what became of a try."""
+        vm = peer.record.vm
         self.reached += outcome.reached
-        self.story[-1] = f'{peer.record.vm}: {_summary(outcome)}'
+        self.story[self._places[vm]] = f'{vm}: {_summary(outcome)}'
         if outcome.fate is Fate.NOT_RUN:
             self.reason = self.reason or outcome.reason
             if outcome.wait:
