Tries side by side: no answer hidden, none forgotten, room for one more

Cause: a try counted as ended before its outcome was taken, and as not begun while it was in doubt.

Change: of tries that ended together the best answer is taken first, a try is under way until its outcome is taken, and one in doubt counts like one that an upstream has seen. With a failure in hand and all else in doubt, the failure is the answer.

Before: test_racing's three cases and the test of two refusals fail. After: they pass. An owner that is lost while all others are full still costs the caller its own retry; the daemon looks for room again each tenth of a second instead.

--- a/libs/sidecar/src/verbenamill_sidecar/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/ingress.py
@@ -92,17 +92,21 @@
         with trio.CancelScope(deadline=call.deadline):
             response = await self._answer(call, tries)
         if response is None:
-            self._tell(call, 'timed-out', 'no answer by the deadline', tries)
-            response = refusal(
-                HTTPStatus.GATEWAY_TIMEOUT,
-                'no answer by the deadline',
-            )
+            response = self._time_out(call, tries)
         if call.is_nested:
             self._tell_parent(call, response.status)
         if call.method == b'HEAD':
             response.is_bodiless = True
         return response
 
+    def _time_out(self, call: Call, tries: Tries) -> Response:
+        """What a caller gets whose time is over."""
+        if tries.answer is not None:
+            return self._conclude(call, tries)
+        reason = 'no answer by the deadline'
+        self._tell(call, 'timed-out', reason, tries)
+        return refusal(HTTPStatus.GATEWAY_TIMEOUT, reason)
+
     def _tell_parent(self, call: Call, status: int) -> None:
         """Remember what became of a call that the own upstream made."""
         parent = self._context.own.find_parent(call.id)
@@ -202,14 +206,16 @@
                 race.start(peer, partial(self._try, call, peer))
             elif not race.under_way:
                 return
+            elif tries.answer is not None and race.is_in_doubt:
+                # A failure is in hand, and what is left may never answer.
+                return
             ended = await race.wait()
             if ended is None:
                 continue
-            peer, outcome = ended
-            tries.end(peer, outcome)
+            tries.end(*ended)
             # A refusal says "not run", which nobody knows of the others yet.
-            is_known = outcome.answer is not None or not race.under_way
-            if is_known and self._is_final(call, outcome):
+            is_known = tries.answer is not None or not race.under_way
+            if is_known and self._is_final(call, ended[1]):
                 return
 
     def _next_owner(
@@ -220,13 +226,15 @@
         race: Race,
     ) -> Peer | None:
         """The owner of a further try; ``None`` if there is to be none now."""
-        if not race.is_in_doubt or (race.under_way and not call.is_idempotent):
+        if not race.is_in_doubt or tries.is_refused_everywhere:
             return None
-        if tries.hops >= MAX_HOPS + tries.reached:
+        if race.under_way and not call.is_idempotent:
             return None
-        peer = self._choose(call, tries)
         # An owner in doubt may have run the request.
         seen = tries.reached + race.under_way
+        if tries.hops >= MAX_HOPS + seen:
+            return None
+        peer = self._choose(call, tries)
         if seen and peer is not None:
             has_run = tries.has_run or race.under_way > 0
             if not self._may_repeat(call, seen, budget, has_run=has_run):
