Silence is counted for each request, and kept connections stay

Callers beside a full link got 503 for three quarters of a second, request after request: the first connection that failed closed the kept ones, which worked, so each request had to open a new one and gave up three times after 0.25 s (the record shows 753 to 757 ms). Besides, failed connections put the doubt of a request off by up to 4 s, since each of them doubled the pause in which an owner is left alone, and an old request had new ones doubted within a tenth of a second.

Cause: one state of the peer (down, since when it owes an answer) stood for all requests that wait for it and for all its connections.

Change: each request has its own silence; a failed connection only sends new requests elsewhere, once a pause; kept connections stay, and only requests that must not be repeated pass over those that have not answered since the doubt. The own limit of connections is no sign of the peer.

--- a/deploy/tests/test_suspicion.py
+++ b/deploy/tests/test_suspicion.py
@@ -4,6 +4,10 @@
 import trio
 
 from verbenamill_http.addresses import parse_address
+from verbenamill_policy.placement import FIRST_PAUSE
+from verbenamill_sidecar import ingress as ingress_module
+from verbenamill_sidecar.call import not_run
+from verbenamill_sidecar.passing_on import pass_on
 from verbenamill_sidecar.peers import LOST_AFTER
 
 
@@ -24,9 +28,9 @@
 def test_work_at_a_daemon_that_seems_lost_is_answered(play, method):
     # Callers get 502 for requests that an upstream is running. The daemon
     # that took a request hears nothing from the owner for a while, as its
-    # signs of life are lost on a full link, and breaks the run off; no other
-    # owner has room. Both daemons stop meanwhile, which must finish what they
-    # hold. Only the connection to the owner tells that the run has ended.
+    # signs of life wait in a full link, and breaks the run off; there is no
+    # other owner. Both daemons stop meanwhile, which must finish what they
+    # hold. The trace shows answers of 200 at the owner, and 502 before them.
     async def scene(site):
         ingress = await site.add('vm1', service='catalog')
         owner = await site.add('vm2')
@@ -97,7 +101,7 @@
 
 def test_the_first_answer_counts_if_the_lost_daemon_is_not_lost(play):
     # A lookup's owner seems to be lost, and another one is asked as well. The
-    # second one refuses it or fails; the caller still gets the first answer.
+    # second one has no room; the caller still gets the first answer.
     async def scene(site):
         ingress = await site.add('vm1', service='catalog')
         slow = await site.add('vm2')
@@ -115,3 +119,83 @@
         assert not full.upstream.ran
 
     play(scene)
+
+
+def test_a_fee_is_at_one_owner_only_whatever_seems_lost(play):
+    # The owner of a fee seems to be lost while its upstream books it. Sent to
+    # another owner as well, as a lookup is, it would be booked twice.
+    async def scene(site):
+        ingress = await site.add('vm1', service='catalog')
+        owner = await site.add('vm2')
+        await site.settled()
+        await site.in_force(1)
+        owner.upstream.work = 2 * LOST_AFTER
+        answers = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call_one, ingress, answers, '/fee/1', 'POST')
+            await site.until(lambda: is_running(owner))
+            mute(owner)
+            other = await site.add('vm3', zone='z2')
+        assert [answer.status for answer in answers] == [200]
+        assert not other.upstream.ran
+
+    play(scene)
+
+
+def test_owners_that_refused_leave_room_for_one_in_place_of_the_lost(
+    play,
+    monkeypatch,
+):
+    # Two owners have no room for a lookup, and the third one falls silent.
+    # The tries of a request are bounded, but one in doubt counts like one
+    # that has ended: a fourth owner answers in time.
+    asked = []
+
+    async def scene(site):
+        async def refuse_twice(call, peer, upstream, **more):
+            asked.append(peer.record.vm)
+            if len(asked) <= 2:
+                return not_run('no slot in time')
+            if len(asked) == 3:
+                lost = next(vm for vm in vms if vm.name == asked[2])
+                lost.upstream.work = 30
+                mute(lost)
+            return await pass_on(call, peer, upstream, **more)
+
+        monkeypatch.setattr(ingress_module, 'pass_on', refuse_twice)
+        vms = [await site.add(f'vm{place}') for place in range(2, 6)]
+        caller = await site.add('vm1', service='catalog')
+        await site.settled()
+        await site.in_force(1)
+
+        answers = []
+        await call_one(caller, answers, '/lookup/1')
+        assert [answer.status for answer in answers] == [200]
+        assert len(asked) == 4
+
+    play(scene)
+
+
+def test_kept_connections_serve_while_new_ones_fail(play):
+    # A full link makes each new connection to an owner fail. Requests that
+    # find a kept one are answered; were these closed at the first failure,
+    # every request would be refused until the link is free.
+    async def scene(site):
+        ingress = await site.add('vm1', service='catalog')
+        owner = await site.add('vm2')
+        await site.settled()
+        await site.in_force(1)
+        assert (await ingress.call('/lookup/1')).status == 200
+        peer = ingress.daemon._peers.get('vm2')
+        peer.pool.address = parse_address('127.0.0.1:1')
+        owner.upstream.work = 0.1
+        answers = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call_one, ingress, answers, '/lookup/2')
+            await site.until(lambda: is_running(owner))
+            assert (await ingress.call('/lookup/3')).status == 503
+        await trio.sleep(FIRST_PAUSE)
+        await call_one(ingress, answers, '/lookup/4')
+        assert [answer.status for answer in answers] == [200, 200]
+
+    play(scene)
--- a/libs/sidecar/src/verbenamill_sidecar/gossip.py
+++ b/libs/sidecar/src/verbenamill_sidecar/gossip.py
@@ -38,7 +38,7 @@
 )
 from verbenamill_sidecar.feeding import Feeding
 from verbenamill_sidecar.knowledge import Stamp, Wishes
-from verbenamill_sidecar.peers import ASK_AFTER, LOST_AFTER, Peer, Peers
+from verbenamill_sidecar.peers import ASK_AFTER, Peer, Peers
 from verbenamill_telemetry import Event, log
 
 #: How often news are passed on, in seconds.
@@ -367,9 +367,9 @@
                 self._look_at(peer, now)
 
     def _look_at(self, peer: Peer, now: float) -> None:
+        """Ask a daemon that owes an answer for a sign of life."""
         silent = peer.silent_for(now)
-        if silent >= LOST_AFTER and peer.owner.down_until <= now:
-            peer.seem_lost('it gives no sign of life')
+        peer.doubt_silence(now)
         is_away = peer.owner.down_until > now or self._may_return(peer)
         if silent < ASK_AFTER and not is_away:
             return
--- a/libs/sidecar/src/verbenamill_sidecar/passing_on.py
+++ b/libs/sidecar/src/verbenamill_sidecar/passing_on.py
@@ -26,11 +26,18 @@
     :param upstream: the one that the request is meant for; any other that
         the daemon has by now does not run it.
     :param sender: names this start of this daemon to the others.
-    :param doubt: called if the daemon seems to be lost while it runs it.
+    :param doubt: called while the daemon seems to be lost.
     """
-    connection = await peer.pool.take()
+    if peer.pool.is_full:
+        return not_run('too many requests wait for the owner')
+    connection = await peer.pool.take(
+        max_idle=peer.max_idle(
+            trio.current_time(),
+            is_idempotent=call.is_idempotent,
+        ),
+    )
     if connection is None:
-        peer.seem_lost('it takes no connection')
+        peer.avoid('it takes no connection')
         return not_run('the owner cannot be reached')
     with peer.await_answer(doubt):
         data = _encode_call(call, upstream, sender)
--- a/libs/sidecar/src/verbenamill_sidecar/peers.py
+++ b/libs/sidecar/src/verbenamill_sidecar/peers.py
@@ -33,20 +33,28 @@
 LOST_AFTER = 0.6
 
 
+class _Waiter:
+    """A request that waits for a daemon's answer."""
+
+    __slots__ = ('since', 'doubt')
+
+    def __init__(self, since: float, doubt: Callable[[], None]) -> None:
+        self.since = since
+        self.doubt = doubt
+
+
 class Peer:
     """One daemon and its upstream.
 
-    :ivar waiting: a callback of each request that waits for its answer, for
-        when it seems to be lost.
     :ivar heard_at: when it last gave a sign of life, on trio's clock.
     """
 
     def __init__(self, record: MemberRecord) -> None:
         upstream = record.upstream
         self.record = record
-        self.waiting: set[Callable[[], None]] = set()
-        self.waits_since = float(0)
+        self._waiting: set[_Waiter] = set()
         self.heard_at = float('-inf')
+        self._doubted_at = float('-inf')
         self.owner = Owner(
             vm=record.vm,
             availability_zone=record.availability_zone,
@@ -73,15 +81,14 @@
     def await_answer(self, doubt: Callable[[], None]) -> Iterator[None]:
         """Wait for its answer.
 
-        :param doubt: called each time that it seems to be lost meanwhile.
+        :param doubt: called again and again while it seems to be lost.
         """
-        if not self.waiting:
-            self.waits_since = trio.current_time()
-        self.waiting.add(doubt)
+        waiter = _Waiter(trio.current_time(), doubt)
+        self._waiting.add(waiter)
         try:
             yield
         finally:
-            self.waiting.discard(doubt)
+            self._waiting.discard(waiter)
 
     def hear(self) -> None:
         """It gave a sign of life."""
@@ -93,31 +100,65 @@
 
     def silent_for(self, now: float) -> float:
         """How long it has owed a sign of life, in seconds."""
-        if not self.waiting:
+        if not self._waiting:
             return 0
-        return now - max(self.heard_at, self.waits_since)
+        oldest = min(waiter.since for waiter in self._waiting)
+        return now - max(self.heard_at, oldest)
+
+    def max_idle(self, now: float, *, is_idempotent: bool) -> float:
+        """Idle time after which a request does not use a connection, in s.
+
+        The process that seemed lost may have been replaced, which ends its
+        connections. What must not be repeated goes to one that has answered
+        since, or to a new one.
+        """
+        if is_idempotent:
+            return MAX_IDLE
+        return min(now - self._doubted_at, MAX_IDLE)
 
-    def seem_lost(self, reason: str) -> None:
-        """Send it nothing for a while, and warn what waits for it.
+    def doubt_silence(self, now: float) -> None:
+        """Warn the requests that have waited for long without a sign of life.
 
-        No request that it may be running is broken off: silence or a failed
-        connection does not tell a daemon that is gone from one that is slow
-        or behind a full link. If it is gone, the kernel ends the connection
-        (see :func:`~verbenamill_http.sockets.watch_peer`).
+        No request that it may be running is broken off: silence does not tell
+        a daemon that is gone from one that is slow or behind a full link. If
+        it is gone, the kernel ends the connections (see
+        :func:`~verbenamill_http.sockets.watch_peer`).
+        """
+        doubted = [
+            waiter
+            for waiter in self._waiting
+            if now - max(self.heard_at, waiter.since) >= LOST_AFTER
+        ]
+        if doubted:
+            self._doubted_at = now
+            self.avoid('it gives no sign of life')
+        for waiter in doubted:
+            waiter.doubt()
+
+    def avoid(self, reason: str) -> None:
+        """Send it no new request for a while.
+
+        Its open connections stay: where new ones fail for a full link, these
+        still work.
         """
         now = trio.current_time()
-        if self.owner.down_until <= now:
-            log(
-                Event.PEER_LOST,
-                peer=self.record.vm,
-                reason=reason,
-                waiting=len(self.waiting),
-                silent_ms=int(self.silent_for(now) * 1000),
-            )
+        if self.owner.down_until > now:
+            return
+        log(
+            Event.PEER_LOST,
+            peer=self.record.vm,
+            reason=reason,
+            waiting=len(self._waiting),
+            silent_ms=int(self.silent_for(now) * 1000),
+        )
         self.owner.mark_down(now)
+
+    def restarted(self) -> None:
+        """Another process is there: what waits for the one before is lost."""
         self.pool.distrust()
-        for doubt in list(self.waiting):
-            doubt()
+        self.owner.down_until = 0
+        for waiter in list(self._waiting):
+            waiter.doubt()
 
 
 class Peers:
@@ -183,9 +224,7 @@
     before = peer.record
     peer.record = record
     if before.incarnation != record.incarnation:
-        # Its connections ended with the process before.
-        peer.pool.distrust()
-        peer.owner.down_until = 0
+        peer.restarted()
     upstream = record.upstream
     if upstream is None:
         return peer
--- a/libs/sidecar/tests/test_silence.py
+++ b/libs/sidecar/tests/test_silence.py
@@ -25,46 +25,59 @@
     )
 
 
-async def wait_for_doubt(ports, *, sign_of_life=None):
-    """After what time a daemon that never answers seems to be lost."""
-    own = make_record('vm0', ports[0])
-    table = MemberTable()
-    peers = Peers(table, 'vm0')
-    gossip = Gossip(
-        own=own,
-        table=table,
-        peers=peers,
-        wishes=Wishes(),
-        random=Random(1),
-        recall=lambda _: None,
-        behind=lambda *_: None,
-        feeding=Feeding(table, 'vm0'),
-        counted=lambda _: None,
-    )
-    gossip.bind(parse_address(own.gossip))
-    table.merge(make_record('vm1', ports[1]))
-    peer = peers.get('vm1')
-    peer.hear()
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(gossip.run)
+class Scene:
+    """A daemon that watches another one, which never answers by itself."""
+
+    def __init__(self, ports):
+        own = make_record('vm0', ports[0])
+        table = MemberTable()
+        self.peers = Peers(table, 'vm0')
+        self.gossip = Gossip(
+            own=own,
+            table=table,
+            peers=self.peers,
+            wishes=Wishes(),
+            random=Random(1),
+            recall=lambda _: None,
+            behind=lambda *_: None,
+            feeding=Feeding(table, 'vm0'),
+            counted=lambda _: None,
+        )
+        self.gossip.bind(parse_address(own.gossip))
+        table.merge(make_record('vm1', ports[1]))
+        self.peer = self.peers.get('vm1')
+        self.peer.hear()
+
+    async def wait(self, seconds, *, sign_of_life=None):
+        """Wait for an answer; after what times it seemed lost."""
         began = trio.current_time()
         doubted_at = []
-        with peer.await_answer(
+        with self.peer.await_answer(
             lambda: doubted_at.append(trio.current_time() - began),
         ):
-            for _ in range(20):
-                await trio.sleep(sign_of_life or 0.5)
+            pause = sign_of_life or seconds
+            for _ in range(int(seconds / pause)):
+                await trio.sleep(pause)
                 if sign_of_life:
-                    peer.hear()
-        nursery.cancel_scope.cancel()
-    return doubted_at
+                    self.peer.hear()
+        return doubted_at
+
+
+def play(ports, scene):
+    async def main(clock):
+        made = Scene(ports)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(made.gossip.run)
+            result = await scene(made, clock)
+            nursery.cancel_scope.cancel()
+        return result
 
+    clock = MockClock(autojump_threshold=0)
+    return trio.run(main, clock, clock=clock)
 
-def run(ports, **options):
-    async def main():
-        return await wait_for_doubt(ports, **options)
 
-    return trio.run(main, clock=MockClock(autojump_threshold=0))
+def run(ports, *, seconds=10, **options):
+    return play(ports, lambda made, _: made.wait(seconds, **options))
 
 
 @pytest.fixture
@@ -84,3 +97,28 @@
     # and its upstream works for seconds. It answers when asked for a sign of
     # life, if late; taken for lost, its work would be done twice.
     assert not run(ports, sign_of_life=0.4)
+
+
+def test_connections_that_fail_do_not_put_the_doubt_off(ports):
+    # Several connections to a daemon fail, one after the other; then one is
+    # had, and the daemon falls silent. The request on it is told as soon as
+    # any other, not after the pause that each failure has made longer.
+    async def scene(made, _):
+        for _ in range(5):
+            made.peer.avoid('it takes no connection')
+        return await made.wait(5)
+
+    assert play(ports, scene)[0] <= 0.8
+
+
+def test_an_old_request_casts_no_doubt_on_a_new_one(ports):
+    # A request has waited for long, and its owner seems lost. The next one
+    # that goes there is sent elsewhere as well only after a silence of its
+    # own; otherwise each costs a repeat while the owner answers well.
+    async def scene(made, _):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(made.wait, 5)
+            await trio.sleep(2.4)
+            return await made.wait(0.4)
+
+    assert not play(ports, scene)
