A standstill of the own process is not held against the others

After a standstill of 0.7 s all owners seemed lost at the first look, before the signs of life that had come meanwhile were read, and lookups ran twice. Nobody had been asked either. The look after a standstill asks, and gives no verdict; the next one, a tenth of a second later, has read the answers.

Before: the test fails. After: it passes.

--- a/libs/sidecar/src/verbenamill_sidecar/gossip.py
+++ b/libs/sidecar/src/verbenamill_sidecar/gossip.py
@@ -361,15 +361,23 @@
             due = trio.current_time() + WATCH_PERIOD
             await trio.sleep_until(due)
             now = trio.current_time()
-            if now - due >= HELD_UP:
+            stood_still = now - due >= HELD_UP
+            if stood_still:
                 log(Event.HELD_UP, ms=int((now - due) * 1000))
             for peer in list(self._peers.all()):
-                self._look_at(peer, now)
+                self._look_at(peer, now, may_doubt=not stood_still)
 
-    def _look_at(self, peer: Peer, now: float) -> None:
-        """Ask a daemon that owes an answer for a sign of life."""
+    def _look_at(self, peer: Peer, now: float, *, may_doubt: bool) -> None:
+        """Ask a daemon that owes an answer for a sign of life.
+
+        After a standstill of this process, signs of life may lie unread, and
+        nobody was asked: held against the others, each would seem lost.
+
+        :param may_doubt: whether silence counts this time.
+        """
         silent = peer.silent_for(now)
-        peer.doubt_silence(now)
+        if may_doubt:
+            peer.doubt_silence(now)
         is_away = peer.owner.down_until > now or self._may_return(peer)
         if silent < ASK_AFTER and not is_away:
             return
--- a/libs/sidecar/tests/test_silence.py
+++ b/libs/sidecar/tests/test_silence.py
@@ -122,3 +122,22 @@
             return await made.wait(0.4)
 
     assert not play(ports, scene)
+
+
+def test_a_standstill_of_the_own_process_is_no_silence_of_others(ports):
+    # The process gets no processor time for a while. What others sent lies
+    # unread meanwhile, and nobody was asked; the first look after that must
+    # not take them all for lost.
+    async def scene(made, clock):
+        async with trio.open_nursery() as nursery:
+            doubts = []
+
+            async def wait():
+                doubts.extend(await made.wait(2, sign_of_life=0.2))
+
+            nursery.start_soon(wait)
+            await trio.sleep(0.1)
+            clock.jump(1.5)
+        return doubts
+
+    assert not play(ports, scene)
