The kernel ends a connection after two lost packets, not after one

Change: 2.5 s leave time for a second probe, a connection that is silent ends after 3 s. Accepted connections and those to upstreams have keepalive only; what bounds them is the time of sending and the request's deadline.

Before: both tests fail. After: they pass.

--- a/libs/http/src/verbenamill_http/client.py
+++ b/libs/http/src/verbenamill_http/client.py
@@ -16,7 +16,7 @@
     ResponseHead,
 )
 from verbenamill_http.parsing import ResponseCollector
-from verbenamill_http.sockets import connect
+from verbenamill_http.sockets import UNACKNOWLEDGED, connect
 
 #: Bytes read at a time.
 READ_SIZE = 64 * 1024
@@ -254,6 +254,8 @@
     :param limit: open connections at most.
     :param max_idle: idle time after which one is not used again, in seconds.
     :param connect_timeout: in seconds.
+    :param unacknowledged: how long sent bytes may stay unacknowledged, in
+        milliseconds; 0 where the other end may leave a body unread for long.
     """
 
     def __init__(
@@ -263,15 +265,22 @@
         limit: int,
         max_idle: float,
         connect_timeout: float,
+        unacknowledged: int = UNACKNOWLEDGED,
     ) -> None:
         self.address = address
         self.max_idle = max_idle
         self.open = 0
         self._limit = limit
         self._connect_timeout = connect_timeout
+        self._unacknowledged = unacknowledged
         self._idle: list[Connection] = []
         self._trusted_since = float('-inf')
 
+    @property
+    def is_full(self) -> bool:
+        """Whether all connections that are allowed are in use."""
+        return self.open >= self._limit and not self._idle
+
     async def take(
         self,
         *,
@@ -282,7 +291,8 @@
         :param max_idle: shorter idle time for requests that must not be
             repeated: the other end may close a kept one at any moment.
         """
-        connection = self._take_idle(max_idle or self.max_idle)
+        limit = self.max_idle if max_idle is None else max_idle
+        connection = self._take_idle(limit)
         if connection is not None:
             return connection
         if self.open >= self._limit:
@@ -290,7 +300,11 @@
         self.open += 1
         sock = None
         try:
-            sock = await connect(self.address, self._connect_timeout)
+            sock = await connect(
+                self.address,
+                self._connect_timeout,
+                unacknowledged=self._unacknowledged,
+            )
         finally:
             self.open -= sock is None
         if sock is None:
--- a/libs/http/src/verbenamill_http/sockets.py
+++ b/libs/http/src/verbenamill_http/sockets.py
@@ -7,8 +7,10 @@
 from verbenamill_http.addresses import Address
 
 #: Time that sent bytes may stay unacknowledged, in milliseconds. Behind a
-#: partition a connection would hang for minutes otherwise.
-UNACKNOWLEDGED = 1500
+#: partition a connection would hang for minutes otherwise. The kernel also
+#: ends a connection by it as soon as it has asked one question of keepalive
+#: in vain, so it leaves time for two: one packet may be lost.
+UNACKNOWLEDGED = 2500
 #: Idle time before the kernel asks whether the other end is there, and pause
 #: between two such questions, in seconds; the least that the kernel takes.
 KEEPALIVE_IDLE = 1
@@ -16,31 +18,43 @@
 KEEPALIVE_TRIES = 2
 
 
-def watch_peer(sock: socket.socket) -> None:
-    """Have the kernel end a connection whose other end is out of reach."""
+def watch_peer(sock: socket.socket, *, unacknowledged: int = 0) -> None:
+    """Have the kernel end a connection whose other end is out of reach.
+
+    :param unacknowledged: how long sent bytes may stay unacknowledged, in
+        milliseconds. An end that is there and does not read acknowledges
+        nothing either, so with 0 that is left to the kernel's long default.
+    """
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_PAUSE)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_TRIES)
-    sock.setsockopt(
-        socket.IPPROTO_TCP,
-        socket.TCP_USER_TIMEOUT,
-        UNACKNOWLEDGED,
-    )
+    if unacknowledged:
+        sock.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            unacknowledged,
+        )
 
 
-async def connect(address: Address, timeout: float) -> socket.socket | None:
+async def connect(
+    address: Address,
+    timeout: float,
+    *,
+    unacknowledged: int = UNACKNOWLEDGED,
+) -> socket.socket | None:
     """Open a connection; ``None`` if that fails or takes too long.
 
     :param timeout: in seconds.
+    :param unacknowledged: see :func:`watch_peer`.
     """
     family = socket.AF_INET6 if ':' in address.host else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
     connected = False
     try:
         sock.setblocking(False)
-        watch_peer(sock)
+        watch_peer(sock, unacknowledged=unacknowledged)
         connected = await _finish_connecting(sock, address, timeout)
     except OSError:
         connected = False
--- a/libs/http/tests/test_client.py
+++ b/libs/http/tests/test_client.py
@@ -9,6 +9,11 @@
 from verbenamill_http.addresses import parse_address
 from verbenamill_http.client import Answer, Fault, Pool
 from verbenamill_http.messages import header
+from verbenamill_http.sockets import (
+    KEEPALIVE_IDLE,
+    KEEPALIVE_PAUSE,
+    UNACKNOWLEDGED,
+)
 
 REQUEST = b'GET / HTTP/1.1\r\nHost: a\r\n\r\n'
 
@@ -194,3 +199,11 @@
         assert pool.open == 0
 
     play(Far(reads=True), scene)
+
+
+def test_one_lost_packet_ends_no_connection():
+    # A request runs silently for seconds, and the kernel asks whether the
+    # other end is there. With a bound on unacknowledged bytes, the kernel ends
+    # the connection by that bound alone, once a question is out: if it passes
+    # before the second one, a single lost packet ends a run that is well.
+    assert UNACKNOWLEDGED > 1000 * (KEEPALIVE_IDLE + KEEPALIVE_PAUSE)
--- a/libs/http/tests/test_server.py
+++ b/libs/http/tests/test_server.py
@@ -196,3 +196,20 @@
         assert (await read_until(stream, b'/pab')).startswith(b'HTTP/1.1 200')
 
     play(scene)
+
+
+def test_a_caller_that_reads_slowly_is_not_taken_for_gone():
+    # A caller takes its time with a long answer. Its kernel acknowledges
+    # nothing more meanwhile; a bound on that resets the connection in the
+    # midst of the answer, long before the bound on sending.
+    async def scene(site):
+        stream = await site.connect()
+        await stream.send_all(get(b'/quick'))
+        await read_until(stream, b'/quick')
+        (peer,) = site.server._peers
+        assert not peer._sock.getsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+        )
+
+    play(scene)
--- a/libs/sidecar/src/verbenamill_sidecar/owner.py
+++ b/libs/sidecar/src/verbenamill_sidecar/owner.py
@@ -91,6 +91,8 @@
             limit=MAX_CONNECTIONS,
             max_idle=MAX_IDLE,
             connect_timeout=CONNECT_TIMEOUT,
+            # An upstream may answer before it reads a long body.
+            unacknowledged=0,
         )
 
     @property
