--- a/libs/sidecar/src/verbenamill_sidecar/gossip.py
+++ b/libs/sidecar/src/verbenamill_sidecar/gossip.py
@@ -38,7 +38,7 @@
 )
 from verbenamill_sidecar.feeding import Feeding
 from verbenamill_sidecar.knowledge import Stamp, Wishes
-from verbenamill_sidecar.peers import ASK_AFTER, LOST_AFTER, Peer, Peers
+from verbenamill_sidecar.peers import ASK_AFTER, Peer, Peers
 from verbenamill_telemetry import Event, log
 
 #: How often news are passed on, in seconds.
@@ -361,15 +361,23 @@
             due = trio.current_time() + WATCH_PERIOD
             await trio.sleep_until(due)
             now = trio.current_time()
-            if now - due >= HELD_UP:
+            stood_still = now - due >= HELD_UP
+            if stood_still:
                 log(Event.HELD_UP, ms=int((now - due) * 1000))
             for peer in list(self._peers.all()):
-                self._look_at(peer, now)
+                self._look_at(peer, now, may_doubt=not stood_still)
 
-    def _look_at(self, peer: Peer, now: float) -> None:
+    def _look_at(self, peer: Peer, now: float, *, may_doubt: bool) -> None:
+        """Ask a daemon that owes an answer for a sign of life.
+
+        After a standstill of this process, signs of life may lie unread, and
+        nobody was asked: held against the others, each would seem lost.
+
+        :param may_doubt: whether silence counts this time.
+        """
         silent = peer.silent_for(now)
-        if silent >= LOST_AFTER and peer.owner.down_until <= now:
-            peer.seem_lost('it gives no sign of life')
+        if may_doubt:
+            peer.doubt_silence(now)
         is_away = peer.owner.down_until > now or self._may_return(peer)
         if silent < ASK_AFTER and not is_away:
             return
