Requests lost around a stop, as failing tests

Callers of a daemon that stops see connections close without an answer to requests that had reached an upstream. Two ways lead there, and both are shown: a request that is sent behind one in hand is begun however late, since its connection is never idle and no answer is the last; and a request that comes while the last answer is being sent is begun, though that answer says that the connection closes. Besides, a request that is whole only late is begun with little time left, a long answer that its caller takes slowly is cut, and a request that comes as its idle connection is told to end is thrown away unread.

--- a/deploy/tests/conftest.py
+++ b/deploy/tests/conftest.py
@@ -309,14 +309,14 @@
             yield site
             nursery.cancel_scope.cancel()
 
-    def run(scene, *, configured=True):
+    def run(scene, *, configured=True, clock=None):
         async def main():
             async with open_site() as site:
                 if configured:
                     site.store.operate('config', document(1))
                 await scene(site)
 
-        trio.run(main)
+        trio.run(main, clock=clock)
 
     return run
 
--- a/deploy/tests/test_failures.py
+++ b/deploy/tests/test_failures.py
@@ -1,6 +1,7 @@
 """What callers see when upstreams, daemons or the store fail."""
 
 import trio
+from trio.testing import MockClock
 
 from verbenamill_platform.store import READ_TIMEOUT
 from verbenamill_platform_standins.serving import Told
@@ -292,6 +293,42 @@
     play(scene)
 
 
+def test_a_stop_cuts_no_caller_that_always_has_a_request_in_hand(play, kit):
+    # A caller sends its next request before the last one is answered. The
+    # daemon beside it stops; the connection is never idle, so requests were
+    # begun until all was cancelled at the end of the grace time: the upstream
+    # was at work, and its caller saw the connection close without an answer.
+    async def scene(site):
+        vm = await site.add('vm1', service='catalog')
+        other = await site.add('vm2')
+        await site.settled()
+        await site.in_force(1)
+        other.upstream.work = 0.5
+        caller = await vm.connect()
+        answered = []
+
+        async def send():
+            try:
+                for number in range(60):
+                    request = kit.encode('/lookup/1', id=f'n{number}')
+                    await caller.send(request)
+                    await trio.sleep(0.2)
+            except trio.BrokenResourceError:
+                return
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send)
+            vm.stopping.set()
+            while (answer := await caller.answer()).is_whole:
+                answered.append(answer.headers['x-attempt-id'])
+                last = answer.headers.get('connection')
+            nursery.cancel_scope.cancel()
+        assert [ran.id for ran in other.upstream.ran] == answered
+        assert last == 'close'
+
+    play(scene, clock=MockClock(autojump_threshold=0))
+
+
 def test_a_daemon_that_is_killed_is_gone_around(play):
     async def scene(site):
         vm = await site.add('vm1')
--- a/libs/http/tests/test_server.py
+++ b/libs/http/tests/test_server.py
@@ -18,6 +18,9 @@
     head_timeout=0.4,
     idle_timeout=0.6,
 )
+PATIENT = ServerLimits()
+#: Longer than the sockets of both ends hold together.
+LARGE = 24 * 1024 * 1024
 
 
 def get(path, *, extra=b''):
@@ -27,13 +30,14 @@
 class Site:
     """A server whose handler waits as its path says, and a peer."""
 
-    def __init__(self, nursery):
+    def __init__(self, nursery, limits):
+        self.released = trio.Event()
         self.faults = []
         self.cancelled = []
         self.handled = []
         self.server = HttpServer(
             self.handle,
-            limits=lambda: LIMITS,
+            limits=lambda: limits,
             on_fault=self.faults.append,
         )
         self.nursery = nursery
@@ -46,7 +50,11 @@
         self.handled.append(path)
         if path == b'/fault':
             raise RuntimeError('a fault in the handler')
+        if path == b'/large':
+            return Response(status=200, body=bytes(LARGE))
         try:
+            if path == b'/held':
+                await self.released.wait()
             await trio.sleep(0.3 if path == b'/slow' else 0)
         except trio.Cancelled:
             self.cancelled.append(path)
@@ -56,6 +64,11 @@
     async def connect(self):
         return await trio.open_tcp_stream('127.0.0.1', self.port)
 
+    async def has_handled(self, path):
+        with trio.fail_after(10):
+            while path not in self.handled:
+                await trio.sleep(0.01)
+
 
 async def read_all(stream):
     data = b''
@@ -75,10 +88,10 @@
     return data
 
 
-def play(scene):
+def play(scene, limits=LIMITS):
     async def main():
         async with trio.open_nursery() as nursery:
-            await scene(Site(nursery))
+            await scene(Site(nursery, limits))
             nursery.cancel_scope.cancel()
 
     trio.run(main)
@@ -184,6 +197,134 @@
     play(scene)
 
 
+def test_a_stop_begins_no_request_behind_one_in_hand():
+    # A caller pipelines: it sends the next request before the answer to the
+    # last one, so its connection is never idle and no answer is the last. Each
+    # request would be begun however late, until the process ends and cuts it
+    # at work. What is sent behind the answer that closes is sent again.
+    async def scene(site):
+        caller = await site.connect()
+        await caller.send_all(get(b'/held') + get(b'/quick'))
+        await site.has_handled(b'/held')
+        await site.has_handled(b'/quick')
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(site.server.finish)
+            await trio.sleep(0.05)
+            await caller.send_all(get(b'/late'))
+            await trio.sleep(0.05)
+            site.released.set()
+            answer = await read_all(caller)
+            assert answer.endswith(b'/quick')
+            assert answer.count(b'HTTP/1.1 200') == 2
+            assert answer.count(b'connection: close') == 1
+            assert b'/held' in answer.partition(b'connection: close')[0]
+            await caller.aclose()
+        assert sorted(site.handled) == [b'/held', b'/quick']
+
+    play(scene, PATIENT)
+
+
+def test_a_stop_answers_a_request_that_has_begun_to_come():
+    # The first bytes of a request have come on a connection with nothing
+    # else in hand. Its caller was told of no end, so it gets its answer; what
+    # comes behind in the same bytes would never end, and is not begun.
+    async def scene(site):
+        caller = await site.connect()
+        request = get(b'/begun')
+        await caller.send_all(request[:20])
+        await trio.sleep(0.05)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(site.server.finish)
+            await trio.sleep(0.05)
+            await caller.send_all(request[20:] + get(b'/late'))
+            answer = await read_all(caller)
+            assert answer.endswith(b'/begun')
+            assert b'connection: close' in answer
+            await caller.aclose()
+        assert site.handled == [b'/begun']
+
+    play(scene, PATIENT)
+
+
+def test_a_request_that_comes_too_late_in_a_stop_is_refused():
+    # A long body arrives while the server stops, and is whole only when the
+    # process has little time left. Begun, it would be cut at work, and its
+    # caller could not know whether it has run. 503 tells that it has not.
+    async def scene(site):
+        caller = await site.connect()
+        await caller.send_all(
+            b'POST /upload HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n1',
+        )
+        await trio.sleep(0.05)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(site.server.finish)
+            await trio.sleep(1)
+            await caller.send_all(b'2')
+            answer = await read_all(caller)
+            assert answer.startswith(b'HTTP/1.1 503')
+            assert b'connection: close' in answer
+            await caller.aclose()
+        assert not site.handled
+
+    play(scene, PATIENT)
+
+
+def test_a_stop_does_not_cut_an_answer_on_its_way():
+    # A caller takes a long answer slowly. No request is in hand meanwhile, so
+    # the connection counts as idle and is closed in the midst of the answer.
+    async def scene(site):
+        caller = await site.connect()
+        await caller.send_all(get(b'/large'))
+        await site.has_handled(b'/large')
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(site.server.finish)
+            await trio.sleep(1)
+            head, _, body = (await read_all(caller)).partition(b'\r\n\r\n')
+            assert len(body) == LARGE
+            await caller.aclose()
+        assert not site.faults
+
+    play(scene, PATIENT)
+
+
+def test_nothing_is_begun_behind_an_answer_that_closes():
+    # The server stops; the last answer says that the connection ends, and
+    # its caller takes it slowly. The next request has come meanwhile. Begun,
+    # it would be cut when the long answer is out and the connection closes.
+    async def scene(site):
+        site.server.is_stopping = True
+        caller = await site.connect()
+        await caller.send_all(get(b'/large'))
+        await site.has_handled(b'/large')
+        await trio.sleep(0.05)
+        await caller.send_all(get(b'/late'))
+        await trio.sleep(0.05)
+        answer = await read_all(caller)
+        assert b'connection: close' in answer[:200]
+        assert site.handled == [b'/large']
+
+    play(scene, PATIENT)
+
+
+def test_a_request_that_crosses_the_end_of_its_connection_is_answered():
+    # A connection that waits is told to end, and a request comes before the
+    # task that reads there has run, on a busy loop long after. Thrown away,
+    # its caller sees the connection close without an answer.
+    async def scene(site):
+        with socket.create_connection(('127.0.0.1', site.port)) as caller:
+            with trio.fail_after(10):
+                while not site.server.connections:
+                    await trio.sleep(0.01)
+            await trio.sleep(0.05)
+            site.server.dismiss_idle(0)
+            caller.sendall(get(b'/crossing'))
+            caller.setblocking(False)
+            await trio.lowlevel.wait_readable(caller)
+            assert caller.recv(65536).endswith(b'/crossing')
+
+    play(scene, PATIENT)
+
+
 def test_chunks_and_expectations_are_understood():
     async def scene(site):
         stream = await site.connect()
