A stop begins no request behind those in hand

A caller that sends its next request before the last one is answered saw its connection to a stopping daemon close without an answer, though its request was at work at an upstream.

Such a connection is never idle, so the stop did not close it, and no answer on it was the last one, so none said that it closes. Requests were begun on it until all was cancelled half a second before the end of the grace time, and those in hand then were cut. Besides, a request that had begun to come was begun whenever it was whole, also with hardly any time left.

From the end of accepting on, a connection with requests in hand gets none begun behind them. All in hand are answered in order, and the last answer says that the connection closes, so what was sent behind it counts as not read and is sent again. A connection with nothing in hand gets one more request, which says so too. Both hold for each way in, since the only place where a request is begun sets the end. What is whole later than 0.4 s after the end of accepting is refused with 503: it has not run, and its caller may send it again. With the time in which callers hear of the stop that is 3 s after the signal; the age up to which a new connection may have a request on its way is 0.4 s for that, and was 0.5 s.

A connection that ends is not ended for slowness any more: bytes that are not read may look like a slow request, and its answers would be cut.

--- a/libs/http/src/verbenamill_http/server.py
+++ b/libs/http/src/verbenamill_http/server.py
@@ -32,8 +32,9 @@
 SEND_TIMEOUT = 10.0
 #: How often slow and idle connections are looked for, in seconds.
 _SWEEP = 0.25
-#: Age up to which an idle connection may have a request on its way.
-_FRESH = 0.5
+#: Age up to which an idle connection may have a request on its way, and time
+#: from the end of accepting on in which requests that come are still begun.
+_FRESH = 0.4
 #: How long a peer may read its last answer before the socket goes away.
 _LINGER = 1.0
 
@@ -102,6 +103,18 @@
         self.buffered = 0
         self.in_hand = 0
         self.is_stopping = False
+        self._finishes_since: float | None = None
+
+    @property
+    def is_finishing(self) -> bool:
+        """Whether a connection gets one further request at most."""
+        return self._finishes_since is not None
+
+    @property
+    def is_too_late(self) -> bool:
+        """Whether a request that is whole only now is refused."""
+        since = self._finishes_since
+        return since is not None and trio.current_time() > since + _FRESH
 
     @property
     def connections(self) -> int:
@@ -127,9 +140,12 @@
 
         Connections that wait for a request are closed, unless one may be on
         its way: its sender would see the end of the connection instead of
-        an answer.
+        an answer. Where a request is in hand, none is begun behind it.
         """
         self.is_stopping = True
+        self._finishes_since = trio.current_time()
+        for peer in self._peers:
+            peer.take_no_more()
         if self._accepting is not None:
             self._accepting.cancel()
         await trio.sleep(_SWEEP / 4)
@@ -276,8 +292,23 @@
         except OSError:
             return
 
+    def take_no_more(self) -> None:
+        """Begin no request behind those in hand.
+
+        A peer that always sends the next one before it has its answer would
+        never be told of the end, and its last requests would be cut with the
+        process. The last answer in hand tells it: what was sent behind that
+        counts as not read, so it is sent again elsewhere.
+        """
+        if self._in_flight:
+            self._is_ending = True
+
     def check_times(self, limits: ServerLimits, now: float) -> None:
         """End a connection that is slow or idle for too long."""
+        if self._is_ending:
+            # Its last answer ends it. What is not read any more may look like
+            # a slow request; ended for that, the answer would be cut.
+            return
         waited = now - self.waits_since
         if self.is_idle:
             if waited > limits.idle_timeout:
@@ -394,6 +425,11 @@
     def _finish_request(self, nursery: trio.Nursery) -> None:
         head = self._head
         assert head is not None
+        if self._server.is_too_late:
+            # Begun, it might be cut at work with the process, and its caller
+            # could not know whether it has run. A refusal tells that.
+            self._reject(nursery, _STOPPING)
+            return
         request = Request(
             head=head,
             body=b''.join(self._parts),
@@ -408,8 +444,7 @@
         previous = self._last_turn
         self._last_turn = turn
         self._in_flight += 1
-        if not head.keep_alive:
-            self._is_ending = True
+        self._is_ending = not head.keep_alive or self._server.is_finishing
         nursery.start_soon(self._answer, request, size, previous, turn)
 
     async def _answer(
@@ -519,3 +554,4 @@
     'too many request bodies are held',
     HTTPStatus.SERVICE_UNAVAILABLE,
 )
+_STOPPING = Broken('the server stops', HTTPStatus.SERVICE_UNAVAILABLE)
