An answer that its caller takes slowly is not cut as idle

A caller that took a long answer slowly got part of it, then the end of the connection.

A request counts as in flight until its answer is begun to be sent, so a connection was idle while the answer was on its way. A stop closes idle connections, and so does the idle timeout, measured from the request's last bytes. Closing wakes whoever waits on the socket, so the send failed midway.

A connection on which an answer is being sent is not idle. A caller that takes nothing at all is still bounded by the timeout of sending.

--- a/libs/http/src/verbenamill_http/server.py
+++ b/libs/http/src/verbenamill_http/server.py
@@ -257,17 +257,23 @@
         self._room = trio.Event()
         self._is_dismissed = False
         self._is_ending = False
+        self._is_sending = False
         self._scope: trio.CancelScope | None = None
         self.waits_since = trio.current_time()
 
     @property
     def is_idle(self) -> bool:
-        """Whether it waits for a request and none has begun."""
-        return (
-            not self._in_flight
-            and self._head is None
-            and self._collector.is_between
-        )
+        """Whether it waits for a request and none has begun.
+
+        An answer that its peer takes slowly is not in flight any more, and
+        would end in its midst if its connection were closed as idle.
+        """
+        return not (self._in_flight or self._is_sending or self._has_begun)
+
+    @property
+    def _has_begun(self) -> bool:
+        """Whether part of a further request has come."""
+        return self._head is not None or not self._collector.is_between
 
     async def serve(self) -> None:
         """Read requests and answer them until the connection ends."""
@@ -511,6 +517,13 @@
         return await self._send_all(encode_response(head, close=close) + body)
 
     async def _send_all(self, data: bytes) -> bool:
+        self._is_sending = True
+        try:
+            return await self._send_bytes(data)
+        finally:
+            self._is_sending = False
+
+    async def _send_bytes(self, data: bytes) -> bool:
         view = memoryview(data)
         while view:
             try:
