No request is begun behind an answer that closes its connection

A caller sent a request while it was taking the last answer, and saw the connection close without an answer, though the request had reached an upstream.

Whether an answer closes its connection is decided before it is sent, but was only noted once it was out. A slow caller leaves time in between; what came then was begun, and cut when the connection was closed.

The decision is noted at once, in the same step that makes it, so nothing can be begun between the two. What comes then counts as not read and is sent again.

--- a/libs/http/src/verbenamill_http/server.py
+++ b/libs/http/src/verbenamill_http/server.py
@@ -469,8 +469,11 @@
         self._in_flight -= 1
         self._room.set()
         is_last = self._last_turn is turn
-        stops = self._server.is_stopping and is_last and self.is_idle
+        stops = self._server.is_stopping and is_last and not self._has_begun
         close = response.close or stops or (is_last and self._is_ending)
+        # The next request may come while a slow peer takes the answer. Begun,
+        # it would be cut when the answer is out; now it counts as not read.
+        self._is_ending = self._is_ending or close
         sent = await self._send(response, close=close)
         self.waits_since = trio.current_time()
         turn.set()
