A request that crosses the end of an idle connection is answered

A caller whose kept connection was idle sent a request just as the daemon closed it, and got a reset in place of an answer.

That the connection is quiet is looked up when it is told to end, but it is closed only once the task that reads there has run, on a busy loop long after. What came in between was thrown away unread.

The reading task looks once more before it ends, and takes up a request that has come. What is left between that look and the close is one step of the loop, in which nothing waits; a request that comes then, or is still on the wire, was not read, and its caller knows that it may send it again.

--- a/libs/http/src/verbenamill_http/server.py
+++ b/libs/http/src/verbenamill_http/server.py
@@ -2,6 +2,7 @@
 
 import socket
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from http import HTTPStatus
 
 import trio
@@ -347,13 +348,20 @@
 
     async def _read(self) -> bytes:
         while True:
+            # A request may have come since the wait was ended, on a busy loop
+            # long before. Closed on it, its sender would get no answer; so
+            # what has come is read, and only then the connection ends.
             try:
-                await trio.lowlevel.wait_readable(self._sock)
+                with suppress(trio.ClosedResourceError):
+                    await trio.lowlevel.wait_readable(self._sock)
                 data = self._sock.recv(READ_SIZE)
             except BlockingIOError:
+                if self._is_dismissed:
+                    return b''
                 continue
-            except (trio.ClosedResourceError, OSError):
+            except OSError:
                 return b''
+            self._is_dismissed = False
             self.waits_since = trio.current_time()
             return data
 
