One served connection has a module of its own

The server's module had two jobs: to accept connections and to see to their end, and to read, answer and close one of them. The second is now `ServedConnection` in `served`, which knows its server by what it needs of it; requests, answers and limits, which both use, are in `exchanges`. All names are still had from `server`. No behaviour is changed: the bodies of the functions are the same but for the names of the connections.

--- a/libs/http/src/verbenamill_http/server.py
+++ b/libs/http/src/verbenamill_http/server.py
@@ -1,81 +1,26 @@
 """A server of HTTP/1.1 that answers pipelined requests side by side."""
 
 import socket
-from collections.abc import Awaitable, Callable
-from contextlib import suppress
-from http import HTTPStatus
+from collections.abc import Callable
 
 import trio
-from httptools import HttpParserError, HttpParserUpgrade
-from msgspec import Struct
 
-from verbenamill_http.messages import (
-    EMPTY,
-    Broken,
-    End,
-    Framing,
-    Header,
-    RequestHead,
-    ResponseHead,
-    encode_response,
-    header,
+from verbenamill_http.exchanges import (
+    Handler,
+    Request,
+    Response,
+    ServerLimits,
 )
-from verbenamill_http.parsing import RequestCollector, too_long
+from verbenamill_http.served import ServedConnection
 from verbenamill_http.sockets import watch_peer
 
-READ_SIZE = 64 * 1024
-#: Requests of one connection that are worked on at once; more wait unread.
-MAX_PIPELINED = 32
-#: Bytes of request bodies held at once; beyond it new ones are refused, so
-#: that a few large uploads cannot end the process on a small VM.
-MAX_BUFFERED = 64 * 1024 * 1024
-#: Longest that a peer may take no byte of its answer, in seconds.
-SEND_TIMEOUT = 10.0
+__all__ = ('Handler', 'HttpServer', 'Request', 'Response', 'ServerLimits')
+
 #: How often slow and idle connections are looked for, in seconds.
 _SWEEP = 0.25
 #: Age up to which an idle connection may have a request on its way, and time
 #: from the end of accepting on in which requests that come are still begun.
 _FRESH = 0.4
-#: How long a peer may read its last answer before the socket goes away.
-_LINGER = 1.0
-
-
-class Request(Struct, kw_only=True):
-    """A whole request.
-
-    :param arrived: when its head was read, on trio's clock.
-    """
-
-    head: RequestHead
-    body: bytes
-    arrived: float
-
-
-class Response(Struct, kw_only=True):
-    """An answer to send.
-
-    :param is_bodiless: whether the body stays unsent, as after HEAD.
-    """
-
-    status: int
-    headers: list[Header] = []
-    body: bytes = b''
-    close: bool = False
-    is_bodiless: bool = False
-    length: int | None = None
-
-
-Handler = Callable[[Request], Awaitable[Response]]
-
-
-class ServerLimits(Struct, frozen=True, kw_only=True):
-    """Bounds on what a peer may send; times are in seconds."""
-
-    max_head: int = 32 * 1024
-    max_body: int = 64 * 1024 * 1024
-    head_timeout: float = 10
-    idle_timeout: float = 60
-    max_connections: int = 2000
 
 
 class HttpServer:
@@ -98,7 +43,7 @@
         self._handler = handler
         self._limits = limits
         self._on_fault = on_fault
-        self._peers: set[_Peer] = set()
+        self._served: set[ServedConnection] = set()
         self._accepting: trio.CancelScope | None = None
         self._nursery: trio.Nursery | None = None
         self.buffered = 0
@@ -120,7 +65,7 @@
     @property
     def connections(self) -> int:
         """Open connections."""
-        return len(self._peers)
+        return len(self._served)
 
     async def serve(self, listener: socket.socket) -> None:
         """Accept connections until cancelled."""
@@ -145,12 +90,12 @@
         """
         self.is_stopping = True
         self._finishes_since = trio.current_time()
-        for peer in self._peers:
-            peer.take_no_more()
+        for connection in self._served:
+            connection.take_no_more()
         if self._accepting is not None:
             self._accepting.cancel()
         await trio.sleep(_SWEEP / 4)
-        while self._peers:
+        while self._served:
             self.dismiss_idle(_FRESH)
             await trio.sleep(_SWEEP / 8)
 
@@ -160,20 +105,20 @@
         :param idle_for: least time since the last request, in seconds.
         """
         oldest = trio.current_time() - idle_for
-        for peer in list(self._peers):
-            if peer.is_idle and peer.waits_since <= oldest:
-                peer.dismiss()
+        for connection in list(self._served):
+            if connection.is_idle and connection.waits_since <= oldest:
+                connection.dismiss()
 
-    def start_peer(self, sock: socket.socket, nursery: trio.Nursery) -> None:
+    def start_serving(self, sock: socket.socket, nursery: trio.Nursery) -> None:
         """Serve a connection that was accepted."""
-        if len(self._peers) >= self._limits().max_connections:
+        if len(self._served) >= self._limits().max_connections:
             sock.close()
             return
         sock.setblocking(False)
         watch_peer(sock)
-        peer = _Peer(sock, self)
-        self._peers.add(peer)
-        nursery.start_soon(self._serve_peer, peer)
+        connection = ServedConnection(sock, self)
+        self._served.add(connection)
+        nursery.start_soon(self._serve, connection)
 
     async def _accept(
         self,
@@ -191,25 +136,25 @@
                 self._on_fault(error)
                 await trio.sleep(_SWEEP / 8)
                 continue
-            self.start_peer(sock, nursery)
+            self.start_serving(sock, nursery)
 
-    async def _serve_peer(self, peer: '_Peer') -> None:
+    async def _serve(self, connection: ServedConnection) -> None:
         try:
-            await peer.serve()
+            await connection.serve()
         except Exception as error:  # noqa: BLE001
             # A fault in one request must not end those of all others.
             self._on_fault(error)
         finally:
-            self._peers.discard(peer)
-            peer.close()
+            self._served.discard(connection)
+            connection.close()
 
     async def _sweep(self) -> None:
         while True:
             await trio.sleep(_SWEEP)
             limits = self._limits()
             now = trio.current_time()
-            for peer in list(self._peers):
-                peer.check_times(limits, now)
+            for connection in list(self._served):
+                connection.check_times(limits, now)
 
     async def handle(self, request: Request) -> Response:
         """Have a request answered."""
@@ -235,347 +180,4 @@
             sock, _ = listener.accept()
         except OSError:
             return
-        server.start_peer(sock, nursery)
-
-
-class _Peer:
-    """One connection that is served.
-
-    :ivar waits_since: when it began to wait for bytes.
-    """
-
-    def __init__(self, sock: socket.socket, server: HttpServer) -> None:
-        self._sock = sock
-        self._server = server
-        self._collector = RequestCollector(server.limits().max_head)
-        self._head: RequestHead | None = None
-        self._parts: list[bytes] = []
-        self._size = 0
-        self._head_bytes = 0
-        self._arrived = float(0)
-        self._in_flight = 0
-        self._last_turn: trio.Event | None = None
-        self._room = trio.Event()
-        self._is_dismissed = False
-        self._is_ending = False
-        self._is_sending = False
-        self._scope: trio.CancelScope | None = None
-        self.waits_since = trio.current_time()
-
-    @property
-    def is_idle(self) -> bool:
-        """Whether it waits for a request and none has begun.
-
-        An answer that its peer takes slowly is not in flight any more, and
-        would end in its midst if its connection were closed as idle.
-        """
-        return not (self._in_flight or self._is_sending or self._has_begun)
-
-    @property
-    def _has_begun(self) -> bool:
-        """Whether part of a further request has come."""
-        return self._head is not None or not self._collector.is_between
-
-    async def serve(self) -> None:
-        """Read requests and answer them until the connection ends."""
-        async with trio.open_nursery() as nursery:
-            self._scope = nursery.cancel_scope
-            await self._read_requests(nursery)
-            nursery.cancel_scope.cancel()
-
-    def close(self) -> None:
-        """Close at once."""
-        self._server.buffered -= self._size
-        self._size = 0
-        self._sock.close()
-
-    def dismiss(self) -> None:
-        """End the wait for a request, unless one has begun to come."""
-        try:
-            self._sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            self._is_dismissed = True
-            trio.lowlevel.notify_closing(self._sock)
-        except OSError:
-            return
-
-    def take_no_more(self) -> None:
-        """Begin no request behind those in hand.
-
-        A peer that always sends the next one before it has its answer would
-        never be told of the end, and its last requests would be cut with the
-        process. The last answer in hand tells it: what was sent behind that
-        counts as not read, so it is sent again elsewhere.
-        """
-        if self._in_flight:
-            self._is_ending = True
-
-    def check_times(self, limits: ServerLimits, now: float) -> None:
-        """End a connection that is slow or idle for too long."""
-        if self._is_ending:
-            # Its last answer ends it. What is not read any more may look like
-            # a slow request; ended for that, the answer would be cut.
-            return
-        waited = now - self.waits_since
-        if self.is_idle:
-            if waited > limits.idle_timeout:
-                self.dismiss()
-        elif self._head is None and not self._collector.is_between:
-            if now - self._arrived > limits.head_timeout:
-                self._is_dismissed = True
-                trio.lowlevel.notify_closing(self._sock)
-        elif self._head is not None and waited > limits.head_timeout:
-            self._is_dismissed = True
-            trio.lowlevel.notify_closing(self._sock)
-
-    async def _read_requests(self, nursery: trio.Nursery) -> None:
-        while True:
-            while self._in_flight >= MAX_PIPELINED:
-                self._room = trio.Event()
-                await self._room.wait()
-            data = await self._read()
-            if not data or self._has_ended():
-                break
-            if self._is_ending:
-                # What comes behind the last request is not read any more.
-                continue
-            fault = self._feed(data)
-            self._take_events(nursery)
-            if fault is not None and not self._is_ending:
-                self._reject(nursery, fault)
-        if self._is_dismissed and not self.is_idle and not self._is_ending:
-            await self._answer_fault(_TOO_SLOW, self._last_turn, trio.Event())
-
-    async def _read(self) -> bytes:
-        while True:
-            # A request may have come since the wait was ended, on a busy loop
-            # long before. Closed on it, its sender would get no answer; so
-            # what has come is read, and only then the connection ends.
-            try:
-                with suppress(trio.ClosedResourceError):
-                    await trio.lowlevel.wait_readable(self._sock)
-                data = self._sock.recv(READ_SIZE)
-            except BlockingIOError:
-                if self._is_dismissed:
-                    return b''
-                continue
-            except OSError:
-                return b''
-            self._is_dismissed = False
-            self.waits_since = trio.current_time()
-            return data
-
-    def _has_ended(self) -> bool:
-        """Whether the peer has closed behind what was just read.
-
-        A lost packet can hold a request up until its sender has given up;
-        the request and the end then arrive together. Begun, it would reach
-        an upstream long after its caller has left.
-        """
-        try:
-            return not self._sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-
-    def _feed(self, data: bytes) -> Broken | None:
-        collector = self._collector
-        if collector.is_between:
-            self._arrived = self.waits_since
-        max_head = self._server.limits().max_head
-        if collector.is_in_head:
-            self._head_bytes += len(data)
-        try:
-            collector.parser.feed_data(data)
-        except HttpParserUpgrade:
-            return Broken('upgrade is refused', HTTPStatus.NOT_IMPLEMENTED)
-        except HttpParserError as error:
-            return Broken(str(error), HTTPStatus.BAD_REQUEST)
-        if collector.is_between or not collector.is_in_head:
-            self._head_bytes = 0
-        if self._head_bytes > max_head:
-            return too_long(max_head)
-        return None
-
-    def _take_events(self, nursery: trio.Nursery) -> None:
-        events = self._collector.events
-        while events and not self._is_ending:
-            event = events.popleft()
-            if isinstance(event, bytes):
-                self._add_body(event, nursery)
-            elif isinstance(event, RequestHead):
-                self._begin(event, nursery)
-            elif event is End.END:
-                self._finish_request(nursery)
-            else:
-                assert isinstance(event, Broken)
-                self._reject(nursery, event)
-
-    def _begin(self, head: RequestHead, nursery: trio.Nursery) -> None:
-        self._head = head
-        self._parts = []
-        length = head.framing.length
-        limits = self._server.limits()
-        if length is not None and length > limits.max_body:
-            self._reject(nursery, _TOO_LARGE)
-            return
-        expected = header(head.headers, b'expect')
-        if expected is not None and expected.lower() == b'100-continue':
-            try:
-                self._sock.send(b'HTTP/1.1 100 Continue\r\n\r\n')
-            except OSError:
-                return
-
-    def _add_body(self, data: bytes, nursery: trio.Nursery) -> None:
-        self._parts.append(data)
-        self._size += len(data)
-        self._server.buffered += len(data)
-        if self._size > self._server.limits().max_body:
-            self._reject(nursery, _TOO_LARGE)
-        elif self._server.buffered > MAX_BUFFERED:
-            self._reject(nursery, _NO_MEMORY)
-
-    def _finish_request(self, nursery: trio.Nursery) -> None:
-        head = self._head
-        assert head is not None
-        if self._server.is_too_late:
-            # Begun, it might be cut at work with the process, and its caller
-            # could not know whether it has run. A refusal tells that.
-            self._reject(nursery, _STOPPING)
-            return
-        request = Request(
-            head=head,
-            body=b''.join(self._parts),
-            arrived=self._arrived,
-        )
-        self._head = None
-        self._parts = []
-        size = self._size
-        self._size = 0
-        self._arrived = self.waits_since
-        turn = trio.Event()
-        previous = self._last_turn
-        self._last_turn = turn
-        self._in_flight += 1
-        self._is_ending = not head.keep_alive or self._server.is_finishing
-        nursery.start_soon(self._answer, request, size, previous, turn)
-
-    async def _answer(
-        self,
-        request: Request,
-        size: int,
-        previous: trio.Event | None,
-        turn: trio.Event,
-    ) -> None:
-        try:
-            response = await self._server.handle(request)
-        finally:
-            self._server.buffered -= size
-        if previous is not None and not previous.is_set():
-            await previous.wait()
-        self._in_flight -= 1
-        self._room.set()
-        is_last = self._last_turn is turn
-        stops = self._server.is_stopping and is_last and not self._has_begun
-        close = response.close or stops or (is_last and self._is_ending)
-        # The next request may come while a slow peer takes the answer. Begun,
-        # it would be cut when the answer is out; now it counts as not read.
-        self._is_ending = self._is_ending or close
-        sent = await self._send(response, close=close)
-        self.waits_since = trio.current_time()
-        turn.set()
-        if close or not sent:
-            await self._end(sent=sent)
-
-    def _reject(self, nursery: trio.Nursery, fault: Broken) -> None:
-        """Answer a message that cannot be read, behind all others."""
-        self._is_ending = True
-        previous = self._last_turn
-        turn = trio.Event()
-        self._last_turn = turn
-        nursery.start_soon(self._answer_fault, fault, previous, turn)
-
-    async def _answer_fault(
-        self,
-        fault: Broken,
-        previous: trio.Event | None,
-        turn: trio.Event,
-    ) -> None:
-        if previous is not None:
-            await previous.wait()
-        if fault.status is not None:
-            response = Response(
-                status=fault.status,
-                body=fault.reason.encode(),
-            )
-            await self._send(response, close=True)
-        turn.set()
-        await self._end(sent=True)
-
-    async def _send(self, response: Response, *, close: bool) -> bool:
-        body = b'' if response.is_bodiless else response.body
-        length = response.length
-        if length is None or not response.is_bodiless:
-            length = len(response.body)
-        head = ResponseHead(
-            status=response.status,
-            headers=response.headers,
-            framing=Framing(length) if length else EMPTY,
-            keep_alive=True,
-            is_bodiless=response.status in _NO_BODY,
-        )
-        return await self._send_all(encode_response(head, close=close) + body)
-
-    async def _send_all(self, data: bytes) -> bool:
-        self._is_sending = True
-        try:
-            return await self._send_bytes(data)
-        finally:
-            self._is_sending = False
-
-    async def _send_bytes(self, data: bytes) -> bool:
-        view = memoryview(data)
-        while view:
-            try:
-                view = view[self._sock.send(view) :]
-            except BlockingIOError:
-                writable = False
-                with trio.move_on_after(SEND_TIMEOUT):
-                    await trio.lowlevel.wait_writable(self._sock)
-                    writable = True
-                if not writable:
-                    return False
-            except OSError:
-                return False
-        return True
-
-    async def _end(self, *, sent: bool) -> None:
-        """End the connection behind an answer.
-
-        A socket that is closed with unread bytes is reset, which could take
-        the answer away from a peer that has not read it yet. The task that
-        reads goes on, and ends all as soon as the peer has closed.
-        """
-        assert self._scope is not None
-        self._is_ending = True
-        if sent:
-            try:
-                self._sock.shutdown(socket.SHUT_WR)
-            except OSError:
-                self._scope.cancel()
-            await trio.sleep(_LINGER)
-        self._scope.cancel()
-
-
-_NO_BODY = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
-_TOO_SLOW = Broken('the request is too slow', HTTPStatus.REQUEST_TIMEOUT)
-_TOO_LARGE = Broken(
-    'the body is too large',
-    HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-)
-_NO_MEMORY = Broken(
-    'too many request bodies are held',
-    HTTPStatus.SERVICE_UNAVAILABLE,
-)
-_STOPPING = Broken('the server stops', HTTPStatus.SERVICE_UNAVAILABLE)
+        server.start_serving(sock, nursery)
