A late request between daemons is refused in words that a daemon knows

The server's own refusal of late requests bears no word of the owner, so a daemon that passes one on late could not take it for 'not run' and would answer 502. The handler of that port refuses everything by then, with its reason.

--- a/libs/http/src/verbenamill_http/server.py
+++ b/libs/http/src/verbenamill_http/server.py
@@ -50,6 +50,7 @@
         self.in_hand = 0
         self.is_stopping = False
         self._finishes_since: float | None = None
+        self._refuses_late = True
 
     @property
     def is_finishing(self) -> bool:
@@ -60,7 +61,9 @@
     def is_too_late(self) -> bool:
         """Whether a request that is whole only now is refused."""
         since = self._finishes_since
-        return since is not None and trio.current_time() > since + _FRESH
+        if since is None or not self._refuses_late:
+            return False
+        return trio.current_time() > since + _FRESH
 
     @property
     def connections(self) -> int:
@@ -81,14 +84,18 @@
         finally:
             listener.close()
 
-    async def finish(self) -> None:
+    async def finish(self, *, refuses_late: bool = True) -> None:
         """Take no further connection and wait until all have ended.
 
         Connections that wait for a request are closed, unless one may be on
         its way: its sender would see the end of the connection instead of
         an answer. Where a request is in hand, none is begun behind it.
+
+        :param refuses_late: whether requests that come late are refused here;
+            otherwise the handler has to.
         """
         self.is_stopping = True
+        self._refuses_late = refuses_late
         self._finishes_since = trio.current_time()
         for connection in self._served:
             connection.take_no_more()
--- a/libs/http/tests/test_server.py
+++ b/libs/http/tests/test_server.py
@@ -347,8 +347,8 @@
         stream = await site.connect()
         await stream.send_all(get(b'/quick'))
         await read_until(stream, b'/quick')
-        (peer,) = site.server._peers
-        assert not peer._sock.getsockopt(
+        (served,) = site.server._served
+        assert not served._sock.getsockopt(
             socket.IPPROTO_TCP,
             socket.TCP_USER_TIMEOUT,
         )
--- a/libs/sidecar/src/verbenamill_sidecar/daemon.py
+++ b/libs/sidecar/src/verbenamill_sidecar/daemon.py
@@ -284,7 +284,8 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._registrar.take_leave, _FAREWELL)
                 nursery.start_soon(self._callers.finish)
-                await self._daemons.finish()
+                # The owner refuses all by now, in words that a daemon knows.
+                await self._daemons.finish(refuses_late=False)
 
     def _tell_upstream(self) -> None:
         self._gossip.update(
