--- a/libs/http/tests/test_server.py
+++ b/libs/http/tests/test_server.py
@@ -1,6 +1,7 @@
 """What a peer sees of the server: order, limits, ends."""
 
 import socket
+from functools import partial
 
 import trio
 
@@ -269,6 +270,31 @@
     play(scene, PATIENT)
 
 
+def test_a_late_request_is_left_to_a_handler_that_refuses_by_itself():
+    # Between daemons a refusal has to say whose it is. The server's own bears
+    # no such word, so the sender could not take it for "not run"; there the
+    # handler gets late requests too.
+    async def scene(site):
+        caller = await site.connect()
+        await caller.send_all(
+            b'POST /hop HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\n1',
+        )
+        await trio.sleep(0.05)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                partial(site.server.finish, refuses_late=False),
+            )
+            await trio.sleep(1)
+            await caller.send_all(b'2')
+            answer = await read_all(caller)
+            assert answer.startswith(b'HTTP/1.1 200')
+            assert b'connection: close' in answer
+            await caller.aclose()
+        assert site.handled == [b'/hop']
+
+    play(scene, PATIENT)
+
+
 def test_a_stop_does_not_cut_an_answer_on_its_way():
     # A caller takes a long answer slowly. No request is in hand meanwhile, so
     # the connection counts as idle and is closed in the midst of the answer.
