After a standstill silence is counted anew

One look was spared after a standstill; the next one, a tenth of a second later, counted from before it, and busy daemons answer 0.1 to 0.2 s late. Silence counts from the end of the standstill.

--- a/libs/sidecar/src/verbenamill_sidecar/gossip.py
+++ b/libs/sidecar/src/verbenamill_sidecar/gossip.py
@@ -118,6 +118,7 @@
         self._hot_progress: dict[ServiceName, _Rumour] = {}
         self._hot_settled: dict[ServiceName, _Rumour] = {}
         self._asked_at: dict[VmId, float] = {}
+        self._awake_since = float('-inf')
         self.sent = 0
         self.received = 0
         self.has_met = trio.Event()
@@ -361,23 +362,16 @@
             due = trio.current_time() + WATCH_PERIOD
             await trio.sleep_until(due)
             now = trio.current_time()
-            stood_still = now - due >= HELD_UP
-            if stood_still:
+            if now - due >= HELD_UP:
                 log(Event.HELD_UP, ms=int((now - due) * 1000))
+                self._awake_since = now
             for peer in list(self._peers.all()):
-                self._look_at(peer, now, may_doubt=not stood_still)
+                self._look_at(peer, now)
 
-    def _look_at(self, peer: Peer, now: float, *, may_doubt: bool) -> None:
-        """Ask a daemon that owes an answer for a sign of life.
-
-        After a standstill of this process, signs of life may lie unread, and
-        nobody was asked: held against the others, each would seem lost.
-
-        :param may_doubt: whether silence counts this time.
-        """
+    def _look_at(self, peer: Peer, now: float) -> None:
+        """Ask a daemon that owes an answer for a sign of life."""
         silent = peer.silent_for(now)
-        if may_doubt:
-            peer.doubt_silence(now)
+        peer.doubt_silence(now, awake_since=self._awake_since)
         is_away = peer.owner.down_until > now or self._may_return(peer)
         if silent < ASK_AFTER and not is_away:
             return
--- a/libs/sidecar/src/verbenamill_sidecar/peers.py
+++ b/libs/sidecar/src/verbenamill_sidecar/peers.py
@@ -116,18 +116,22 @@
             return MAX_IDLE
         return min(now - self._doubted_at, MAX_IDLE)
 
-    def doubt_silence(self, now: float) -> None:
+    def doubt_silence(self, now: float, *, awake_since: float) -> None:
         """Warn the requests that have waited for long without a sign of life.
 
         No request that it may be running is broken off: silence does not tell
         a daemon that is gone from one that is slow or behind a full link. If
         it is gone, the kernel ends the connections (see
         :func:`~verbenamill_http.sockets.watch_peer`).
+
+        :param awake_since: end of the last standstill of this process. Signs
+            of life may lie unread at that time, and nobody was asked.
         """
+        known = max(self.heard_at, awake_since)
         doubted = [
             waiter
             for waiter in self._waiting
-            if now - max(self.heard_at, waiter.since) >= LOST_AFTER
+            if now - max(known, waiter.since) >= LOST_AFTER
         ]
         if doubted:
             self._doubted_at = now
--- a/libs/sidecar/tests/test_silence.py
+++ b/libs/sidecar/tests/test_silence.py
@@ -141,3 +141,20 @@
         return doubts
 
     assert not play(ports, scene)
+
+
+def test_a_moment_after_a_standstill_is_left_for_signs_of_life(ports):
+    # The same, and the other one answers a moment after it is asked: a busy
+    # daemon takes up to 0.2 s. The second look must not count from before the
+    # standstill either.
+    async def scene(made, clock):
+        doubts = []
+        with made.peer.await_answer(lambda: doubts.append(1)):
+            await trio.sleep(0.1)
+            clock.jump(1.5)
+            await trio.sleep(0.25)
+            made.peer.hear()
+            await trio.sleep(0.2)
+        return doubts
+
+    assert not play(ports, scene)
