A doubt passes with the next sign of life

A lookup's owner seemed lost, a second one was asked, the first one was heard of again, and then the second one failed: the caller got that failure, and the run that was going well was cut. A doubt, once there, never passed. Besides, a failure that holds for all owners ended a run beside it.

Change: a doubt has a time, and a later sign of life ends it; an answer that may be bettered decides only once nothing else is under way, or all else is in doubt. Checks that cost little come before the choice of an owner, as doubts come ten times a second. Guards that no test held have one now: refusals that hold for all owners, the most upstreams that may see a request, fees on kept connections.

Before: the test fails with the second owner's 500.

--- a/deploy/tests/test_suspicion.py
+++ b/deploy/tests/test_suspicion.py
@@ -4,9 +4,12 @@
 import trio
 
 from verbenamill_http.addresses import parse_address
+from verbenamill_http.client import Answer
+from verbenamill_platform_standins.serving import Told
 from verbenamill_policy.placement import FIRST_PAUSE
 from verbenamill_sidecar import ingress as ingress_module
-from verbenamill_sidecar.call import not_run
+from verbenamill_sidecar.call import Fate, Outcome, not_run, unknown
+from verbenamill_sidecar.gossip import PROBE_PERIOD
 from verbenamill_sidecar.passing_on import pass_on
 from verbenamill_sidecar.peers import LOST_AFTER
 
@@ -199,3 +202,111 @@
         assert [answer.status for answer in answers] == [200, 200]
 
     play(scene)
+
+
+def test_an_owner_that_is_heard_of_again_is_waited_for(play):
+    # A lookup's owner seems to be lost, and another one is asked. The first
+    # one is heard of again, then the second one fails. The doubt has passed,
+    # so the caller gets the answer that is being made, not the failure.
+    async def scene(site):
+        ingress = await site.add('vm1', service='catalog')
+        slow = await site.add('vm2')
+        await site.settled()
+        await site.in_force(1)
+        slow.upstream.work = 3 * LOST_AFTER
+        answers = []
+
+        async def call():
+            answers.append(await ingress.call('/lookup/1', deadline=2000))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call)
+            await site.until(lambda: is_running(slow))
+            send = slow.daemon._gossip._send_to
+            mute(slow)
+            other = await site.add('vm3', zone='z2', work=2 * PROBE_PERIOD)
+            other.upstream.script = fail
+            await site.until(lambda: is_running(other))
+            slow.daemon._gossip._send_to = send
+        assert len(other.upstream.ran) == 1
+        assert [answer.body for answer in answers] == [b'answer to r1']
+
+    play(scene)
+
+
+def fail(asked):
+    id = asked.headers['x-attempt-id']
+    return Told(500, {'X-Attempt-Id': id, 'X-Response-Seal': 's'}, b'failed')
+
+
+@pytest.fixture
+def call_scripted(play, monkeypatch):
+    """Call with scripted owners; the status, and how many were asked."""
+
+    def call(*script, vms=3):
+        asked = []
+
+        async def answer(call, peer, upstream, *, sender, doubt):
+            asked.append(peer.record.vm)
+            return await script[min(len(asked), len(script)) - 1](doubt)
+
+        async def scene(site):
+            monkeypatch.setattr(ingress_module, 'pass_on', answer)
+            caller = await site.add('vm1', service='catalog')
+            for place in range(vms):
+                await site.add(f'owner{place}')
+            await site.settled()
+            await site.in_force(1)
+            statuses.append((await caller.call('/lookup/1')).status)
+
+        statuses = []
+        play(scene)
+        return statuses[0], len(asked)
+
+    return call
+
+
+async def doubted_then_good(doubt):
+    doubt(trio.current_time())
+    await trio.sleep(0.5)
+    answer = Answer(status=200, headers=[], body=b'ok')
+    return Outcome(fate=Fate.ANSWERED, answer=answer, reached=True)
+
+
+async def doubted_then_broken(doubt):
+    doubt(trio.current_time())
+    await trio.sleep(0.5)
+    return unknown('the connection to the owner broke')
+
+
+async def doubted_for_long(doubt):
+    while True:
+        doubt(trio.current_time())
+        await trio.sleep(0.1)
+
+
+async def full_everywhere(_):
+    await trio.sleep(0.05)
+    outcome = not_run('a service that it calls has no room')
+    outcome.everywhere = True
+    return outcome
+
+
+def test_a_refusal_for_all_owners_hides_no_run(call_scripted):
+    # The second owner refuses for all, while the first one, in doubt, runs
+    # the request. "Not run" would not be true.
+    assert call_scripted(doubted_then_good, full_everywhere) == (200, 2)
+
+
+def test_a_refusal_for_all_owners_ends_the_search(call_scripted):
+    # The same, and the first one breaks off: that it may have run is told,
+    # and no third owner is asked that would refuse as well.
+    assert call_scripted(doubted_then_broken, full_everywhere) == (502, 2)
+
+
+def test_owners_in_doubt_count_among_the_most_that_may_see_a_request(
+    call_scripted,
+):
+    # Each owner in turn seems lost. Each may have run the request, so no more
+    # than the route allows are asked.
+    assert call_scripted(doubted_for_long, vms=4) == (504, 2)
--- a/libs/sidecar/src/verbenamill_sidecar/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/ingress.py
@@ -25,7 +25,7 @@
 from verbenamill_sidecar.learned import Learned
 from verbenamill_sidecar.owner import OwnUpstream
 from verbenamill_sidecar.passing_on import pass_on
-from verbenamill_sidecar.peers import Peer, Peers, with_version
+from verbenamill_sidecar.peers import Doubt, Peer, Peers, with_version
 from verbenamill_sidecar.protocol import HeaderNames
 from verbenamill_sidecar.racing import Race
 from verbenamill_sidecar.refusing import find_fault, refusal
@@ -213,9 +213,10 @@
             if ended is None:
                 continue
             tries.end(*ended)
-            # A refusal says "not run", which nobody knows of the others yet.
-            is_known = tries.answer is not None or not race.under_way
-            if is_known and self._is_final(call, ended[1]):
+            # The other try may still make a better answer, and a refusal
+            # would say "not run", which nobody knows of it yet.
+            decides = not race.under_way or _is_good(ended[1])
+            if decides and self._is_final(call, ended[1]):
                 return
 
     def _next_owner(
@@ -226,19 +227,21 @@
         race: Race,
     ) -> Peer | None:
         """The owner of a further try; ``None`` if there is to be none now."""
-        if not race.is_in_doubt or tries.is_refused_everywhere:
+        if not race.is_in_doubt or tries.is_same_everywhere:
             return None
         if race.under_way and not call.is_idempotent:
             return None
         # An owner in doubt may have run the request.
         seen = tries.reached + race.under_way
-        if tries.hops >= MAX_HOPS + seen:
+        may_try = tries.hops < MAX_HOPS + seen
+        if not may_try or (seen and not self._can_repeat(call, seen)):
             return None
         peer = self._choose(call, tries)
         if seen and peer is not None:
             has_run = tries.has_run or race.under_way > 0
-            if not self._may_repeat(call, seen, budget, has_run=has_run):
+            if not budget.take(has_run=has_run):
                 return None
+            self._context.stats.retries += 1
         return peer
 
     def _choose(self, call: Call, tries: Tries) -> Peer | None:
@@ -283,7 +286,7 @@
         self,
         call: Call,
         peer: Peer,
-        doubt: Callable[[], None],
+        doubt: Doubt,
     ) -> Outcome:
         upstream = peer.upstream
         if upstream is None:
@@ -312,30 +315,17 @@
             return outcome.everywhere
         if not call.is_idempotent or outcome.everywhere:
             return True
-        answer = outcome.answer
-        return answer is not None and answer.status not in RETRIED
+        return _is_good(outcome)
 
-    def _may_repeat(
-        self,
-        call: Call,
-        seen: int,
-        budget: RetryBudget,
-        *,
-        has_run: bool,
-    ) -> bool:
-        """Whether a second upstream may see the request.
+    def _can_repeat(self, call: Call, seen: int) -> bool:
+        """Whether a further upstream may see the request, and has the time.
 
         :param seen: upstreams that have seen it, or may have.
         """
         if seen >= call.route.max_attempts:
             return False
         left = call.deadline - trio.current_time()
-        if left < _RETRY_ROOM * self._learned.usual(call.route):
-            return False
-        if not budget.take(has_run=has_run):
-            return False
-        self._context.stats.retries += 1
-        return True
+        return left >= _RETRY_ROOM * self._learned.usual(call.route)
 
     def _conclude(self, call: Call, tries: Tries) -> Response:
         answer = tries.answer
@@ -419,5 +409,11 @@
         )
 
 
+def _is_good(outcome: Outcome) -> bool:
+    """Whether there is an answer that no other upstream could better."""
+    answer = outcome.answer
+    return answer is not None and answer.status not in RETRIED
+
+
 def _version(table: RouteTable) -> int:
     return table.configuration.version
--- a/libs/sidecar/src/verbenamill_sidecar/passing_on.py
+++ b/libs/sidecar/src/verbenamill_sidecar/passing_on.py
@@ -1,7 +1,5 @@
 """A request's hop to the daemon beside another upstream."""
 
-from collections.abc import Callable
-
 import trio
 
 from verbenamill_http.client import Answer, Connection, Fault
@@ -10,7 +8,7 @@
 from verbenamill_sidecar.call import Call, Outcome, not_run, unknown
 from verbenamill_sidecar.hop import HopCall, encode_hop, read_outcome
 from verbenamill_sidecar.owner import MAX_ANSWER
-from verbenamill_sidecar.peers import Peer
+from verbenamill_sidecar.peers import Doubt, Peer
 
 
 async def pass_on(
@@ -19,7 +17,7 @@
     upstream: UpstreamRecord,
     *,
     sender: str,
-    doubt: Callable[[], None],
+    doubt: Doubt,
 ) -> Outcome:
     """Have another daemon run a request on its upstream.
 
--- a/libs/sidecar/src/verbenamill_sidecar/peers.py
+++ b/libs/sidecar/src/verbenamill_sidecar/peers.py
@@ -33,12 +33,17 @@
 LOST_AFTER = 0.6
 
 
+#: Told when a daemon seemed to be lost. A sign of life after that time ends the
+#: doubt; infinity, if the process that was asked has gone.
+Doubt = Callable[[float], None]
+
+
 class _Waiter:
     """A request that waits for a daemon's answer."""
 
     __slots__ = ('since', 'doubt')
 
-    def __init__(self, since: float, doubt: Callable[[], None]) -> None:
+    def __init__(self, since: float, doubt: Doubt) -> None:
         self.since = since
         self.doubt = doubt
 
@@ -78,7 +83,7 @@
         return upstream
 
     @contextmanager
-    def await_answer(self, doubt: Callable[[], None]) -> Iterator[None]:
+    def await_answer(self, doubt: Doubt) -> Iterator[None]:
         """Wait for its answer.
 
         :param doubt: called again and again while it seems to be lost.
@@ -137,7 +142,7 @@
             self._doubted_at = now
             self.avoid('it gives no sign of life')
         for waiter in doubted:
-            waiter.doubt()
+            waiter.doubt(now)
 
     def avoid(self, reason: str) -> None:
         """Send it no new request for a while.
@@ -162,7 +167,7 @@
         self.pool.distrust()
         self.owner.down_until = 0
         for waiter in list(self._waiting):
-            waiter.doubt()
+            waiter.doubt(float('inf'))
 
 
 class Peers:
--- a/libs/sidecar/src/verbenamill_sidecar/racing.py
+++ b/libs/sidecar/src/verbenamill_sidecar/racing.py
@@ -6,9 +6,8 @@
 
 from verbenamill_model.typing import VmId
 from verbenamill_sidecar.call import RETRIED, Outcome
-from verbenamill_sidecar.peers import Peer
+from verbenamill_sidecar.peers import Doubt, Peer
 
-Doubt = Callable[[], None]
 #: Makes one try; calls what it is given while the owner seems to be lost.
 Try = Callable[[Doubt], Awaitable[Outcome]]
 
@@ -24,8 +23,8 @@
 
     def __init__(self, nursery: trio.Nursery) -> None:
         self._nursery = nursery
-        self._under_way: set[VmId] = set()
-        self._doubted: set[VmId] = set()
+        self._under_way: dict[VmId, Peer] = {}
+        self._doubted_at: dict[VmId, float] = {}
         self._ended: list[tuple[Peer, Outcome]] = []
         self._news = trio.Event()
 
@@ -36,12 +35,17 @@
 
     @property
     def is_in_doubt(self) -> bool:
-        """Whether each try under way is at an owner that seems lost."""
-        return not self._ended and self._under_way <= self._doubted
+        """Whether each try under way is at an owner that seems lost.
+
+        One that has given a sign of life since is waited for again.
+        """
+        return not self._ended and all(
+            self._is_doubted(vm, peer) for vm, peer in self._under_way.items()
+        )
 
     def start(self, peer: Peer, attempt: Try) -> None:
         """Begin a try."""
-        self._under_way.add(peer.record.vm)
+        self._under_way[peer.record.vm] = peer
         self._nursery.start_soon(self._run, peer, attempt)
 
     async def wait(self) -> tuple[Peer, Outcome] | None:
@@ -57,16 +61,20 @@
             return None
         best = min(self._ended, key=_rank)
         self._ended.remove(best)
-        self._under_way.discard(best[0].record.vm)
+        self._under_way.pop(best[0].record.vm)
         return best
 
     async def _run(self, peer: Peer, attempt: Try) -> None:
-        outcome = await attempt(lambda: self._doubt(peer.record.vm))
+        outcome = await attempt(lambda at: self._doubt(peer.record.vm, at))
         self._ended.append((peer, outcome))
         self._news.set()
 
-    def _doubt(self, vm: VmId) -> None:
-        self._doubted.add(vm)
+    def _is_doubted(self, vm: VmId, peer: Peer) -> bool:
+        at = self._doubted_at.get(vm)
+        return at is not None and peer.heard_at <= at
+
+    def _doubt(self, vm: VmId, at: float) -> None:
+        self._doubted_at[vm] = at
         self._news.set()
 
 
--- a/libs/sidecar/src/verbenamill_sidecar/tries.py
+++ b/libs/sidecar/src/verbenamill_sidecar/tries.py
@@ -10,7 +10,7 @@
     """What has been tried for one request.
 
     :ivar reached: upstreams that have seen it.
-    :ivar is_refused_everywhere: whether other owners would refuse it as well.
+    :ivar is_same_everywhere: whether other owners would say the same.
     """
 
     def __init__(self) -> None:
@@ -20,7 +20,7 @@
         self.wants_target: bool | None = None
         self.answer: Answer | None = None
         self.may_have_run = False
-        self.is_refused_everywhere = False
+        self.is_same_everywhere = False
         self.reason = ''
         self.wait = float(0)
         self.story: list[str] = []
@@ -43,9 +43,9 @@
         """Note what became of a try."""
         vm = peer.record.vm
         self.reached += outcome.reached
+        self.is_same_everywhere |= outcome.everywhere
         self.story[self._places[vm]] = f'{vm}: {_summary(outcome)}'
         if outcome.fate is Fate.NOT_RUN:
-            self.is_refused_everywhere |= outcome.everywhere
             self.reason = self.reason or outcome.reason
             if outcome.wait:
                 known = self.wait or outcome.wait
--- a/libs/sidecar/tests/test_racing.py
+++ b/libs/sidecar/tests/test_racing.py
@@ -78,7 +78,7 @@
             async with trio.open_nursery() as waiting:
                 waiting.start_soon(_expect, race, None)
                 await trio.testing.wait_all_tasks_blocked()
-                doubts[0]()
+                doubts[0](trio.current_time())
             assert race.is_in_doubt
             goes_on.set()
             _, outcome = await race.wait()
--- a/libs/sidecar/tests/test_silence.py
+++ b/libs/sidecar/tests/test_silence.py
@@ -11,7 +11,7 @@
 from verbenamill_sidecar.feeding import Feeding
 from verbenamill_sidecar.gossip import Gossip
 from verbenamill_sidecar.knowledge import Wishes
-from verbenamill_sidecar.peers import Peers
+from verbenamill_sidecar.peers import MAX_IDLE, Peers
 
 
 def make_record(vm, port):
@@ -53,7 +53,7 @@
         began = trio.current_time()
         doubted_at = []
         with self.peer.await_answer(
-            lambda: doubted_at.append(trio.current_time() - began),
+            lambda at: doubted_at.append(at - began),
         ):
             pause = sign_of_life or seconds
             for _ in range(int(seconds / pause)):
@@ -149,7 +149,7 @@
     # standstill either.
     async def scene(made, clock):
         doubts = []
-        with made.peer.await_answer(lambda: doubts.append(1)):
+        with made.peer.await_answer(doubts.append):
             await trio.sleep(0.1)
             clock.jump(1.5)
             await trio.sleep(0.25)
@@ -158,3 +158,20 @@
         return doubts
 
     assert not play(ports, scene)
+
+
+def test_a_fee_passes_over_connections_from_before_a_doubt(ports):
+    # A daemon seemed lost; its process may have been replaced, and kept
+    # connections to it are dead then. A lookup that is lost on one of them is
+    # sent again, a fee would end unknown.
+    async def scene(made, _):
+        before = made.peer.max_idle(trio.current_time(), is_idempotent=False)
+        await made.wait(1)
+        now = trio.current_time()
+        after = made.peer.max_idle(now, is_idempotent=False)
+        lookups = made.peer.max_idle(now, is_idempotent=True)
+        return before, after, lookups
+
+    before, after, lookups = play(ports, scene)
+    assert before == lookups == MAX_IDLE
+    assert after <= 0.5
