Idle connections do not keep a new one from being opened

After a peak of load, with as many idle connections as are allowed, a request that must use a new one got none, and its owner was taken for one that takes no connection: nothing was sent there for a while, by anybody. The oldest idle one makes room.

Before: the test fails. After: it passes.

--- a/libs/http/src/verbenamill_http/client.py
+++ b/libs/http/src/verbenamill_http/client.py
@@ -295,6 +295,9 @@
         connection = self._take_idle(limit)
         if connection is not None:
             return connection
+        if self.open >= self._limit and self._idle:
+            # Those that are idle for too long must not block a new one.
+            self.discard(self._idle.pop(0))
         if self.open >= self._limit:
             return None
         self.open += 1
--- a/libs/http/tests/test_client.py
+++ b/libs/http/tests/test_client.py
@@ -207,3 +207,29 @@
     # the connection by that bound alone, once a question is out: if it passes
     # before the second one, a single lost packet ends a run that is well.
     assert UNACKNOWLEDGED > 1000 * (KEEPALIVE_IDLE + KEEPALIVE_PAUSE)
+
+
+def test_old_connections_do_not_block_a_new_one():
+    # A peak of load has left as many connections as are allowed, idle. A
+    # request that must not use old ones needs a new one; without it, the
+    # other end would seem to take no connection.
+    async def main():
+        with socket.create_server(('127.0.0.1', 0)) as listener:
+            pool = Pool(
+                parse_address(f'127.0.0.1:{listener.getsockname()[1]}'),
+                limit=3,
+                max_idle=20,
+                connect_timeout=5,
+            )
+            for connection in [await pool.take() for _ in range(3)]:
+                pool.give_back(connection)
+            await trio.sleep(0.01)
+            assert not pool.is_full
+            fresh = await pool.take(max_idle=0)
+            assert fresh is not None
+            assert fresh.is_fresh
+            assert pool.open == 3
+            pool.discard(fresh)
+            pool.close_idle()
+
+    trio.run(main)
