An answer on its way is not cut by what comes behind it

Change: a connection on which an answer goes out is not ended for slowness; the last one stays open until the other end has acknowledged all, and for the second that it stayed open before, also during a stop; a body is asked for in turn, and not when it would be refused. What has come of a body that is not read any more is not counted as held.

--- a/libs/http/src/verbenamill_http/served.py
+++ b/libs/http/src/verbenamill_http/served.py
@@ -20,6 +20,7 @@
     header,
 )
 from verbenamill_http.parsing import RequestCollector, too_long
+from verbenamill_http.sockets import unsent
 
 READ_SIZE = 64 * 1024
 #: Requests of one connection that are worked on at once; more wait unread.
@@ -29,8 +30,12 @@
 MAX_BUFFERED = 64 * 1024 * 1024
 #: Longest that a peer may take no byte of its answer, in seconds.
 SEND_TIMEOUT = 10.0
-#: How long a peer may read its last answer before the socket goes away.
+#: How long a connection stays open once its peer's kernel has the last answer,
+#: in seconds: the peer may still send, which must not reset what it reads.
 _LINGER = 1.0
+#: How often it is looked whether the peer's kernel has it, in seconds.
+_LOOK = 0.1
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 _NO_BODY = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 _TOO_SLOW = Broken('the request is too slow', HTTPStatus.REQUEST_TIMEOUT)
@@ -99,9 +104,11 @@
         """Whether it waits for a request and none has begun.
 
         An answer that its peer takes slowly is not in flight any more, and
-        would end in its midst if its connection were closed as idle.
+        would end in its midst if its connection were closed as idle. After
+        the last one, the kernel may still be sending it.
         """
-        return not (self._in_flight or self._is_sending or self._has_begun)
+        is_answering = self._in_flight or self._is_sending or self._is_ending
+        return not (is_answering or self._has_begun)
 
     @property
     def _has_begun(self) -> bool:
@@ -141,12 +148,14 @@
         """
         if self._in_flight:
             self._is_ending = True
+            self._drop_body()
 
     def check_times(self, limits: ServerLimits, now: float) -> None:
         """End a connection that is slow or idle for too long."""
-        if self._is_ending:
-            # Its last answer ends it. What is not read any more may look like
-            # a slow request; ended for that, the answer would be cut.
+        if self._is_ending or self._is_sending:
+            # Its last answer ends it. What is not read any more, or stalls
+            # behind an answer on its way, may look like a slow request; ended
+            # for that, the answer would be cut.
             return
         waited = now - self.waits_since
         if self.is_idle:
@@ -249,15 +258,32 @@
         self._parts = []
         length = head.framing.length
         limits = self._server.limits()
+        if self._server.is_too_late:
+            self._reject(nursery, _STOPPING)
+            return
         if length is not None and length > limits.max_body:
             self._reject(nursery, _TOO_LARGE)
             return
         expected = header(head.headers, b'expect')
         if expected is not None and expected.lower() == b'100-continue':
-            try:
-                self._sock.send(b'HTTP/1.1 100 Continue\r\n\r\n')
-            except OSError:
-                return
+            previous = self._last_turn
+            turn = trio.Event()
+            self._last_turn = turn
+            nursery.start_soon(self._invite, head, previous, turn)
+
+    async def _invite(
+        self,
+        head: RequestHead,
+        previous: trio.Event | None,
+        turn: trio.Event,
+    ) -> None:
+        """Ask for a body, in its turn: sent at once, the line would stand in
+        the midst of an earlier answer."""
+        if previous is not None:
+            await previous.wait()
+        if self._head is head:
+            await self._send_all(_CONTINUE)
+        turn.set()
 
     def _add_body(self, data: bytes, nursery: trio.Nursery) -> None:
         self._parts.append(data)
@@ -268,6 +294,12 @@
         elif self._server.buffered > MAX_BUFFERED:
             self._reject(nursery, _NO_MEMORY)
 
+    def _drop_body(self) -> None:
+        """Forget what has come of a body that is not read any more."""
+        self._parts = []
+        self._server.buffered -= self._size
+        self._size = 0
+
     def _finish_request(self, nursery: trio.Nursery) -> None:
         head = self._head
         assert head is not None
@@ -323,6 +355,7 @@
     def _reject(self, nursery: trio.Nursery, fault: Broken) -> None:
         """Answer a message that cannot be read, behind all others."""
         self._is_ending = True
+        self._drop_body()
         previous = self._last_turn
         turn = trio.Event()
         self._last_turn = turn
@@ -372,16 +405,21 @@
             try:
                 view = view[self._sock.send(view) :]
             except BlockingIOError:
-                writable = False
-                with trio.move_on_after(SEND_TIMEOUT):
-                    await trio.lowlevel.wait_writable(self._sock)
-                    writable = True
-                if not writable:
+                if not await self._wait_writable():
                     return False
             except OSError:
                 return False
         return True
 
+    async def _wait_writable(self) -> bool:
+        """Wait until the peer takes more; ``False`` if it takes too long."""
+        with trio.move_on_after(SEND_TIMEOUT):
+            # Who ends the wait for a request wakes this one too.
+            with suppress(trio.ClosedResourceError):
+                await trio.lowlevel.wait_writable(self._sock)
+            return True
+        return False
+
     async def _end(self, *, sent: bool) -> None:
         """End the connection behind an answer.
 
@@ -396,5 +434,8 @@
                 self._sock.shutdown(socket.SHUT_WR)
             except OSError:
                 self._scope.cancel()
+            with trio.move_on_after(SEND_TIMEOUT):
+                while unsent(self._sock):
+                    await trio.sleep(_LOOK)
             await trio.sleep(_LINGER)
         self._scope.cancel()
--- a/libs/http/src/verbenamill_http/sockets.py
+++ b/libs/http/src/verbenamill_http/sockets.py
@@ -1,6 +1,9 @@
 """TCP sockets as this project sets them."""
 
 import socket
+from array import array
+from fcntl import ioctl
+from termios import TIOCOUTQ
 
 import trio
 
@@ -38,6 +41,16 @@
         )
 
 
+def unsent(sock: socket.socket) -> int:
+    """Bytes that the other end has not acknowledged; 0 if nobody can tell."""
+    count = array('i', [0])
+    try:
+        ioctl(sock, TIOCOUTQ, count)
+    except OSError:
+        return 0
+    return count[0]
+
+
 async def connect(
     address: Address,
     timeout: float,
--- a/libs/http/tests/test_server.py
+++ b/libs/http/tests/test_server.py
@@ -3,6 +3,7 @@
 import socket
 from functools import partial
 
+import pytest
 import trio
 
 from verbenamill_http.addresses import Address
@@ -22,6 +23,8 @@
 PATIENT = ServerLimits()
 #: Longer than the sockets of both ends hold together.
 LARGE = 24 * 1024 * 1024
+#: More than a peer with a small buffer takes at once.
+LONG = 2 * 1024 * 1024
 
 
 def get(path, *, extra=b''):
@@ -53,6 +56,8 @@
             raise RuntimeError('a fault in the handler')
         if path == b'/large':
             return Response(status=200, body=bytes(LARGE))
+        if path == b'/long':
+            return Response(status=200, body=bytes(LONG))
         try:
             if path == b'/held':
                 await self.released.wait()
@@ -79,6 +84,16 @@
     return data
 
 
+async def read_until_size(stream, size):
+    data = bytearray()
+    with trio.fail_after(10):
+        while len(data) <= size:
+            chunk = await stream.receive_some(1024 * 1024)
+            assert chunk, len(data)
+            data += chunk
+    return bytes(data)
+
+
 async def read_until(stream, end):
     data = b''
     with trio.fail_after(10):
@@ -380,3 +395,117 @@
         )
 
     play(scene)
+
+
+@pytest.mark.parametrize(
+    'rest',
+    [
+        b'GET /next HT',
+        b'POST /next HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\n1',
+    ],
+)
+def test_a_slow_request_does_not_cut_the_answer_before_it(rest):
+    # A caller takes a long answer slowly, and part of its next request stalls
+    # meanwhile. Ended for that, the connection would cut the answer.
+    async def scene(site):
+        caller = await site.connect()
+        await caller.send_all(get(b'/large'))
+        await site.has_handled(b'/large')
+        await caller.send_all(rest)
+        await trio.sleep(3 * LIMITS.head_timeout)
+        data = await read_until_size(caller, LARGE)
+        assert data.partition(b'\r\n\r\n')[2].startswith(bytes(LARGE))
+        assert not site.faults
+
+    play(scene)
+
+
+def test_a_last_answer_is_not_reset_by_what_is_sent_behind_it():
+    # During a stop, a caller takes its last answer slowly out of its kernel
+    # and sends its next request meanwhile. On a socket that is closed by
+    # then, that request is met by a reset, and the rest of the answer is gone.
+    async def scene(site):
+        site.server.is_stopping = True
+        with socket.socket() as caller:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+            caller.connect(('127.0.0.1', site.port))
+            caller.setblocking(False)
+            caller.send(get(b'/long'))
+            await site.has_handled(b'/long')
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(site.server.finish)
+                received = caller.recv(1000)
+                await trio.sleep(1.5)
+                caller.send(get(b'/late'))
+                await trio.sleep(0.1)
+                while data := await _receive(caller):
+                    received += data
+                caller.close()
+        assert len(received) > LONG
+        assert site.handled == [b'/long']
+
+    play(scene, PATIENT)
+
+
+async def _receive(sock):
+    with trio.fail_after(10):
+        await trio.lowlevel.wait_readable(sock)
+    return sock.recv(65_536)
+
+
+EXPECTS = (
+    b'POST /up HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n'
+    b'Content-Length: 2\r\n\r\n'
+)
+
+
+def test_a_body_is_asked_for_after_the_answers_before_it():
+    # A caller asks whether it may send a body, behind another request. Told
+    # at once, it would take the line for the start of the earlier answer, or
+    # find it in the midst of that.
+    async def scene(site):
+        caller = await site.connect()
+        await caller.send_all(get(b'/slow') + EXPECTS)
+        data = await read_until(caller, b'100 Continue\r\n\r\n')
+        assert data.startswith(b'HTTP/1.1 200')
+        assert data.count(b'HTTP/1.1') == 2
+        assert data.index(b'/slow') < data.index(b'100 Continue')
+        await caller.send_all(b'ab')
+        assert (await read_until(caller, b'/upab')).startswith(b'HTTP/1.1 200')
+
+    play(scene, PATIENT)
+
+
+def test_no_body_is_asked_for_that_would_be_refused():
+    # Late in a stop, a caller asks whether it may send a body. Told to, it
+    # would send all of it and be refused then.
+    async def scene(site):
+        caller = await site.connect()
+        await caller.send_all(EXPECTS[:20])
+        await trio.sleep(0.05)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(site.server.finish)
+            await trio.sleep(1)
+            await caller.send_all(EXPECTS[20:])
+            assert (await read_all(caller)).startswith(b'HTTP/1.1 503')
+            await caller.aclose()
+        assert not site.handled
+
+    play(scene, PATIENT)
+
+
+def test_a_stop_waits_for_an_answer_whatever_stalls_behind_it():
+    # Part of a next request stalls behind one in hand while the server stops.
+    # It is not read any more; ended as slow, the answer in hand would be cut.
+    async def scene(site):
+        caller = await site.connect()
+        await caller.send_all(get(b'/held') + b'GET /next HT')
+        await site.has_handled(b'/held')
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(site.server.finish)
+            await trio.sleep(3 * LIMITS.head_timeout)
+            site.released.set()
+            assert (await read_all(caller)).endswith(b'/held')
+            await caller.aclose()
+
+    play(scene)
