A lost daemon is asked by datagrams, not by requests

Since kept connections stay after a doubt, requests went out on them to the lost zone each time its pause was over, waited 0.6 s for nothing, and found other owners full; before, a new connection to it had failed first, with nothing sent.

Change: a daemon that is silent is left alone until it is heard of, 4 s at most at a time; it is asked for a sign of life each half second meanwhile. Until then only new connections are used to it, and kept ones again once it is heard of.

Before: the test fails. After: it passes.

--- a/libs/policy/src/verbenamill_policy/placement.py
+++ b/libs/policy/src/verbenamill_policy/placement.py
@@ -126,9 +126,12 @@
         """Take in whether an answer was a failure."""
         self.failing += _FAILURE_WEIGHT * (float(failed) - self.failing)
 
-    def mark_down(self, now: float) -> None:
-        """It could not be reached: leave it alone for a while."""
-        self.down_until = now + self.pause
+    def mark_down(self, now: float, *, pause: float = 0) -> None:
+        """It could not be reached: leave it alone for a while.
+
+        :param pause: for how long, in seconds; 0 for longer each time.
+        """
+        self.down_until = now + (pause or self.pause)
         self.pause = min(self.pause * 2, LONGEST_PAUSE)
 
     def expect_load(self, now: float) -> float:
--- a/libs/sidecar/src/verbenamill_sidecar/peers.py
+++ b/libs/sidecar/src/verbenamill_sidecar/peers.py
@@ -13,7 +13,7 @@
     MemberTable,
     UpstreamRecord,
 )
-from verbenamill_policy.placement import Owner
+from verbenamill_policy.placement import LONGEST_PAUSE, Owner
 from verbenamill_policy.rollouts import Shares
 from verbenamill_telemetry import Event, log
 
@@ -113,10 +113,14 @@
     def max_idle(self, now: float, *, is_idempotent: bool) -> float:
         """Idle time after which a request does not use a connection, in s.
 
-        The process that seemed lost may have been replaced, which ends its
-        connections. What must not be repeated goes to one that has answered
-        since, or to a new one.
+        What goes out on a kept connection to a daemon that is gone is lost,
+        while a new connection fails before anything is sent. So a daemon that
+        has given no sign of life since it seemed lost gets new ones only. If
+        it has, its process may still have been replaced, which ends the kept
+        ones; what must not be repeated passes over those.
         """
+        if self.heard_at < self._doubted_at:
+            return 0
         if is_idempotent:
             return MAX_IDLE
         return min(now - self._doubted_at, MAX_IDLE)
@@ -140,15 +144,19 @@
         ]
         if doubted:
             self._doubted_at = now
-            self.avoid('it gives no sign of life')
+            self.avoid('it gives no sign of life', pause=LONGEST_PAUSE)
         for waiter in doubted:
             waiter.doubt(now)
 
-    def avoid(self, reason: str) -> None:
-        """Send it no new request for a while.
+    def avoid(self, reason: str, *, pause: float = 0) -> None:
+        """Send it no new request for a while, or until it is heard of.
 
         Its open connections stay: where new ones fail for a full link, these
         still work.
+
+        :param pause: for how long, in seconds; 0 for longer each time. One
+            that is silent is asked for a sign of life all the while, so no
+            request has to find out whether it is back.
         """
         now = trio.current_time()
         if self.owner.down_until > now:
@@ -160,7 +168,7 @@
             waiting=len(self._waiting),
             silent_ms=int(self.silent_for(now) * 1000),
         )
-        self.owner.mark_down(now)
+        self.owner.mark_down(now, pause=pause)
 
     def restarted(self) -> None:
         """Another process is there: what waits for the one before is lost."""
--- a/libs/sidecar/tests/test_silence.py
+++ b/libs/sidecar/tests/test_silence.py
@@ -167,6 +167,7 @@
     async def scene(made, _):
         before = made.peer.max_idle(trio.current_time(), is_idempotent=False)
         await made.wait(1)
+        made.peer.hear()
         now = trio.current_time()
         after = made.peer.max_idle(now, is_idempotent=False)
         lookups = made.peer.max_idle(now, is_idempotent=True)
@@ -175,3 +176,27 @@
     before, after, lookups = play(ports, scene)
     assert before == lookups == MAX_IDLE
     assert after <= 0.5
+
+
+def test_a_lost_daemon_gets_no_request_until_it_is_heard_of(ports):
+    # A zone is cut off for seconds. Each request that goes there on a kept
+    # connection to see whether it is back waits for nothing, and its caller
+    # with it. Datagrams find out; and a request that goes there all the same
+    # opens a new connection, which fails before anything is sent.
+    async def scene(made, _):
+        await made.wait(1)
+        await trio.sleep(2)
+        now = trio.current_time()
+        is_left_alone = made.peer.owner.down_until > now
+        idle = made.peer.max_idle(now, is_idempotent=True)
+        made.peer.hear()
+        now = trio.current_time()
+        is_back = made.peer.owner.down_until <= now
+        return (
+            is_left_alone,
+            idle,
+            is_back,
+            made.peer.max_idle(now, is_idempotent=True),
+        )
+
+    assert play(ports, scene) == (True, 0, True, MAX_IDLE)
