--- a/libs/sidecar/src/verbenamill_sidecar/gossip.py
+++ b/libs/sidecar/src/verbenamill_sidecar/gossip.py
@@ -38,7 +38,8 @@
 )
 from verbenamill_sidecar.feeding import Feeding
 from verbenamill_sidecar.knowledge import Stamp, Wishes
-from verbenamill_sidecar.peers import ASK_AFTER, Peer, Peers
+from verbenamill_sidecar.peers import Peer, Peers
+from verbenamill_sidecar.watching import Watch
 from verbenamill_telemetry import Event, log
 
 #: How often news are passed on, in seconds.
@@ -47,12 +48,6 @@
 FANOUT = 3
 #: How often whole tables are compared, in seconds.
 COMPARE_PERIOD = 1.0
-#: How often daemons that owe an answer are looked at, in seconds.
-WATCH_PERIOD = 0.1
-#: Delay of the own loop that is worth a line, in seconds.
-HELD_UP = 0.15
-#: How often one that is out of reach is asked for a sign of life, in s.
-PROBE_PERIOD = 0.5
 #: How long after a start it is waited for what others remember, in seconds;
 #: who has met nobody by then is alone.
 MEET_TIME = 0.5
@@ -117,8 +112,11 @@
         self._hot_members: dict[VmId, _Rumour] = {}
         self._hot_progress: dict[ServiceName, _Rumour] = {}
         self._hot_settled: dict[ServiceName, _Rumour] = {}
-        self._asked_at: dict[VmId, float] = {}
-        self._awake_since = float('-inf')
+        self._watch = Watch(
+            peers,
+            availability_zone=own.availability_zone,
+            ask=lambda record: self._send(record, Ask(own.vm)),
+        )
         self.sent = 0
         self.received = 0
         self.has_met = trio.Event()
@@ -158,7 +156,7 @@
                 nursery.start_soon(self._receive)
                 nursery.start_soon(self._spread)
                 nursery.start_soon(self._compare)
-                nursery.start_soon(self._watch)
+                nursery.start_soon(self._watch.run)
                 await trio.sleep(MEET_TIME)
                 self.has_met.set()
         finally:
@@ -357,43 +355,6 @@
             is_reply=is_reply,
         )
 
-    async def _watch(self) -> None:
-        while True:
-            due = trio.current_time() + WATCH_PERIOD
-            await trio.sleep_until(due)
-            now = trio.current_time()
-            if now - due >= HELD_UP:
-                log(Event.HELD_UP, ms=int((now - due) * 1000))
-                self._awake_since = now
-            for peer in list(self._peers.all()):
-                self._look_at(peer, now)
-
-    def _look_at(self, peer: Peer, now: float) -> None:
-        """Ask a daemon that owes an answer for a sign of life."""
-        silent = peer.silent_for(now)
-        peer.doubt_silence(now, awake_since=self._awake_since)
-        is_away = peer.owner.down_until > now or self._may_return(peer)
-        if silent < ASK_AFTER and not is_away:
-            return
-        pause = PROBE_PERIOD if is_away else 2 * WATCH_PERIOD
-        asked_at = self._asked_at.get(peer.record.vm, float('-inf'))
-        if now - asked_at >= pause:
-            self._asked_at[peer.record.vm] = now
-            self._send(peer.record, Ask(self._own.vm))
-
-    def _may_return(self, peer: Peer) -> bool:
-        """Whether a neighbour that left is to be looked for.
-
-        It may be starting again, without the store and so without knowing
-        anybody. Those of its own zone look for it.
-        """
-        own_zone = self._own.availability_zone
-        return (
-            peer.record.leaving
-            and peer.record.availability_zone == own_zone
-            and not self._peers.is_own(peer)
-        )
-
     async def _receive(self) -> None:
         sock = self._sock
         assert sock is not None
