Calls of a run in hand at a stop: a test that fails

A stopping daemon finishes the runs in hand at its upstream, but takes no connection 2.6 s after SIGTERM, so a call that such a run makes later is refused a connection and the run fails.

--- a/deploy/tests/test_nested.py
+++ b/deploy/tests/test_nested.py
@@ -1,6 +1,7 @@
 """Calls that an upstream makes while it runs a request."""
 
 import trio
+from trio.testing import MockClock
 
 from verbenamill_platform_standins.serving import Told
 
@@ -80,3 +81,42 @@
         assert counted(vm) == 1
 
     play(scene)
+
+
+def test_a_run_in_hand_at_a_stop_still_gets_its_calls_through(play, kit):
+    # A daemon stops while its upstream runs a long request, which it finishes.
+    # Late in that run the upstream makes a call, through the same daemon. Its
+    # port takes no connection any more, so the call fails, and with it the
+    # request that the stop waits for.
+    async def scene(site):
+        rows = [
+            kit.row('lookup', '/lookup/', timeout=5000),
+            kit.row('photo', '/photo/', kind='upload', service='catalog'),
+        ]
+        site.store.operate('config', kit.document(2, rows))
+        caller = await site.add('vm1', service='catalog')
+        owner = await site.add('vm2')
+        await site.settled()
+        await site.in_force(2)
+        owner.upstream.work = 4.5
+        statuses = []
+
+        async def call():
+            path = '/lookup/1'
+            answer = await caller.call(path, id='r1', deadline=5000)
+            statuses.append(answer.status)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call)
+
+            async def is_running():
+                return bool(owner.upstream.running)
+
+            await site.until(is_running)
+            owner.stopping.set()
+            await trio.sleep(3.2)
+            nested = await owner.call('/photo/1', id='r1.n1')
+            assert nested.status == 200
+        assert statuses == [200]
+
+    play(scene, clock=MockClock(autojump_threshold=0))
