The soak has callers that always have a request in hand

A daemon that stops began requests on connections that are never idle, until it cut them at work 5.5 s after SIGTERM. The soak's callers sent one request at a time, so every connection was idle between two of them.

Each VM has one caller more, which sends its next idempotent request before the answer to the last has come, two at most under way, and keeps its connection until the daemon closes it. What was sent behind an answer with "Connection: close" counts as unsent. Answers are read with httptools; h11's client does not pipeline.

The new test ends one of two daemons with SIGTERM under such a caller. No random run has shown that fault as a cut so far: among other troubles the connection is idle for moments.

--- a/libs/soak/src/verbenamill_soak/callers.py
+++ b/libs/soak/src/verbenamill_soak/callers.py
@@ -14,14 +14,14 @@
 )
 from verbenamill_soak.nodes import Node
 
-_HOST = '127.0.0.1'
+HOST = '127.0.0.1'
 SITE = 'shop.example'
 #: Deadline that callers tell, in seconds.
 DEADLINE = 1.5
 #: How long beyond it a caller waits, to see whether an answer comes, in s.
-_PATIENCE = 2.0
+PATIENCE = 2.0
 #: Mean pause between two requests of a caller, in seconds.
-_PAUSE = 0.04
+PAUSE = 0.04
 #: Share of the requests that must not be repeated.
 _FEES = 0.4
 #: Share on routes that only some versions have, and versions they are of.
@@ -72,7 +72,7 @@
         :param versions: those that were published, the newest last.
         """
         while True:
-            await trio.sleep(self._random.expovariate(1 / _PAUSE))
+            await trio.sleep(self._random.expovariate(1 / PAUSE))
             is_fee = self._random.random() < _FEES
             path = '/fee/' if is_fee else '/lookup/'
             if self._random.random() < _PROBES:
@@ -82,6 +82,17 @@
 
     async def call(self, path: str, *, is_fee: bool) -> Asked:
         """Make one request."""
+        asked = self._note(path, is_fee=is_fee)
+        try:
+            await self._exchange(asked)
+        except (OSError, trio.BrokenResourceError, h11.ProtocolError):
+            if asked.ending is not Ending.UNSENT:
+                asked.ending = Ending.CUT
+            await self._drop()
+        asked.ended_at = trio.current_time()
+        return asked
+
+    def _note(self, path: str, *, is_fee: bool) -> Asked:
         asked = Asked(
             id=f'{self._name}-{len(self.asked)}',
             vm=self._node.name,
@@ -91,19 +102,12 @@
             sent_at=trio.current_time(),
         )
         self.asked.append(asked)
-        try:
-            await self._exchange(asked)
-        except (OSError, trio.BrokenResourceError, h11.ProtocolError):
-            if asked.ending is not Ending.UNSENT:
-                asked.ending = Ending.CUT
-            await self._drop()
-        asked.ended_at = trio.current_time()
         return asked
 
     async def _exchange(self, asked: Asked) -> None:
         if self._stream is None:
             self._stream = await trio.open_tcp_stream(
-                _HOST,
+                HOST,
                 self._node.ports[0],
             )
             self._connection = h11.Connection(h11.CLIENT)
@@ -120,7 +124,7 @@
         self._connection.send(h11.EndOfMessage())
         await self._stream.send_all(data)
         asked.ending = Ending.NO_ANSWER
-        with trio.move_on_after(DEADLINE + _PATIENCE):
+        with trio.move_on_after(DEADLINE + PATIENCE):
             await self._read(self._stream, asked)
         if asked.ending is not Ending.ANSWERED:
             await self._drop()
--- a/libs/soak/src/verbenamill_soak/site.py
+++ b/libs/soak/src/verbenamill_soak/site.py
@@ -12,6 +12,7 @@
 from verbenamill_platform_standins.operators import order, publish
 from verbenamill_soak.callers import SITE, Caller
 from verbenamill_soak.nodes import Node
+from verbenamill_soak.pipelining import PipeliningCaller
 from verbenamill_soak.timeline import Timeline
 
 SERVICE = 'entries'
@@ -91,10 +92,11 @@
             self.timeline.break_promise('all daemons come up', f'{vms} VMs')
 
     def begin_traffic(self, callers: int) -> None:
-        """Start callers on each VM."""
+        """Start callers on each VM, and one more that pipelines."""
         for node in self.nodes:
-            for place in range(callers):
-                caller = Caller(node, place, Random(self._random.random()))
+            for place in range(callers + 1):
+                kind = PipeliningCaller if place == callers else Caller
+                caller = kind(node, place, Random(self._random.random()))
                 self.callers.append(caller)
                 self._nursery.start_soon(caller.run, self.get_versions)
 
