The soak promises that no work is given up

A daemon that took another one for lost broke off requests at which that one's upstream was at work, and answered 502. No promise of the soak asked for that: "nothing is cut" looks at connections that end, and 502 may be right.

"No work is given up" breaks on 502 before the deadline, and on 504 more than 0.3 s before it, if the request had begun to run and neither the daemon that took it, the one that had it run, their links nor that upstream were killed, paused, cut, reset or died from 3 s before it was sent. Stops, reloads, delays, leaves that were acknowledged, configurations and moves are no excuse. Closed connections stay with "nothing is cut", which has fewer excuses.

New on record are when a link was last cut or reset, and when an upstream died.

--- a/libs/soak/src/verbenamill_soak/nodes.py
+++ b/libs/soak/src/verbenamill_soak/nodes.py
@@ -63,11 +63,13 @@
     """One upstream of a run.
 
     :ivar acked_at: when its leaving was acknowledged.
+    :ivar died_at: when it ended without that.
     :ivar is_leaving: whether it ends, or waits for somebody to know that.
     :ivar fails: whether it answers half of its requests with 500.
     """
 
     acked_at: float | None = None
+    died_at = float('-inf')
     is_leaving = False
     fails = False
 
@@ -216,6 +218,8 @@
     def end_upstream(self, upstream: Upstream) -> None:
         """End an upstream at once."""
         upstream.is_leaving = True
+        if upstream.acked_at is None:
+            upstream.died_at = trio.current_time()
         self._serving.pop(upstream.instance).cancel()
 
     async def leave(self, upstream: Upstream, *, is_told: bool) -> bool:
--- a/libs/soak/src/verbenamill_soak/promises.py
+++ b/libs/soak/src/verbenamill_soak/promises.py
@@ -13,6 +13,7 @@
 )
 from verbenamill_platform_standins.upstream import Ran
 from verbenamill_soak.callers import Asked, Caller, Ending
+from verbenamill_soak.given_up import Work
 from verbenamill_soak.nodes import DRAIN_TIME, Node, Upstream
 from verbenamill_soak.site import KEPT, SERVICE, Site
 
@@ -48,6 +49,7 @@
         self._looked_at: dict[Caller, int] = defaultdict(int)
         self._counted: dict[str, int] = defaultdict(int)
         self._runs: dict[str, list[str]] = defaultdict(list)
+        self._work = Work()
         self._fees: dict[str, Asked] = {}
         self._refused: dict[str, Asked] = {}
         self._lives: dict[tuple[str, int], _Life] = defaultdict(_Life)
@@ -88,6 +90,7 @@
 
     def _look_at_run(self, node: Node, upstream: Upstream, ran: Ran) -> None:
         self._runs[ran.id].append(upstream.instance)
+        self._work.note(ran.id, node, upstream, ran.at)
         self._look_at_repeats(ran.id)
         left = upstream.acked_at
         if left is not None and ran.at > left + DRAIN_TIME:
@@ -132,6 +135,9 @@
                     self._break('the own whole answer', asked.id, str(asked))
                 if not asked.seal:
                     self._break('the own whole answer', asked.id, str(asked))
+        given_up = self._work.find_given_up(asked, self._node_of(asked))
+        if given_up:
+            self._break('no work is given up', asked.id, given_up)
         self._look_at_version(asked)
 
     def _look_at_cut(self, asked: Asked) -> None:
--- a/libs/soak/src/verbenamill_soak/relays.py
+++ b/libs/soak/src/verbenamill_soak/relays.py
@@ -40,18 +40,26 @@
     def __init__(self) -> None:
         self.way = Way.OPEN
         self.delay = float(0)
+        self._harmed_at = float('-inf')
         self._changed = trio.Event()
         self._links: set[trio.CancelScope] = set()
         self._streams: set[trio.SocketStream] = set()
 
     def set(self, way: Way) -> None:
         """Change the way; waits that depend on it look again."""
+        if way is not self.way:
+            self._harmed_at = trio.current_time()
         self.way = way
         self._changed.set()
         self._changed = trio.Event()
 
+    def is_sound(self, since: float) -> bool:
+        """Whether nothing was cut or reset since a moment; delays are."""
+        return self.way is Way.OPEN and self._harmed_at < since
+
     def reset(self) -> None:
         """Reset all open connections."""
+        self._harmed_at = trio.current_time()
         for stream in self._streams:
             _set_reset(stream)
         for scope in self._links:
--- a/libs/soak/tests/test_promises.py
+++ b/libs/soak/tests/test_promises.py
@@ -12,9 +12,10 @@
     tell,
 )
 from verbenamill_platform_standins.upstream import Ran
-from verbenamill_soak.callers import Asked, Ending
+from verbenamill_soak.callers import DEADLINE, Asked, Ending
 from verbenamill_soak.nodes import DRAIN_TIME, Upstream
 from verbenamill_soak.promises import BACK_LIMIT, Promises
+from verbenamill_soak.relays import Switch, Way
 from verbenamill_soak.site import SERVICE, Order
 from verbenamill_soak.timeline import Timeline
 
@@ -29,15 +30,20 @@
 class FakeNode:
     """A VM whose daemon runs."""
 
-    def __init__(self):
-        self.name = 'vm0'
-        self.upstreams = [Upstream(instance='i-0'), Upstream(instance='i-1')]
+    def __init__(self, name):
+        self.name = name
+        self.upstreams = [
+            Upstream(instance=f'i-{name}-0'),
+            Upstream(instance=f'i-{name}-1'),
+        ]
         self.harmed_at = float('-inf')
         self.lives = 1
         self.is_paused = False
         self.has_ended = False
         self.is_expected_to_end = False
         self.log = None
+        self.peers = Switch()
+        self.to_upstream = Switch()
 
 
 class FakeSite:
@@ -46,7 +52,7 @@
     def __init__(self):
         self.timeline = Timeline()
         self.store = StoreStandIn()
-        self.nodes = [FakeNode()]
+        self.nodes = [FakeNode('vm0'), FakeNode('vm1')]
         self.callers = [FakeCaller()]
         self.published = {1: -100.0}
         self.orders = {}
@@ -55,9 +61,9 @@
     def is_calm(self, node, since):
         return self.calm
 
-    def ran(self, id, *, place=0, at=1.0):
+    def ran(self, id, *, vm=0, place=0, at=1.0):
         ran = Ran(id=id, method='GET', path='/', body=b'', headers={}, at=at)
-        self.nodes[0].upstreams[place].ran.append(ran)
+        self.nodes[vm].upstreams[place].ran.append(ran)
 
     def asked(self, id, **more):
         body = more.pop('body', f'answer to {id}'.encode())
@@ -290,3 +296,157 @@
     assert trio.run(main, clock=MockClock()) == [
         'a version taken back gets nothing',
     ]
+
+
+def given_up(site, **more):
+    """A request that vm0 took and gave up while vm1 had it run."""
+    site.ran('a', vm=1)
+    site.asked('a', **({'status': 502, 'body': b''} | more))
+
+
+@pytest.mark.parametrize('status', [502, 504])
+def test_a_request_given_up_while_an_upstream_is_at_work(broken, status):
+    # Its caller is told 0.1 s after it was sent that there is no answer, and
+    # the upstream has begun to make it. Nobody was harmed.
+    assert broken(lambda site: given_up(site, status=status)) == [
+        'no work is given up',
+    ]
+
+
+@pytest.mark.parametrize(
+    ('status', 'after'),
+    [(502, DEADLINE - 0.01), (504, DEADLINE - 0.31)],
+)
+def test_a_request_given_up_shortly_before_its_deadline(broken, status, after):
+    def act(site):
+        given_up(site, status=status, ended_at=1 + after)
+
+    assert broken(act) == ['no work is given up']
+
+
+@pytest.mark.parametrize(
+    ('status', 'after'),
+    [(502, DEADLINE + 0.01), (504, DEADLINE - 0.29), (504, DEADLINE + 0.01)],
+)
+def test_a_request_whose_time_is_over(broken, status, after):
+    def act(site):
+        given_up(site, status=status, ended_at=1 + after)
+
+    assert broken(act) == []
+
+
+def test_a_request_that_was_given_up_and_has_not_run(broken):
+    def act(site):
+        site.asked('a', status=502)
+        # It is begun only behind the answer, which another promise judges.
+        site.asked('b', status=502)
+        site.ran('b', vm=1, at=1.2)
+
+    assert broken(act) == []
+
+
+def kill(node):
+    node.harmed_at = -1.9
+
+
+def kill_long_before(node):
+    node.harmed_at = -2.1
+
+
+def pause(node):
+    node.is_paused = True
+
+
+def silence(node):
+    node.peers.set(Way.SILENT)
+
+
+def silence_and_lift(node):
+    node.peers.set(Way.SILENT)
+    node.peers.set(Way.OPEN)
+
+
+def reset(node):
+    node.peers.reset()
+
+
+def lose_upstream(node):
+    node.to_upstream.reset()
+
+
+def let_upstream_die(node):
+    node.upstreams[0].died_at = 1.05
+
+
+def let_upstream_fail(node):
+    node.upstreams[0].fails = True
+
+
+def slow_down(node):
+    node.peers.delay = 1.0
+
+
+def let_upstream_leave(node):
+    node.upstreams[0].acked_at = 1.0
+    node.is_expected_to_end = True
+
+
+def let_another_upstream_die(node):
+    node.upstreams[1].died_at = 1.05
+
+
+@pytest.mark.parametrize('vm', [0, 1])
+@pytest.mark.parametrize(
+    'harm',
+    [kill, pause, silence, silence_and_lift, reset],
+)
+def test_a_request_given_up_after_harm_to_one_of_its_daemons(broken, harm, vm):
+    def act(site):
+        harm(site.nodes[vm])
+        given_up(site)
+
+    assert broken(act) == []
+
+
+@pytest.mark.parametrize(
+    'harm',
+    [lose_upstream, let_upstream_die, let_upstream_fail],
+)
+def test_a_request_given_up_after_harm_to_its_upstream(broken, harm):
+    def act(site):
+        harm(site.nodes[1])
+        given_up(site)
+
+    assert broken(act) == []
+
+
+@pytest.mark.parametrize('vm', [0, 1])
+@pytest.mark.parametrize(
+    'trouble',
+    [
+        slow_down,
+        let_upstream_leave,
+        let_another_upstream_die,
+        kill_long_before,
+    ],
+)
+def test_what_is_no_excuse_for_giving_up_a_request(broken, trouble, vm):
+    # Late signs of life, stops that were told, leaves that were acknowledged,
+    # and harm to others or from long before.
+    def act(site):
+        trouble(site.nodes[vm])
+        given_up(site)
+
+    assert broken(act) == ['no work is given up']
+
+
+def test_harm_where_the_request_did_not_run_is_no_excuse(broken):
+    # It ran at two upstreams. The daemon of the first was killed, and nothing
+    # has happened to that of the second.
+    def act(site):
+        kill(site.nodes[1])
+        site.nodes.append(FakeNode('vm2'))
+        site.ran('a', vm=2)
+        given_up(site)
+
+    assert broken(act) == ['no work is given up']
