An owner's time ends up to some ms before the caller's

An owner is told the time that is left in whole ms, rounded down. The promise that no work is given up leaves 10 ms for that.

--- a/libs/soak/src/verbenamill_soak/given_up.py
+++ b/libs/soak/src/verbenamill_soak/given_up.py
@@ -10,8 +10,8 @@
 #: Answers by which work is given up, and times left to the deadline, in
 #: seconds, above which they do that. The routes' own timeout is longer. At the
 #: deadline 502 is as good as 504: the owner says that there was no answer in
-#: time, and the daemon that asked it says the same within the same ms.
-_GIVING_UP: dict[int, float] = {502: 0, 504: 0.3}
+#: time, some ms early at most, since its time is told in whole ms.
+_GIVING_UP = {502: 0.01, 504: 0.3}
 #: Harm this long before a request may still have its effect on it, in s.
 _AFTERMATH = 3.0
 
