The soak makes signs of life late while several daemons stop

"slow-peers" adds 0.05 to 0.15 s to each chunk, on open connections too, and never touches how a connection comes about: the kernel took it for the relay at once. So no new connection took longer than the 0.25 s that a daemon gives it, and with upstreams that work 20 ms hardly a request waited at that moment.

"late-peers" holds datagrams and new connections to a daemon for 0.7 to 1.5 s, while open connections still work and its upstream works for 0.8 s. The relay accepts nothing and takes its backlog to 0, so that the kernel drops what does not fit, as behind a full link. Every 5 s of a run half of the VMs get that within a second in which SIGTERM goes to a third of them.

--- a/libs/soak/src/verbenamill_soak/nodes.py
+++ b/libs/soak/src/verbenamill_soak/nodes.py
@@ -28,8 +28,10 @@
 DRAIN_TIME = 2.0
 #: How much longer it listens, so that late requests are seen, in seconds.
 _STAYS_ON = 0.5
-#: Service time of an upstream, in seconds.
-_WORK = 0.02
+#: Service time of an upstream, and of one that works for longer than a silent
+#: daemon is trusted, in seconds.
+WORK = 0.02
+LONG_WORK = 0.8
 #: Time for a planned stop, in milliseconds.
 GRACE = 6000
 #: Signals that a process cannot answer.
@@ -86,6 +88,7 @@
     :ivar upstreams: all that have been, the newest last.
     :ivar lives: starts of the daemon.
     :ivar starting: held by whoever ends and starts the daemon.
+    :ivar holds: troubles that hold what is new on its link.
     :ivar harmed_at: when its process was last killed or paused.
     """
 
@@ -108,6 +111,7 @@
         self.starting = trio.Lock()
         self._troubles = 0
         self._places = 1000
+        self.holds = 0
         self._is_told_to_end = False
         self._calm_at = float('-inf')
         self.log = folder / f'{name}.log'
@@ -202,7 +206,7 @@
             zone=self.zone,
             version=version,
             born=1000 + len(self.upstreams),
-            work=_WORK,
+            work=WORK,
         )
         made.fails = fails
         made.script = made.judge
--- a/libs/soak/src/verbenamill_soak/plan.py
+++ b/libs/soak/src/verbenamill_soak/plan.py
@@ -1,5 +1,6 @@
 """What happens in a run, drawn from a seed before anything starts."""
 
+from collections.abc import Iterator
 from enum import Enum, unique
 from random import Random
 
@@ -12,6 +13,8 @@
 
     :cvar STOP: SIGTERM, and a new start after the end.
     :cvar CLOCK: killed and started with a clock that is set back.
+    :cvar LATE_PEERS: datagrams and new connections to a daemon are held, while
+        open connections still work and its upstream works for long.
     :cvar DRAIN: the upstream drains, leaves and is replaced.
     :cvar UNTOLD: it leaves without saying before that it drains.
     :cvar REPLACE: the upstream dies and another one takes its address.
@@ -27,6 +30,7 @@
     CUT_PEERS = 'cut-peers'
     CUT_ONE_WAY = 'cut-one-way'
     SLOW_PEERS = 'slow-peers'
+    LATE_PEERS = 'late-peers'
     RESET_PEERS = 'reset-peers'
     RESET_UPSTREAM = 'reset-upstream'
     SILENT_UPSTREAM = 'silent-upstream'
@@ -54,6 +58,13 @@
 )
 #: Changes come often; the rest is drawn evenly.
 _WEIGHTS = {Kind.CONFIGURE: 4, Kind.STOP: 2, Kind.DRAIN: 2}
+#: Drawn apart, so that the seeds of before draw what they drew.
+_APART = Kind.LATE_PEERS
+#: How long what is new is held, in seconds: longer than a daemon is trusted
+#: without a sign of life, and shorter than a deadline.
+_LATE = (0.7, 1.5)
+#: Seconds of a run for each time that signs of life are late.
+_LATE_EVERY = 5.0
 #: Longest trouble, and longest pause within a series, in seconds.
 _LONGEST = 3.0
 _LONGEST_GAP = 1.0
@@ -81,7 +92,7 @@
 def draw_plan(seed: int, *, vms: int, seconds: float) -> list[Trouble]:
     """Draw the troubles of a run, in order of time."""
     random = Random(seed)
-    kinds = list(Kind)
+    kinds = [kind for kind in Kind if kind is not _APART]
     weights = [_WEIGHTS.get(kind, 1) for kind in kinds]
     found: list[Trouble] = []
     wanted = max(4, int(seconds * vms * _RATE))
@@ -99,4 +110,23 @@
                 ),
             )
             at = min(at + random.uniform(0, _LONGEST_GAP), seconds)
+    found.extend(_draw_late(seed, vms, seconds))
     return sorted(found, key=lambda trouble: trouble.at)
+
+
+def _draw_late(seed: int, vms: int, seconds: float) -> Iterator[Trouble]:
+    """Series of late signs of life, each with the stop of several daemons."""
+    random = Random(f'late {seed}')
+    for _ in range(max(1, int(seconds / _LATE_EVERY))):
+        at = random.uniform(0, seconds - _LONGEST_GAP)
+        touched = random.sample(range(vms), max(1, vms // 2))
+        stopped = random.sample(range(vms), max(1, vms // 3))
+        for kind, places in ((_APART, touched), (Kind.STOP, stopped)):
+            for vm in places:
+                yield Trouble(
+                    at=round(at + random.uniform(0, _LONGEST_GAP), 2),
+                    kind=kind,
+                    vm=vm,
+                    lasts=round(random.uniform(*_LATE), 2),
+                    draw=random.randrange(1 << 16),
+                )
--- a/libs/soak/src/verbenamill_soak/relays.py
+++ b/libs/soak/src/verbenamill_soak/relays.py
@@ -13,6 +13,7 @@
 
 _HOST = '127.0.0.1'
 _CHUNK = 65_536
+_BACKLOG = 128
 #: With this a close sends a reset in place of an end.
 _RESET = struct.pack('ii', 1, 0)
 
@@ -35,11 +36,14 @@
     """State that the relays of one link share.
 
     :ivar delay: added to each chunk or datagram, in seconds.
+    :ivar holds: whether datagrams and new connections wait until it ends;
+        open connections still work, as on a link that is full.
     """
 
     def __init__(self) -> None:
         self.way = Way.OPEN
         self.delay = float(0)
+        self.holds = False
         self._harmed_at = float('-inf')
         self._changed = trio.Event()
         self._links: set[trio.CancelScope] = set()
@@ -50,8 +54,12 @@
         if way is not self.way:
             self._harmed_at = trio.current_time()
         self.way = way
-        self._changed.set()
-        self._changed = trio.Event()
+        self._wake()
+
+    def hold(self, *, holds: bool) -> None:
+        """Hold datagrams and new connections, or let them go."""
+        self.holds = holds
+        self._wake()
 
     def is_sound(self, since: float) -> bool:
         """Whether nothing was cut or reset since a moment; delays are."""
@@ -84,12 +92,53 @@
         if self.delay:
             await trio.sleep(self.delay)
 
+    async def admit(self) -> None:
+        """Wait until a datagram or a new connection may pass."""
+        while self.holds:
+            await self._changed.wait()
+
+    async def next_change(self) -> None:
+        """Wait until something changes."""
+        await self._changed.wait()
+
     def drops(self, *, is_answer: bool) -> bool:
         """Whether a datagram is lost."""
         if self.way is Way.OPEN:
             return False
         return self.way is not Way.ONE_WAY or is_answer
 
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+
+class _Gate(trio.abc.Listener[trio.SocketStream]):
+    """Accepts nothing while its link holds new connections."""
+
+    def __init__(self, listener: trio.SocketListener, switch: Switch) -> None:
+        self._listener = listener
+        self._switch = switch
+
+    async def accept(self) -> trio.SocketStream:
+        """Accept the next connection."""
+        await self._switch.admit()
+        return await self._listener.accept()
+
+    async def aclose(self) -> None:
+        """Close the listener."""
+        await self._listener.aclose()
+
+    async def follow(self) -> None:
+        """Have the kernel hold connections too, until cancelled.
+
+        Its queue takes one connection with a backlog of 0; the next ones are
+        tried again by their kernel a second later.
+        """
+        while True:
+            await self._switch.next_change()
+            backlog = 0 if self._switch.holds else _BACKLOG
+            self._listener.socket.listen(backlog)
+
 
 class TcpRelay:
     """Relays connections to a target, which may change.
@@ -108,12 +157,21 @@
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """Relay until cancelled."""
-        listeners = await trio.open_tcp_listeners(0, host=_HOST)
-        self.address = f'{_HOST}:{listeners[0].socket.getsockname()[1]}'
+        listeners = await trio.open_tcp_listeners(
+            0,
+            host=_HOST,
+            backlog=_BACKLOG,
+        )
+        listener = listeners[0]
+        self.address = f'{_HOST}:{listener.socket.getsockname()[1]}'
+        gate = _Gate(listener, self._switch)
         task_status.started()
-        await trio.serve_listeners(self._relay, listeners)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(gate.follow)
+            await trio.serve_listeners(self._relay, [gate])
 
     async def _relay(self, near: trio.SocketStream) -> None:
+        await self._switch.admit()
         host, port = self.target.rsplit(':', 1)
         if self._switch.way is Way.REFUSED:
             _set_reset(near)
@@ -172,6 +230,7 @@
         async with trio.open_nursery() as nursery:
             while True:
                 data, source = await self._front.recvfrom(_CHUNK)
+                await self._switch.admit()
                 if self._switch.drops(is_answer=False):
                     continue
                 back = self._back.get(source)
--- a/libs/soak/src/verbenamill_soak/troubles.py
+++ b/libs/soak/src/verbenamill_soak/troubles.py
@@ -5,7 +5,7 @@
 import trio
 
 from verbenamill_platform_standins.operators import OPERATORS_TOPIC
-from verbenamill_soak.nodes import GRACE, Node
+from verbenamill_soak.nodes import GRACE, LONG_WORK, WORK, Node
 from verbenamill_soak.plan import Kind, Trouble
 from verbenamill_soak.relays import Way
 from verbenamill_soak.site import Site
@@ -107,12 +107,27 @@
                 switch.set(Way.SILENT if trouble.draw % 2 else Way.REFUSED)
             case Kind.CUT_ONE_WAY:
                 switch.set(Way.ONE_WAY)
+            case Kind.LATE_PEERS:
+                await self._hold(trouble, node)
+                return
             case Kind.SLOW_PEERS:
                 switch.delay = 0.05 + trouble.draw % 100 / 1000
         await trio.sleep(trouble.lasts)
         switch.delay = 0
         switch.set(Way.OPEN)
 
+    async def _hold(self, trouble: Trouble, node: Node) -> None:
+        """Hold what is new on its link, while its upstream works for long."""
+        node.holds += 1
+        node.peers.hold(holds=True)
+        upstream = node.upstream
+        upstream.work = LONG_WORK
+        await trio.sleep(trouble.lasts)
+        node.holds -= 1
+        if not node.holds:
+            node.peers.hold(holds=False)
+            upstream.work = WORK
+
     async def _play_signal(self, trouble: Trouble, node: Node) -> None:
         if node.starting.locked():
             # The process is already on its way down, or paused; the next
--- a/libs/soak/tests/test_plan.py
+++ b/libs/soak/tests/test_plan.py
@@ -33,3 +33,18 @@
     for plan in plans:
         pairs = zip(plan, plan[1:], strict=False)
         assert any(one.at + one.lasts > two.at for one, two in pairs)
+
+
+@settings(max_examples=30, derandomize=True)
+@given(seeds)
+def test_signs_of_life_are_late_while_several_daemons_stop(seed):
+    # Held for longer than a silent daemon is trusted (0.6 s) and shorter than
+    # a deadline, at half of the VMs, while others get SIGTERM.
+    plan = draw_plan(seed, vms=6, seconds=15)
+    late = [one for one in plan if one.kind is Kind.LATE_PEERS]
+    stops = [one for one in plan if one.kind is Kind.STOP]
+    assert len(late) == 9
+    for held in late:
+        assert 0.6 < held.lasts <= 1.5
+        near = {one.vm for one in stops if abs(one.at - held.at) <= 1.5}
+        assert len(near) >= 2
--- a/libs/soak/tests/test_promises.py
+++ b/libs/soak/tests/test_promises.py
@@ -382,7 +382,8 @@
     node.upstreams[0].fails = True
 
 
-def slow_down(node):
+def hold(node):
+    node.peers.hold(holds=True)
     node.peers.delay = 1.0
 
 
@@ -424,7 +425,7 @@
 @pytest.mark.parametrize(
     'trouble',
     [
-        slow_down,
+        hold,
         let_upstream_leave,
         let_another_upstream_die,
         kill_long_before,
