--- a/libs/soak/src/verbenamill_soak/nodes.py
+++ b/libs/soak/src/verbenamill_soak/nodes.py
@@ -28,8 +28,10 @@
 DRAIN_TIME = 2.0
 #: How much longer it listens, so that late requests are seen, in seconds.
 _STAYS_ON = 0.5
-#: Service time of an upstream, in seconds.
-_WORK = 0.02
+#: Service time of an upstream, and of one that works for longer than a silent
+#: daemon is trusted, in seconds.
+WORK = 0.02
+LONG_WORK = 0.8
 #: Time for a planned stop, in milliseconds.
 GRACE = 6000
 #: Signals that a process cannot answer.
@@ -63,11 +65,13 @@
     """One upstream of a run.
 
     :ivar acked_at: when its leaving was acknowledged.
+    :ivar died_at: when it ended without that.
     :ivar is_leaving: whether it ends, or waits for somebody to know that.
     :ivar fails: whether it answers half of its requests with 500.
     """
 
     acked_at: float | None = None
+    died_at = float('-inf')
     is_leaving = False
     fails = False
 
@@ -84,6 +88,7 @@
     :ivar upstreams: all that have been, the newest last.
     :ivar lives: starts of the daemon.
     :ivar starting: held by whoever ends and starts the daemon.
+    :ivar holds: troubles that hold what is new on its link.
     :ivar harmed_at: when its process was last killed or paused.
     """
 
@@ -106,6 +111,7 @@
         self.starting = trio.Lock()
         self._troubles = 0
         self._places = 1000
+        self.holds = 0
         self._is_told_to_end = False
         self._calm_at = float('-inf')
         self.log = folder / f'{name}.log'
@@ -200,7 +206,7 @@
             zone=self.zone,
             version=version,
             born=1000 + len(self.upstreams),
-            work=_WORK,
+            work=WORK,
         )
         made.fails = fails
         made.script = made.judge
@@ -216,6 +222,8 @@
     def end_upstream(self, upstream: Upstream) -> None:
         """End an upstream at once."""
         upstream.is_leaving = True
+        if upstream.acked_at is None:
+            upstream.died_at = trio.current_time()
         self._serving.pop(upstream.instance).cancel()
 
     async def leave(self, upstream: Upstream, *, is_told: bool) -> bool:
