--- a/deploy/tests/test_suspicion.py
+++ b/deploy/tests/test_suspicion.py
@@ -19,6 +19,15 @@
     vm.daemon._gossip._send_to = lambda *_: None
 
 
+async def open_pair(site):
+    """A VM that only takes requests, and the only owner of their service."""
+    ingress = await site.add('vm1', service='catalog')
+    owner = await site.add('vm2')
+    await site.settled()
+    await site.in_force(1)
+    return ingress, owner
+
+
 async def is_running(vm):
     return bool(vm.upstream.running)
 
@@ -35,10 +44,7 @@
     # other owner. Both daemons stop meanwhile, which must finish what they
     # hold. The trace shows answers of 200 at the owner, and 502 before them.
     async def scene(site):
-        ingress = await site.add('vm1', service='catalog')
-        owner = await site.add('vm2')
-        await site.settled()
-        await site.in_force(1)
+        ingress, owner = await open_pair(site)
         owner.upstream.work = 2 * LOST_AFTER
         path = '/lookup/1' if method == 'GET' else '/fee/1'
         answers = []
@@ -61,10 +67,7 @@
     # That is no proof that the daemon is gone; connections that are open
     # still work, and their answers come.
     async def scene(site):
-        ingress = await site.add('vm1', service='catalog')
-        owner = await site.add('vm2')
-        await site.settled()
-        await site.in_force(1)
+        ingress, owner = await open_pair(site)
         owner.upstream.work = 0.5
         answers = []
         async with trio.open_nursery() as nursery:
@@ -85,10 +88,7 @@
     # answer will come; waited for, the caller would get none. Another owner
     # answers it meanwhile.
     async def scene(site):
-        ingress = await site.add('vm1', service='catalog')
-        lost = await site.add('vm2')
-        await site.settled()
-        await site.in_force(1)
+        ingress, lost = await open_pair(site)
         lost.upstream.work = 30
         answers = []
         async with trio.open_nursery() as nursery:
@@ -106,10 +106,7 @@
     # A lookup's owner seems to be lost, and another one is asked as well. The
     # second one has no room; the caller still gets the first answer.
     async def scene(site):
-        ingress = await site.add('vm1', service='catalog')
-        slow = await site.add('vm2')
-        await site.settled()
-        await site.in_force(1)
+        ingress, slow = await open_pair(site)
         slow.upstream.work = 2 * LOST_AFTER
         answers = []
         async with trio.open_nursery() as nursery:
@@ -128,10 +125,7 @@
     # The owner of a fee seems to be lost while its upstream books it. Sent to
     # another owner as well, as a lookup is, it would be booked twice.
     async def scene(site):
-        ingress = await site.add('vm1', service='catalog')
-        owner = await site.add('vm2')
-        await site.settled()
-        await site.in_force(1)
+        ingress, owner = await open_pair(site)
         owner.upstream.work = 2 * LOST_AFTER
         answers = []
         async with trio.open_nursery() as nursery:
@@ -184,10 +178,7 @@
     # find a kept one are answered; were these closed at the first failure,
     # every request would be refused until the link is free.
     async def scene(site):
-        ingress = await site.add('vm1', service='catalog')
-        owner = await site.add('vm2')
-        await site.settled()
-        await site.in_force(1)
+        ingress, owner = await open_pair(site)
         assert (await ingress.call('/lookup/1')).status == 200
         peer = ingress.daemon._peers.get('vm2')
         peer.pool.address = parse_address('127.0.0.1:1')
@@ -209,10 +200,7 @@
     # one is heard of again, then the second one fails. The doubt has passed,
     # so the caller gets the answer that is being made, not the failure.
     async def scene(site):
-        ingress = await site.add('vm1', service='catalog')
-        slow = await site.add('vm2')
-        await site.settled()
-        await site.in_force(1)
+        ingress, slow = await open_pair(site)
         slow.upstream.work = 3 * LOST_AFTER
         answers = []
 
--- a/libs/sidecar/src/verbenamill_sidecar/racing.py
+++ b/libs/sidecar/src/verbenamill_sidecar/racing.py
@@ -52,7 +52,7 @@
         """A try that has ended; ``None`` if an owner is in doubt.
 
         Of those that ended at the same time, the best answer comes first: a
-        refusal that were taken for the end would hide it.
+        refusal taken for the end would hide it.
         """
         if not self._ended:
             self._news = trio.Event()
