Calls of a run in hand get through a daemon that stops

Cause: 2.6 s after SIGTERM a stopping daemon took no connection of callers any more, and refused what came on open ones. Its own upstream may still run a request, which the stop waits for; the calls that this run makes go through the same port, failed, and failed the run with them.

Change: the port stays open as long as the own upstream has a run in hand, and serves late only requests that such a run makes, known by their id. All others are refused as before, with "not run".

--- a/libs/http/src/verbenamill_http/served.py
+++ b/libs/http/src/verbenamill_http/served.py
@@ -64,9 +64,8 @@
     def is_finishing(self) -> bool:
         """Whether a connection gets one further request at most."""
 
-    @property
-    def is_too_late(self) -> bool:
-        """Whether a request that is whole only now is refused."""
+    def refuses(self, head: RequestHead) -> bool:
+        """Whether a request that comes only now is refused."""
 
     async def handle(self, request: Request) -> Response:
         """Have a request answered."""
@@ -258,7 +257,7 @@
         self._parts = []
         length = head.framing.length
         limits = self._server.limits()
-        if self._server.is_too_late:
+        if self._server.refuses(head):
             self._reject(nursery, _STOPPING)
             return
         if length is not None and length > limits.max_body:
@@ -303,7 +302,7 @@
     def _finish_request(self, nursery: trio.Nursery) -> None:
         head = self._head
         assert head is not None
-        if self._server.is_too_late:
+        if self._server.refuses(head):
             # Begun, it might be cut at work with the process, and its caller
             # could not know whether it has run. A refusal tells that.
             self._reject(nursery, _STOPPING)
--- a/libs/http/src/verbenamill_http/server.py
+++ b/libs/http/src/verbenamill_http/server.py
@@ -11,6 +11,7 @@
     Response,
     ServerLimits,
 )
+from verbenamill_http.messages import RequestHead
 from verbenamill_http.served import ServedConnection
 from verbenamill_http.sockets import watch_peer
 
@@ -23,6 +24,14 @@
 _FRESH = 0.4
 
 
+def _admit_none(head: RequestHead) -> bool:
+    return False
+
+
+def _close_at_once() -> bool:
+    return False
+
+
 class HttpServer:
     """Serves one listening socket.
 
@@ -50,6 +59,7 @@
         self.in_hand = 0
         self.is_stopping = False
         self._finishes_since: float | None = None
+        self._admits: Callable[[RequestHead], bool] = _admit_none
         self._refuses_late = True
 
     @property
@@ -57,13 +67,12 @@
         """Whether a connection gets one further request at most."""
         return self._finishes_since is not None
 
-    @property
-    def is_too_late(self) -> bool:
-        """Whether a request that is whole only now is refused."""
+    def refuses(self, head: RequestHead) -> bool:
+        """Whether a request that comes only now is refused."""
         since = self._finishes_since
         if since is None or not self._refuses_late:
             return False
-        return trio.current_time() > since + _FRESH
+        return trio.current_time() > since + _FRESH and not self._admits(head)
 
     @property
     def connections(self) -> int:
@@ -84,7 +93,13 @@
         finally:
             listener.close()
 
-    async def finish(self, *, refuses_late: bool = True) -> None:
+    async def finish(
+        self,
+        *,
+        refuses_late: bool = True,
+        admits: Callable[[RequestHead], bool] = _admit_none,
+        keeps_open: Callable[[], bool] = _close_at_once,
+    ) -> None:
         """Take no further connection and wait until all have ended.
 
         Connections that wait for a request are closed, unless one may be on
@@ -93,12 +108,19 @@
 
         :param refuses_late: whether requests that come late are refused here;
             otherwise the handler has to.
+        :param admits: tells a late request that is served all the same.
+        :param keeps_open: whether such requests may still come, so that
+            connections are taken.
         """
         self.is_stopping = True
         self._refuses_late = refuses_late
+        self._admits = admits
         self._finishes_since = trio.current_time()
         for connection in self._served:
             connection.take_no_more()
+        while keeps_open():
+            self.dismiss_idle(_FRESH)
+            await trio.sleep(_SWEEP / 8)
         if self._accepting is not None:
             self._accepting.cancel()
         await trio.sleep(_SWEEP / 4)
--- a/libs/sidecar/src/verbenamill_sidecar/daemon.py
+++ b/libs/sidecar/src/verbenamill_sidecar/daemon.py
@@ -9,6 +9,7 @@
 from msgspec import Struct
 
 from verbenamill_http.addresses import parse_address
+from verbenamill_http.messages import RequestHead, header
 from verbenamill_http.server import Handler, HttpServer, ServerLimits
 from verbenamill_http.sockets import listen
 from verbenamill_model.typing import UpstreamState
@@ -284,10 +285,22 @@
         with trio.CancelScope(deadline=end):
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._registrar.take_leave, _FAREWELL)
-                nursery.start_soon(self._callers.finish)
+                nursery.start_soon(self._finish_callers)
                 # The owner refuses all by now, in words that a daemon knows.
                 await self._daemons.finish(refuses_late=False)
 
+    async def _finish_callers(self) -> None:
+        """Serve to its end what is in hand, with the calls that it makes."""
+        await self._callers.finish(
+            admits=self._is_nested,
+            keeps_open=lambda: self._own.in_hand > 0,
+        )
+
+    def _is_nested(self, head: RequestHead) -> bool:
+        """Whether a request is a call of one that the own upstream runs."""
+        id = header(head.headers, self._context.names.request_id)
+        return id is not None and self._own.find_parent(id) is not None
+
     def _tell_upstream(self) -> None:
         self._gossip.update(
             upstream=self._upstream_told(),
