--- a/deploy/tests/conftest.py
+++ b/deploy/tests/conftest.py
@@ -11,6 +11,8 @@
 import trio
 
 from verbenamill_platform import HEADERS, PlatformStore, read_announcement
+from verbenamill_platform.members import read_members
+from verbenamill_platform.records import Record
 from verbenamill_platform_standins import StoreStandIn, UpstreamStandIn
 from verbenamill_platform_standins.ports import find_ports
 from verbenamill_http.addresses import parse_address
@@ -288,6 +290,23 @@
 
         await self.until(is_settled)
 
+    async def saved(self):
+        """Wait until the store has what the daemons tell of themselves."""
+
+        async def is_saved():
+            topic = self.store.topic('keyed.verbenamill-members')
+            newest = dict(topic.records)
+            records = [Record(0, key, value) for key, value in newest.items()]
+            kept = {member.vm: member for member in read_members(records)}
+            own = [vm.daemon._gossip.own for vm in self.vms]
+            return all(
+                record.vm in kept
+                and kept[record.vm].upstream == record.upstream
+                for record in own
+            )
+
+        await self.until(is_saved)
+
     async def in_force(self, version):
         """Wait until all daemons run a version."""
 
--- a/deploy/tests/test_adapter.py
+++ b/deploy/tests/test_adapter.py
@@ -13,7 +13,14 @@
     read_settled,
     write_settled,
 )
+from verbenamill_platform.members import (
+    pack_announcement,
+    pack_member,
+    pack_zone,
+    read_members,
+)
 from verbenamill_platform.records import pack, unpack
+from verbenamill_policy.members import MemberRecord
 from verbenamill_policy.rollouts import Settled, Verdict
 from verbenamill_sidecar.protocol import Left, NotUnderstood
 
@@ -101,3 +108,56 @@
         found = read_announcement(b'POST', target, bad)
         assert isinstance(found, NotUnderstood)
         assert found.reason
+
+
+def make_member(vm, *, incarnation=1):
+    return MemberRecord(
+        vm=vm,
+        incarnation=incarnation,
+        sequence=0,
+        availability_zone='z',
+        calls=f'{vm}:1',
+        gossip=f'{vm}:2',
+    )
+
+
+def read_back(data):
+    ends = (0).to_bytes(8, 'big') * 2
+    newest = {one.key: one for one in unpack(ends + data, 0).records}
+    return newest, read_members(newest.values())
+
+
+@pytest.mark.parametrize('count', [0, 1, 500, 501, 1700])
+def test_the_members_of_a_zone_are_kept_together(count):
+    members = [make_member(f'vm{number}') for number in range(count)]
+    newest, found = read_back(pack_zone('z', members, ()))
+    assert {member.vm for member in found} == {one.vm for one in members}
+    assert len([one for one in newest.values() if one.value]) <= 4
+    assert all(len(one.value) < 262_144 for one in newest.values())
+
+
+def test_a_zone_that_shrinks_leaves_no_former_members():
+    before = [make_member(f'vm{number}') for number in range(700)]
+    data = pack_zone('z', before, ()) + pack_zone('z', before[:3], ())
+    assert len(read_back(data)[1]) == 3
+
+
+def test_the_newest_record_of_a_member_counts_wherever_it_stands():
+    # A daemon that wrote that its upstream leaves has a record of its own. A
+    # reader that has not heard of that yet saves the zone with an older one.
+    older, newer = make_member('vm1'), make_member('vm1', incarnation=2)
+    data = pack_member(newer) + pack_zone('z', [older], ())
+    assert read_back(data)[1] == (newer,)
+
+
+def test_an_announcement_ends_once_its_zone_is_saved():
+    one = make_member('vm1')
+    data = pack_announcement(one)
+    assert read_back(data)[1] == (one,)
+    newest, found = read_back(data + pack_zone('z', [one], ['vm1']))
+    assert found == (one,)
+    assert len([record for record in newest.values() if record.value]) == 1
+
+
+def test_a_record_of_another_version_of_the_program_names_nobody():
+    assert read_back(pack('vm1', b'{"vm": 7}'))[1] == ()
--- a/deploy/tests/test_failures.py
+++ b/deploy/tests/test_failures.py
@@ -334,6 +334,7 @@
         vm = await site.add('vm1')
         other = await site.add('vm2')
         await site.settled()
+        await site.in_force(1)
         await vm.kill()
         for number in range(5):
             answer = await other.call(f'/fee/{number}', method='POST')
@@ -348,17 +349,7 @@
     async def scene(site):
         vms = [await site.add('vm1'), await site.add('vm2', service='catalog')]
         await site.settled()
-
-        async def is_kept():
-            records = site.store.topic('keyed.verbenamill-members').records
-            newest = dict(records)
-            kept = [newest.get(vm.name, b'') for vm in vms]
-            return all(
-                f'i-{vm.name}'.encode() in one
-                for vm, one in zip(vms, kept, strict=True)
-            )
-
-        await site.until(is_kept)
+        await site.saved()
         for vm in vms:
             await vm.kill()
         for vm in vms:
--- a/deploy/tests/test_fleet.py
+++ b/deploy/tests/test_fleet.py
@@ -15,6 +15,7 @@
         await site.add('vm1')
         await site.add('vm2', zone='z2', version='v2')
         await site.settled()
+        await site.saved()
         await site.in_force(1)
         report = (await find_fleet(open_store(site))).unwrap()
         assert report.code is ExitCode.OK
@@ -38,6 +39,7 @@
         await site.add('vm1')
         gone = await site.add('vm2')
         await site.settled()
+        await site.saved()
         await gone.kill()
         report = (await find_fleet(open_store(site))).unwrap()
         assert report.code is ExitCode.LAGGING
--- a/deploy/tests/test_moves.py
+++ b/deploy/tests/test_moves.py
@@ -83,6 +83,7 @@
     # the verdict from the store only, and the bad version still runs.
     async def scene(site):
         old, new = await make_versions(site)
+        await site.saved()
         site.store.topic('keyed.status').append(
             'rollout/entries',
             b'{"state": "rolled_back", "targetVersion": "v2", "order": 99}',
--- a/deploy/tests/test_suspicion.py
+++ b/deploy/tests/test_suspicion.py
@@ -17,7 +17,7 @@
 
 def mute(vm):
     """Lose all datagrams that a daemon sends; its connections work."""
-    vm.daemon._gossip._send_to = lambda *_: None
+    vm.daemon._gossip._send_to = lambda *_, **__: None
 
 
 async def open_pair(site):
--- a/libs/policy/src/verbenamill_policy/members.py
+++ b/libs/policy/src/verbenamill_policy/members.py
@@ -1,6 +1,6 @@
 """Who takes part: one record for each daemon, the newest one wins."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Collection, Iterator
 from zlib import crc32
 
 import msgspec
@@ -14,9 +14,9 @@
     VmId,
 )
 
-#: Parts of the table that two daemons compare. With 64 of them, a table of
-#: some thousand members differs in few parts after some changes.
-BUCKETS = 64
+#: Parts of a zone's records that two daemons compare: a zone of a thousand
+#: daemons has some thirty in each, whose ages fit into one datagram.
+BUCKETS = 32
 
 
 class UpstreamRecord(Struct, frozen=True, array_like=True):
@@ -63,12 +63,12 @@
 
 
 class MemberTable:
-    """All daemons known, and digests to compare two tables by."""
+    """All daemons known, by availability zone, and digests to compare by."""
 
     def __init__(self) -> None:
         self._records: dict[VmId, MemberRecord] = {}
-        self._prints: dict[VmId, int] = {}
-        self._digests = [0 for _ in range(BUCKETS)]
+        self._zones: dict[AvailabilityZone, _Zone] = {}
+        self._by_address: dict[str, VmId] = {}
         self.version = 0
 
     def __iter__(self) -> Iterator[MemberRecord]:
@@ -78,14 +78,41 @@
         return len(self._records)
 
     @property
-    def digests(self) -> list[int]:
-        """One number for each bucket; equal tables have equal ones."""
-        return self._digests
+    def digests(self) -> dict[AvailabilityZone, int]:
+        """One number for each zone; equal tables have equal ones."""
+        return {name: zone.digest for name, zone in self._zones.items()}
+
+    @property
+    def zones(self) -> Collection[AvailabilityZone]:
+        """Zones that daemons are known in."""
+        return self._zones.keys()
 
     def get(self, vm: VmId) -> MemberRecord | None:
         """The newest record of a daemon."""
         return self._records.get(vm)
 
+    def in_zone(self, zone: AvailabilityZone) -> list[MemberRecord]:
+        """Records of a zone's daemons."""
+        found = self._zones.get(zone)
+        return [] if found is None else list(found.records.values())
+
+    def bucket_digests(self, zone: AvailabilityZone) -> list[int]:
+        """One number for each part of a zone."""
+        found = self._zones.get(zone)
+        return _empty_buckets() if found is None else list(found.buckets)
+
+    def in_buckets(
+        self,
+        zone: AvailabilityZone,
+        buckets: Collection[int],
+    ) -> list[MemberRecord]:
+        """Records in some parts of a zone."""
+        return [
+            record
+            for record in self.in_zone(zone)
+            if bucket_of(record.vm) in buckets
+        ]
+
     def merge(self, record: MemberRecord) -> bool:
         """Take in a record; tells whether it was news."""
         known = self._records.get(record.vm)
@@ -93,18 +120,17 @@
             return False
         if not self._displaces(record):
             return False
+        if known is not None:
+            self._remove(known)
         self._put(record)
+        self.version += 1
         return True
 
-    def in_buckets(self, buckets: Iterable[int]) -> list[MemberRecord]:
-        """Records in some buckets."""
-        wanted = set(buckets)
-        return [record for record in self if bucket_of(record.vm) in wanted]
-
     def drop(self, vm: VmId) -> None:
         """Forget a daemon."""
-        if self._records.pop(vm, None) is not None:
-            self._digests[bucket_of(vm)] ^= self._prints.pop(vm)
+        known = self._records.get(vm)
+        if known is not None:
+            self._remove(known)
             self.version += 1
 
     def _displaces(self, record: MemberRecord) -> bool:
@@ -114,23 +140,59 @@
         that claim it, the one that started later is there; the other would
         get requests that are meant for the first.
         """
-        for other in list(self._records.values()):
-            if other.calls != record.calls or other.vm == record.vm:
-                continue
-            if other.incarnation >= record.incarnation:
-                return False
-            self.drop(other.vm)
+        vm = self._by_address.get(record.calls)
+        if vm is None or vm == record.vm:
+            return True
+        if self._records[vm].incarnation >= record.incarnation:
+            return False
+        self.drop(vm)
         return True
 
     def _put(self, record: MemberRecord) -> None:
-        bucket = bucket_of(record.vm)
-        digest = crc32(msgspec.msgpack.encode(record))
-        self._digests[bucket] ^= self._prints.get(record.vm, 0) ^ digest
-        self._prints[record.vm] = digest
         self._records[record.vm] = record
-        self.version += 1
+        self._by_address[record.calls] = record.vm
+        zone = self._zones.setdefault(record.availability_zone, _Zone())
+        zone.put(record)
+
+    def _remove(self, record: MemberRecord) -> None:
+        self._records.pop(record.vm)
+        self._by_address.pop(record.calls, None)
+        zone = self._zones[record.availability_zone]
+        zone.remove(record.vm)
+        if not zone.records:
+            self._zones.pop(record.availability_zone)
+
+
+class _Zone:
+    """Records of one availability zone, with their digests."""
+
+    def __init__(self) -> None:
+        self.records: dict[VmId, MemberRecord] = {}
+        self.buckets = _empty_buckets()
+        self.digest = 0
+        self._prints: dict[VmId, int] = {}
+
+    def put(self, record: MemberRecord) -> None:
+        """Add the record of a daemon that is not in it."""
+        self.records[record.vm] = record
+        found = crc32(msgspec.msgpack.encode(record))
+        self._prints[record.vm] = found
+        self._mix(record.vm, found)
+
+    def remove(self, vm: VmId) -> None:
+        """Take a daemon out."""
+        self.records.pop(vm)
+        self._mix(vm, self._prints.pop(vm))
+
+    def _mix(self, vm: VmId, found: int) -> None:
+        self.buckets[bucket_of(vm)] ^= found
+        self.digest ^= found
+
+
+def _empty_buckets() -> list[int]:
+    return [0 for _ in range(BUCKETS)]
 
 
 def bucket_of(vm: VmId) -> int:
-    """Bucket of the table that a daemon is in."""
+    """Part of its zone that a daemon is in."""
     return crc32(vm.encode()) % BUCKETS
--- a/libs/policy/tests/test_members.py
+++ b/libs/policy/tests/test_members.py
@@ -75,15 +75,18 @@
         one.merge(record)
         if random.random() < 0.99:
             other.merge(record)
+    assert one.digests != other.digests
     differing = [
         bucket
         for bucket, pair in enumerate(
-            zip(one.digests, other.digests, strict=True),
+            zip(
+                one.bucket_digests('z'), other.bucket_digests('z'), strict=True
+            ),
         )
         if pair[0] != pair[1]
     ]
     missing = {record.vm for record in one} - {record.vm for record in other}
-    sent = {record.vm for record in one.in_buckets(differing)}
+    sent = {record.vm for record in one.in_buckets('z', differing)}
     assert missing
     assert missing <= sent
     assert len(sent) < 100
--- a/libs/sidecar/src/verbenamill_sidecar/daemon.py
+++ b/libs/sidecar/src/verbenamill_sidecar/daemon.py
@@ -50,6 +50,10 @@
 #: Time for the store to hear that this daemon leaves, in seconds.
 _FAREWELL = 0.4
 _SWEEP = 1.0
+#: How long the daemons of a fleet that starts for the first time take to find
+#: each other, and how long those wait that do not read the store, in seconds.
+_FIRST_WAIT = 2.0
+_FIRST_PATIENCE = 4.0
 #: Tries to open a port that a process before may still hold, and pause.
 _BIND_TRIES = 40
 _BIND_PAUSE = 0.05
@@ -81,7 +85,7 @@
         settings = context.settings
         self._table = MemberTable()
         self._peers = Peers(self._table, settings.vm.id)
-        feeding = Feeding(self._table, settings.vm.id)
+        self._feeding = Feeding(self._table, settings.vm.id)
         self._wishes = Wishes()
         self._stats = CallStats()
         self._own = OwnUpstream(
@@ -99,16 +103,15 @@
             store=context.store,
             wishes=self._wishes,
             peers=self._peers,
-            has_verdicts=lambda: self._follower.has_verdicts,
+            has_verdicts=lambda: self._wishes.has_verdicts,
         )
         self._follower = Follower(
             store=context.store,
             wishes=self._wishes,
             peers=self._peers,
             random=context.random,
-            feeding=feeding,
-            feed_children=lambda: self._gossip.feed_children(),
-            compare_soon=lambda: self._gossip.compare_soon(),
+            feeding=self._feeding,
+            feed=lambda kind: self._gossip.feed(kind),
         )
         self._gossip = Gossip(
             own=self._own_record(),
@@ -117,15 +120,18 @@
             wishes=self._wishes,
             random=context.random,
             recall=self._own.recall,
-            behind=self._follower.is_behind,
-            feeding=feeding,
+            follower=self._follower,
+            feeding=self._feeding,
             counted=self._moving.take_tally,
         )
         self._registrar = Registrar(
             context.store,
             self._gossip,
-            feeding,
+            self._feeding,
+            self._table,
             context.random,
+            is_lost=lambda: self._follower.is_lost,
+            found_nobody=self._follower.begin,
         )
         self._is_stopping = False
         self._servers = self._make_servers()
@@ -142,8 +148,8 @@
                 strict=True,
             ):
                 nursery.start_soon(server.serve, listener)
-            nursery.start_soon(self._follower.run)
-            nursery.start_soon(self._registrar.run)
+            nursery.start_soon(self._follow)
+            nursery.start_soon(self._register)
             nursery.start_soon(self._moving.run, self._gossip)
             nursery.start_soon(self._sweep)
             log(
@@ -159,6 +165,18 @@
         await self._context.store.close()
         log(Event.STOPPED, id=settings.vm.id)
 
+    async def _register(self) -> None:
+        is_first_start = self._context.settings.start.first
+        await self._registrar.run(is_first_start=is_first_start)
+
+    async def _follow(self) -> None:
+        if not self._context.settings.start.first:
+            await self._follower.run()
+            return
+        # Nobody calls yet, and nobody has anything to tell.
+        self._feeding.begin(_FIRST_PATIENCE)
+        await self._follower.run(patience=_FIRST_WAIT)
+
     def is_ready(self) -> bool:
         """Whether callers may be sent here."""
         return not self._is_stopping and self._wishes.table is not None
@@ -306,7 +324,6 @@
             upstream=self._upstream_told(),
             leaving=self._is_stopping,
         )
-        self._registrar.tell()
 
     def _upstream_told(self) -> UpstreamRecord | None:
         return self._own.register.current
@@ -331,11 +348,13 @@
         # The library takes more memory than all metrics of this daemon, so
         # it is loaded when somebody asks for them.
         from verbenamill_sidecar.metrics import (  # noqa: PLC0415
+            Control,
             Gauges,
             render,
         )
 
-        return render(self._stats, Gauges(self._read_gauges))
+        control = Control(self._context.store.calls, self._gossip.traffic)
+        return render(self._stats, Gauges(self._read_gauges), control)
 
     def _read_gauges(self) -> dict[str, tuple[str, float]]:
         from verbenamill_sidecar.metrics import age_of  # noqa: PLC0415
@@ -351,17 +370,19 @@
                 'Time since the last answer to a read of the store.',
                 age_of(self._follower.read_at),
             ),
-            'store_calls': (
-                'Calls to the store since the start.',
-                self._context.store.calls,
-            ),
             'members': ('Daemons known.', len(self._table)),
             'moves': ('Running moves.', len(self._wishes.running())),
             'upstream_ready': ('Whether the upstream takes work.', is_up),
             'upstream_running': ('Requests at it.', self._own.running),
             'upstream_waiting': ('Requests in the queue.', self._own.waiting),
-            'gossip_sent': ('Datagrams sent.', self._gossip.sent),
-            'gossip_received': ('Datagrams received.', self._gossip.received),
+            'gossip_received': (
+                'Datagrams received.',
+                self._gossip.traffic.received,
+            ),
+            'reads_store': (
+                'Whether this daemon reads the store for its zone.',
+                self._feeding.must_read(),
+            ),
             'ready': ('Whether callers may be sent here.', self.is_ready()),
         }
 
--- a/libs/sidecar/src/verbenamill_sidecar/datagrams.py
+++ b/libs/sidecar/src/verbenamill_sidecar/datagrams.py
@@ -1,46 +1,102 @@
-"""What daemons tell each other in datagrams."""
+"""Messages that daemons exchange in datagrams."""
+
+from enum import IntEnum, unique
 
 import msgspec
 from msgspec import Struct
 
-from verbenamill_model.typing import VmId
+from verbenamill_model.typing import AvailabilityZone, VmId
 from verbenamill_policy.evidence import Tally
 from verbenamill_policy.members import MemberRecord
 from verbenamill_policy.rollouts import Progress, Settled
 
 
-class Rumours(Struct, tag='r', array_like=True):
-    """News."""
+class Rumors(Struct, tag='r', array_like=True):
+    """News: records of members, stages and verdicts of moves."""
 
     members: list[MemberRecord] = []
     progress: list[Progress] = []
     settled: list[Settled] = []
 
 
-class Compare(Struct, tag='c', array_like=True):
-    """What the sender knows, in short.
+class Summary(Struct, tag='s', array_like=True):
+    """Digests of all that the sender knows.
 
-    :param digests: of the parts of its table of members.
-    :param stamp: what the store has told it, in short.
+    :param zones: digest of each zone's members.
+    :param moves: digest of the stages and verdicts of moves.
+    :param stamp: versions of the configuration and of the newest order.
     :param is_reply: whether it answers one of the receiver's.
     """
 
     sender: VmId
-    digests: list[int]
+    zones: dict[AvailabilityZone, int]
+    moves: int
     stamp: tuple[int, int]
-    progress: list[Progress] = []
-    settled: list[Settled] = []
     is_reply: bool = False
 
 
+class Digests(Struct, tag='d', array_like=True):
+    """Digests of the parts of one zone that seems to differ."""
+
+    sender: VmId
+    zone: AvailabilityZone
+    buckets: list[int]
+
+
+class Age(Struct, array_like=True):
+    """Which record of a member the sender has."""
+
+    vm: VmId
+    incarnation: int
+    sequence: int
+
+
+class Ages(Struct, tag='v', array_like=True):
+    """Ages of all records that the sender has in some parts of a zone."""
+
+    sender: VmId
+    zone: AvailabilityZone
+    buckets: list[int]
+    known: list[Age]
+
+
+class Wanted(Struct, tag='w', array_like=True):
+    """Asks for the records of some members."""
+
+    sender: VmId
+    vms: list[VmId]
+
+
+class Records(Struct, tag='m', array_like=True):
+    """Records that the receiver lacks."""
+
+    sender: VmId
+    members: list[MemberRecord]
+
+
+@unique
+class NoticeKind(IntEnum):
+    """What a daemon tells about its knowledge of the store.
+
+    ``FED``: the sender is up to date, and the receiver need not read.
+    ``STALLED``: the sender reads, and the store does not answer it.
+    ``NEWS``: the sender of another zone has just become newer.
+    """
+
+    FED = 0
+    STALLED = 1
+    NEWS = 2
+
+
 class Notice(Struct, tag='n', array_like=True):
-    """Tells a child in the tree of its zone that all is up to date here.
+    """Tells what the sender knows of the store's content.
 
-    :param stamp: what the store has told the sender, in short.
+    :param stamp: versions of the configuration and of the newest order.
     """
 
     sender: VmId
     stamp: tuple[int, int]
+    kind: NoticeKind = NoticeKind.FED
 
 
 class Ask(Struct, tag='a', array_like=True):
@@ -61,7 +117,18 @@
     tallies: list[Tally]
 
 
-Message = Rumours | Compare | Notice | Ask | Alive | Tallies
+Message = (
+    Rumors
+    | Summary
+    | Digests
+    | Ages
+    | Wanted
+    | Records
+    | Notice
+    | Ask
+    | Alive
+    | Tallies
+)
 
 _decoder = msgspec.msgpack.Decoder(Message)
 _encoder = msgspec.msgpack.Encoder()
--- a/libs/sidecar/src/verbenamill_sidecar/following.py
+++ b/libs/sidecar/src/verbenamill_sidecar/following.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from verbenamill_model.typing import VmId
+from verbenamill_sidecar.datagrams import NoticeKind
 from verbenamill_sidecar.feeding import NOTICE_PERIOD, Feeding
 from verbenamill_sidecar.fetching import fetch_knowledge
 from verbenamill_sidecar.knowledge import Stamp, Wishes
@@ -33,14 +34,18 @@
 #: well below the time in which a daemon has to be up to date again after the
 #: store's return.
 FIRST_PAUSE = 0.1
-LONGEST_PAUSE = 0.8
+LONGEST_PAUSE = 1.0
 #: How long a daemon that others are ahead of waits for its own read, in s.
 _HEAD_START = 0.4
-#: The same for one that is fed, or that runs no configuration at all; a
-#: storm of changes is fetched in steps of this length.
+#: The same for one that is fed; a storm of changes is fetched in steps of
+#: this length.
 _FIRST_START = 0.05
 #: How often a daemon that is fed looks whether it still is, in seconds.
-_FED_PAUSE = 0.2
+_FED_PAUSE = 0.1
+#: How long a daemon that starts waits for what its neighbours know, in
+#: seconds; and how many that know nothing end the wait.
+START_WAIT = 0.2
+_ENOUGH_IGNORANT = 2
 #: How often it is looked for something new to tell the children, in s.
 _NEWS_PERIOD = 0.05
 #: Longest wait for another daemon's answer, in seconds.
@@ -52,6 +57,7 @@
 class Follower:
     """Follows what operators publish.
 
+    :param feed: tells other daemons what is known here.
     :ivar read_at: when the store last answered, on trio's clock.
     """
 
@@ -63,41 +69,41 @@
         peers: Peers,
         random: Random,
         feeding: Feeding,
-        feed_children: Callable[[], None],
-        compare_soon: Callable[[], None],
+        feed: Callable[[NoticeKind], None],
     ) -> None:
-        self._compare_soon = compare_soon
         self._feeding = feeding
-        self._feed_children = feed_children
+        self._feed = feed
         self._store = store
         self._wishes = wishes
         self._peers = peers
         self._random = random
         self._position: int | None = None
-        self._has_verdicts = False
         self._is_lost = False
         self._settle_until = float('-inf')
         self._stirred_at = trio.current_time()
         self._is_fed = False
+        self._ignorant: set[VmId] = set()
+        self._begun = trio.Event()
         self._fetching: set[VmId] = set()
         self._nursery: trio.Nursery | None = None
         self.read_at = float('-inf')
 
-    @property
-    def has_verdicts(self) -> bool:
-        """Whether the verdicts of the store were read."""
-        return self._has_verdicts
-
     @property
     def is_lost(self) -> bool:
         """Whether the last call to the store failed."""
         return self._is_lost
 
-    async def run(self) -> None:
-        """Follow until cancelled."""
+    async def run(self, *, patience: float = START_WAIT) -> None:
+        """Follow until cancelled.
+
+        :param patience: how long to wait for what neighbours know before the
+            store is asked, in seconds.
+        """
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            nursery.start_soon(self._feed)
+            nursery.start_soon(self._tell)
+            with trio.move_on_after(patience):
+                await self._begun.wait()
             pause = FIRST_PAUSE
             while True:
                 fault = await self._step()
@@ -107,7 +113,18 @@
                 await trio.sleep(pause * (0.5 + self._random.random()))
                 pause = min(pause * 2, LONGEST_PAUSE)
 
-    def is_behind(self, vm: VmId, stamp: Stamp, is_parent: bool) -> None:
+    def begin(self) -> None:
+        """Wait no longer for what neighbours know."""
+        self._begun.set()
+
+    def hear_stamp(self, vm: VmId, stamp: Stamp) -> None:
+        """Take in what another daemon knows, in short."""
+        if self._wishes.lacks(stamp):
+            self.is_behind(vm, stamp, is_parent=False)
+        elif self._wishes.version < 0:
+            self._hear_ignorance(vm)
+
+    def is_behind(self, vm: VmId, stamp: Stamp, *, is_parent: bool) -> None:
         """Another daemon knows more than this one.
 
         One fetch from each daemon runs at a time, and a few in all: one that
@@ -128,10 +145,18 @@
             self._fetching.add(vm)
             self._nursery.start_soon(self._fetch, peer, stamp, is_parent)
 
+    def _hear_ignorance(self, vm: VmId) -> None:
+        """A neighbour knows no more than this daemon, which has started.
+
+        After all were killed at once nobody has a configuration, and to wait
+        for one would keep callers waiting.
+        """
+        self._ignorant.add(vm)
+        if len(self._ignorant) >= _ENOUGH_IGNORANT:
+            self._begun.set()
+
     async def _step(self) -> StoreFault | None:
-        if not self._has_verdicts:
-            return await self._read_verdicts()
-        if self._position is not None and not self._feeding.must_read():
+        if not self._feeding.must_read():
             await trio.sleep(_FED_PAUSE)
             self._is_fed = True
             return None
@@ -140,6 +165,10 @@
             # of each kind is one call.
             self._is_fed = False
             self._position = None
+        if not self._wishes.has_verdicts:
+            # A version that was taken back may run without an order, and an
+            # order without its verdict seems to run still.
+            return await self._read_verdicts()
         if self._position is None:
             return self._take(await self._store.published())
         await trio.sleep_until(self._settle_until)
@@ -169,38 +198,33 @@
             return WAIT
         return CALM_WAIT * (1 - _CALM_SPREAD * self._random.random())
 
-    async def _read_verdicts(self) -> StoreFault | None:
-        match await self._store.settlements():
-            case Success(settlements):
-                for settled in settlements.settled.values():
-                    self._wishes.take_settled(settled)
-                self._has_verdicts = True
-                self._recover()
-                return None
-            case Failure(fault):
-                return self._lose(fault)
-        raise AssertionError('a result is a success or a failure')
-
     def _take(
         self,
         found: Result[Published, StoreFault],
     ) -> StoreFault | None:
         match found:
             case Success(published):
-                was_lost = self._is_lost
+                self._take_published(published)
+                return None
+            case Failure(fault):
+                return self._lose(fault)
+        raise AssertionError('a result is a success or a failure')
+
+    def _take_published(self, published: Published) -> None:
+        for unreadable in published.faults:
+            log(Event.RECORD_UNREADABLE, reason=unreadable)
+        if published.configuration is not None:
+            self._wishes.take_configuration(published.configuration, 'store')
+        for order in published.orders:
+            self._wishes.take_order(order)
+        self._position = published.next
+        self._recover()
+
+    async def _read_verdicts(self) -> StoreFault | None:
+        match await self._store.settlements():
+            case Success(settlements):
+                self._wishes.take_settlements(settlements.settled.values())
                 self._recover()
-                self._position = published.next
-                for unreadable in published.faults:
-                    log(Event.RECORD_UNREADABLE, reason=unreadable)
-                if published.configuration is not None:
-                    self._wishes.take_configuration(
-                        published.configuration,
-                        'store',
-                    )
-                for order in published.orders:
-                    self._wishes.take_order(order)
-                if was_lost:
-                    self._compare_soon()
                 return None
             case Failure(fault):
                 return self._lose(fault)
@@ -210,7 +234,7 @@
         self.read_at = trio.current_time()
         if self._is_lost:
             self._is_lost = False
-            log(Event.STORE_RECOVERED, calls=self._store.calls)
+            log(Event.STORE_RECOVERED, calls=self._store.calls.total())
 
     def _lose(self, fault: StoreFault) -> StoreFault:
         if not self._is_lost:
@@ -222,25 +246,39 @@
             )
         return fault
 
-    async def _feed(self) -> None:
-        """Tell the children of all that is new, and that they are fed."""
+    async def _tell(self) -> None:
+        """Tell others of all that is new, and that they are fed."""
         told = self._wishes.stamp
         told_at = float('-inf')
+        was_reading = False
         while True:
             now = trio.current_time()
             is_news = self._wishes.stamp != told
-            if is_news or now - told_at >= NOTICE_PERIOD:
+            # Who steps in for a reader tells it before the next one does so.
+            steps_in = self._is_reading() and not was_reading
+            if is_news or steps_in or now - told_at >= NOTICE_PERIOD:
                 told = self._wishes.stamp
                 told_at = now
-                if self._is_up_to_date():
-                    self._feed_children()
+                self._tell_now(is_news=is_news)
+            was_reading = self._is_reading()
             await trio.sleep(_NEWS_PERIOD)
 
-    def _is_up_to_date(self) -> bool:
-        """Whether the store, or a parent, told something lately."""
-        if self._feeding.must_read():
-            return self._position is not None and not self._is_lost
-        return True
+    def _is_reading(self) -> bool:
+        """Whether this daemon reads, and the store answers it."""
+        return (
+            self._feeding.must_read()
+            and self._position is not None
+            and not self._is_fed
+            and not self._is_lost
+        )
+
+    def _tell_now(self, *, is_news: bool) -> None:
+        if not self._feeding.must_read() or self._is_reading():
+            self._feed(NoticeKind.FED)
+        elif self._is_lost:
+            self._feed(NoticeKind.STALLED)
+        if is_news and self._feeding.must_read():
+            self._feed(NoticeKind.NEWS)
 
     async def _fetch(self, peer: Peer, stamp: Stamp, is_parent: bool) -> None:
         """Get from another daemon what the store did not bring in time."""
@@ -259,7 +297,7 @@
 
     def _head_start(self, is_parent: bool) -> float:
         if self._wishes.version < 0:
-            return _FIRST_START
+            return 0
         # Both parents tell the same at about the same time; the second one
         # is asked only if the first does not answer.
         is_first = is_parent and len(self._fetching) == 1
@@ -269,3 +307,10 @@
         known = await fetch_knowledge(peer.pool)
         if known is not None:
             self._wishes.take_all(known, peer.record.vm)
+            self._begin_fed()
+
+    def _begin_fed(self) -> None:
+        """A neighbour has told all; its notices will come."""
+        if not self._begun.is_set() and self._wishes.version >= 0:
+            self._begun.set()
+            self._feeding.feed()
--- a/libs/sidecar/src/verbenamill_sidecar/gossip.py
+++ b/libs/sidecar/src/verbenamill_sidecar/gossip.py
@@ -1,89 +1,86 @@
 """Datagrams between daemons: who is there, and how far moves are.
 
-News are passed on to a few daemons at random, a few times (rumours). What
-such a rumour misses, the comparison of whole tables finds: each daemon
-compares with one other a second, by digests of parts of the table.
+News spread as rumors, and comparisons find what those miss. Both are in
+modules of their own; this one has the socket and the times.
 """
 
-import math
 import socket
 from collections.abc import Callable, Iterable
 from functools import lru_cache
 from random import Random
-from typing import TypeVar
 
 import msgspec
 import trio
 
 from verbenamill_http.addresses import Address, parse_address
-from verbenamill_model.typing import ServiceName, VmId
+from verbenamill_model.typing import VmId
 from verbenamill_policy.evidence import Tally
 from verbenamill_policy.members import (
-    BUCKETS,
     MemberRecord,
     MemberTable,
     UpstreamRecord,
 )
 from verbenamill_policy.rollouts import Progress, Settled
+from verbenamill_policy.rumors import Neighbours
 from verbenamill_sidecar.datagrams import (
+    Ages,
     Alive,
     Ask,
-    Compare,
+    Digests,
     Message,
     Notice,
-    Rumours,
+    NoticeKind,
+    Records,
+    Rumors,
+    Summary,
     Tallies,
+    Wanted,
     read_message,
     write_message,
 )
+from verbenamill_sidecar.dissemination import Dissemination
 from verbenamill_sidecar.feeding import Feeding
-from verbenamill_sidecar.knowledge import Stamp, Wishes
+from verbenamill_sidecar.following import Follower
+from verbenamill_sidecar.knowledge import Wishes
 from verbenamill_sidecar.peers import Peer, Peers
+from verbenamill_sidecar.reconciliation import Reconciliation
+from verbenamill_sidecar.traffic import Traffic
 from verbenamill_sidecar.watching import Watch
 from verbenamill_telemetry import Event, log
 
 #: How often news are passed on, in seconds.
-RUMOUR_PERIOD = 0.1
-#: Daemons that each round of a rumour goes to.
-FANOUT = 3
-#: How often whole tables are compared, in seconds.
+RUMOR_PERIOD = 0.1
+#: How often tables are compared, in seconds.
 COMPARE_PERIOD = 1.0
+#: The same for a daemon that leaves. It is out of the tree that feeds the
+#: others, and learns of a change by comparing.
+_LEAVING_PERIOD = 0.3
 #: How long after a start it is waited for what others remember, in seconds;
 #: who has met nobody by then is alone.
 MEET_TIME = 0.5
-#: Records in one datagram; keeps it below the usual 1,400 bytes.
-_RECORDS = 6
+#: Neighbours that a daemon greets at its start, and at the first start of the
+#: whole fleet, when none of them has heard of another one yet.
+_GREETED = 2
+GREETED_FIRST = 64
+#: Least time between two introductions to one address, in seconds, and
+#: addresses that this is remembered of.
+_INTRODUCE_PERIOD = 0.1
+_MOST_INTRODUCED = 1000
 _MAX_DATAGRAM = 65_000
 
 
 _address_of = lru_cache(maxsize=1024)(parse_address)
 
 
-class _Rumour:
-    """Something new, and how often it is still to be passed on."""
-
-    def __init__(self, rounds: int) -> None:
-        self.rounds = rounds
-
-
-_Key = TypeVar('_Key')
-
-
-def _cool(hot: dict[_Key, _Rumour]) -> None:
-    """Count a round, and drop what has been passed on often enough."""
-    for key, rumour in list(hot.items()):
-        rumour.rounds -= 1
-        if rumour.rounds <= 0:
-            hot.pop(key)
-
-
 class Gossip:
     """Keeps the tables of all daemons alike.
 
     :param recall: told what others remember of the own upstream.
-    :param behind: told of a daemon that knows more, what it knows in short,
-        and whether it is the one that is to feed this one.
+    :param follower: told what other daemons know of the store.
     :param counted: told of the counts of other owners.
+    :ivar has_met: set once others have told what they remember, or soon after
+        the start.
+    :ivar has_heard: set once another daemon has sent something.
     """
 
     def __init__(
@@ -95,37 +92,59 @@
         wishes: Wishes,
         random: Random,
         recall: Callable[[UpstreamRecord], None],
-        behind: Callable[[VmId, Stamp, bool], None],
+        follower: Follower,
         feeding: Feeding,
         counted: Callable[[Tally], None],
     ) -> None:
-        self._own = own
         self._table = table
         self._peers = peers
         self._wishes = wishes
         self._random = random
-        self._recall = recall
-        self._behind = behind
+        self._follower = follower
         self._feeding = feeding
         self._counted = counted
+        self._zone = own.availability_zone
         self._sock: socket.socket | None = None
-        self._hot_members: dict[VmId, _Rumour] = {}
-        self._hot_progress: dict[ServiceName, _Rumour] = {}
-        self._hot_settled: dict[ServiceName, _Rumour] = {}
+        self._neighbours = Neighbours(
+            table,
+            own,
+            random=random,
+            is_suspect=peers.is_suspect,
+        )
+        self._news = Dissemination(
+            own=own,
+            table=table,
+            neighbours=self._neighbours,
+            wishes=wishes,
+            send=self._send,
+            recall=recall,
+        )
+        self._reconciliation = Reconciliation(
+            own=lambda: self._news.own,
+            table=table,
+            neighbours=self._neighbours,
+            wishes=wishes,
+            send=self._send,
+        )
         self._watch = Watch(
             peers,
             availability_zone=own.availability_zone,
             ask=lambda record: self._send(record, Ask(own.vm)),
         )
-        self.sent = 0
-        self.received = 0
+        self._introduced_at: dict[Address, float] = {}
+        self.traffic = Traffic()
         self.has_met = trio.Event()
-        table.merge(own)
+        self.has_heard = trio.Event()
 
     @property
     def own(self) -> MemberRecord:
         """What this daemon tells of itself."""
-        return self._own
+        return self._news.own
+
+    @property
+    def has_others(self) -> bool:
+        """Whether any other daemon is known."""
+        return len(self._table) > 1
 
     def bind(self, address: Address) -> None:
         """Open the socket.
@@ -138,11 +157,6 @@
         sock.bind((address.host, address.port))
         self._sock = sock
 
-    @property
-    def has_others(self) -> bool:
-        """Whether any other daemon is known."""
-        return len(self._table) > 1
-
     def close(self) -> None:
         """Close the socket."""
         if self._sock is not None:
@@ -169,191 +183,58 @@
         leaving: bool = False,
     ) -> None:
         """Tell something new of this daemon, at once."""
-        own = self._own
-        if own.upstream == upstream and own.leaving == leaving:
-            return
-        self._renew(own.incarnation, upstream=upstream, leaving=leaving)
-        self._pass_on()
-
-    def take_members(self, records: Iterable[MemberRecord]) -> None:
-        """Take in records, from the store or from another daemon."""
-        for record in records:
-            if record.vm == self._own.vm:
-                self._answer_own(record)
-            elif self._table.merge(record):
-                self._hot_members[record.vm] = _Rumour(self._rounds())
-                self._tell_news(record)
-
-    def meet(self, records: Iterable[MemberRecord]) -> None:
-        """Take in what the store has, and greet some of those there."""
-        self.take_members(records)
-        # Those there have not heard of this daemon, and cannot answer it.
-        self._hot_members[self._own.vm] = _Rumour(self._rounds())
-        self._pass_on()
-        for peer in self._some_peers(FANOUT):
-            self._send(peer.record, self._summary(is_reply=False))
+        self._news.update(upstream=upstream, leaving=leaving)
 
-    def tell_progress(self, progress: Progress) -> None:
-        """Take in and pass on how far a move is."""
-        if self._wishes.take_progress(progress):
-            self._hot_progress[progress.service] = _Rumour(self._rounds())
-            self._pass_on()
-
-    def tell_settled(self, settled: Settled) -> None:
-        """Take in and pass on a verdict."""
-        if self._wishes.take_settled(settled):
-            self._hot_settled[settled.service] = _Rumour(self._rounds())
-            self._pass_on()
-
-    def feed_children(self) -> None:
-        """Tell the children in the tree what is known here."""
-        notice = Notice(self._own.vm, self._wishes.stamp)
-        for child in (*self._feeding.children, *self._feeding.wards):
-            self._send(child, notice)
-
-    def compare_soon(self) -> None:
-        """Compare with the readers of the zone and some others, at once.
-
-        After an outage of the store the first one that reads again has news
-        that the others would get only when their own reads are given up.
-        """
-        for record in self._feeding.other_readers:
-            self._send(record, self._summary(is_reply=False))
-        for peer in self._some_peers(FANOUT):
-            self._send(peer.record, self._summary(is_reply=False))
-
-    def send_tally(self, peer: Peer, tally: Tally) -> None:
-        """Tell a decider what was counted here."""
-        self._send(peer.record, Tallies([tally]))
-
-    def _renew(
+    def take_members(
         self,
-        incarnation: int,
+        records: Iterable[MemberRecord],
         *,
-        upstream: UpstreamRecord | None,
-        leaving: bool,
+        spread: bool,
     ) -> None:
-        own = self._own
-        self._own = MemberRecord(
-            vm=own.vm,
-            incarnation=incarnation,
-            sequence=own.sequence + 1,
-            availability_zone=own.availability_zone,
-            calls=own.calls,
-            gossip=own.gossip,
-            leaving=leaving,
-            upstream=upstream,
-        )
-        self._table.merge(self._own)
-        self._hot_members[own.vm] = _Rumour(self._rounds())
+        """Take in records from the store."""
+        self._news.take_members(records, spread=spread)
+
+    def greet(self, *, count: int = _GREETED) -> None:
+        """Make this daemon known, and ask some neighbours what they know."""
+        self._news.announce()
+        summary = self._reconciliation.summarize()
+        for record in self._neighbours.pick_near(count):
+            self._send(record, Rumors([self.own]))
+            self._send(record, summary)
+        if not self._neighbours.near_count:
+            self._reconciliation.compare_far()
 
-    def _answer_own(self, record: MemberRecord) -> None:
-        """What others say of this daemon is from an earlier start of it.
+    def tell_progress(self, progress: Progress) -> None:
+        """Tell how far a move is that this daemon decides."""
+        self._news.tell_progress(progress)
 
-        If the clock was put back since, the earlier start looks later, and
-        nobody would believe this one; so it overtakes.
-        """
-        own = self._own
-        if (
-            record.upstream is not None
-            and record.incarnation != own.incarnation
-        ):
-            self._recall(record.upstream)
-            own = self._own
-        if record.age <= own.age:
-            return
-        self._renew(
-            max(record.incarnation, own.incarnation) + 1,
-            upstream=own.upstream,
-            leaving=own.leaving,
-        )
+    def tell_settled(self, settled: Settled) -> None:
+        """Tell a verdict that this daemon knows of the store."""
+        self._news.tell_settled(settled)
 
-    def _tell_news(self, record: MemberRecord) -> None:
-        upstream = record.upstream
-        log(
-            Event.MEMBER_CHANGED,
-            vm=record.vm,
-            incarnation=record.incarnation,
-            leaving=record.leaving,
-            instance=None if upstream is None else upstream.instance,
-            version=None if upstream is None else upstream.version,
-            state=None if upstream is None else upstream.state.value,
-        )
+    def feed(self, kind: NoticeKind) -> None:
+        """Tell others what is known here of the store's content."""
+        notice = Notice(self.own.vm, self._wishes.stamp, kind)
+        is_news = kind is NoticeKind.NEWS
+        to = self._feeding.heads if is_news else self._feeding.children
+        for record in to:
+            self._send(record, notice)
 
-    def _rounds(self) -> int:
-        """Rounds after which a rumour has reached nearly all."""
-        return 2 + math.ceil(math.log2(len(self._table) + 1) / 2)
+    def send_tally(self, peer: Peer, tally: Tally) -> None:
+        """Tell a decider what was counted here."""
+        self._send(peer.record, Tallies([tally]))
 
     async def _spread(self) -> None:
         while True:
-            await trio.sleep(RUMOUR_PERIOD)
-            if self._hot_members or self._hot_progress or self._hot_settled:
-                self._pass_on()
-
-    def _pass_on(self) -> None:
-        """One round of all rumours."""
-        members = [
-            record
-            for record in map(self._table.get, list(self._hot_members))
-            if record is not None
-        ]
-        progress = [
-            found
-            for found in map(
-                self._wishes.known.progress.get,
-                list(self._hot_progress),
-            )
-            if found is not None
-        ]
-        known = self._wishes.known.settled
-        settled = [known[service] for service in self._hot_settled]
-        for peer in self._some_peers(FANOUT):
-            self._send_records(
-                peer.record,
-                members,
-                Rumours(progress=progress, settled=settled),
-            )
-        _cool(self._hot_members)
-        _cool(self._hot_progress)
-        _cool(self._hot_settled)
-
-    def _send_records(
-        self,
-        to: MemberRecord,
-        members: list[MemberRecord],
-        moves: Rumours,
-    ) -> None:
-        first = Rumours(members[:_RECORDS], moves.progress, moves.settled)
-        if first != Rumours():
-            self._send(to, first)
-        for start in range(_RECORDS, len(members), _RECORDS):
-            self._send(to, Rumours(members[start : start + _RECORDS]))
-
-    def _some_peers(self, count: int) -> list[Peer]:
-        others = [
-            peer for peer in self._peers.all() if not self._peers.is_own(peer)
-        ]
-        if len(others) <= count:
-            return others
-        return self._random.sample(others, count)
+            await trio.sleep(RUMOR_PERIOD)
+            self._news.next_round()
 
     async def _compare(self) -> None:
         while True:
+            period = _LEAVING_PERIOD if self.own.leaving else COMPARE_PERIOD
             # All daemons that start together would send together for ever.
-            spread = 0.5 + self._random.random()
-            await trio.sleep(COMPARE_PERIOD * spread)
-            for peer in self._some_peers(1):
-                self._send(peer.record, self._summary(is_reply=False))
-
-    def _summary(self, *, is_reply: bool) -> Compare:
-        return Compare(
-            sender=self._own.vm,
-            digests=self._table.digests,
-            stamp=self._wishes.stamp,
-            progress=list(self._wishes.known.progress.values()),
-            settled=list(self._wishes.known.settled.values()),
-            is_reply=is_reply,
-        )
+            await trio.sleep(period * (0.5 + self._random.random()))
+            self._reconciliation.next_round()
 
     async def _receive(self) -> None:
         sock = self._sock
@@ -366,105 +247,149 @@
                 # Also what the kernel tells of an earlier datagram that
                 # found nobody.
                 continue
-            self.received += 1
+            self.traffic.count_received()
             try:
                 message = read_message(data)
             except msgspec.MsgspecError:
                 log(Event.MESSAGE_UNKNOWN, kind=f'{len(data)} bytes')
                 continue
+            self.has_heard.set()
             self._handle(message, Address(source[0], source[1]))
 
     def _handle(self, message: Message, source: Address) -> None:
         match message:
-            case Rumours():
-                self._take_rumours(message)
-            case Compare():
-                self._take_summary(message, source)
-            case Notice():
-                self._take_notice(message)
+            case Rumors():
+                self._take_rumors(message)
+            case Tallies():
+                for tally in message.tallies:
+                    self._counted(tally)
             case Ask():
                 self._hear(message.sender)
-                self._send_to(source, Alive(self._own.vm))
-                if self._table.get(message.sender) is None:
-                    self._introduce(source)
+                sender = self._table.get(message.sender)
+                if sender is None:
+                    self._send_to(source, Alive(self.own.vm), crosses=False)
+                    self._introduce(message.sender, source)
+                else:
+                    self._send(sender, Alive(self.own.vm))
             case Alive():
                 self._hear(message.sender)
-            case Tallies():
-                for tally in message.tallies:
-                    self._counted(tally)
+            case Notice():
+                self._take_notice(message, source)
+            case _:
+                self._take_comparison(message, source)
 
     def _hear(self, vm: VmId) -> None:
         peer = self._peers.get(vm)
         if peer is not None:
             peer.hear()
 
-    def _take_notice(self, message: Notice) -> None:
+    def _take_notice(self, message: Notice, source: Address) -> None:
         self._hear(message.sender)
-        if self._wishes.lacks(message.stamp):
+        if self._table.get(message.sender) is None:
+            self._introduce(message.sender, source)
+        is_behind = self._wishes.lacks(message.stamp)
+        match message.kind:
+            case NoticeKind.NEWS:
+                self._follower.hear_stamp(message.sender, message.stamp)
+                return
+            case NoticeKind.STALLED:
+                self._feeding.stall(message.sender)
+            case NoticeKind.FED if not is_behind:
+                self._feeding.feed()
+        if is_behind:
             self._feeding.starve()
-            self._behind(message.sender, message.stamp, True)
-        else:
-            self._feeding.feed()
-
-    def _take_rumours(self, message: Rumours) -> None:
-        self.take_members(message.members)
-        self._take_moves(message)
-        self.has_met.set()
+            self._follower.is_behind(
+                message.sender,
+                message.stamp,
+                is_parent=True,
+            )
 
-    def _take_moves(self, message: Rumours | Compare) -> None:
+    def _take_rumors(self, message: Rumors) -> None:
+        self._news.take_members(message.members, spread=True)
         for settled in message.settled:
-            self.tell_settled(settled)
+            self._news.take_settled(settled)
         for progress in message.progress:
-            self.tell_progress(progress)
+            self._news.take_progress(progress)
+        self.has_met.set()
+
+    def _take_comparison(
+        self,
+        message: Summary | Digests | Ages | Wanted | Records,
+        source: Address,
+    ) -> None:
+        self._hear(message.sender)
+        sender = self._table.get(message.sender)
+        if isinstance(message, Records):
+            self._take_records(message, sender)
+            return
+        if sender is None:
+            self._introduce(message.sender, source)
+            return
+        match message:
+            case Summary():
+                self._take_summary(message, sender)
+            case Digests():
+                self._reconciliation.take_digests(message, sender)
+            case Ages():
+                self._reconciliation.take_ages(message, sender)
+            case Wanted():
+                self._reconciliation.take_wanted(message, sender)
+
+    def _take_records(
+        self,
+        message: Records,
+        sender: MemberRecord | None,
+    ) -> None:
+        # In its own zone the sender compares with others as well.
+        is_far = sender is not None and sender.availability_zone != self._zone
+        self._news.take_members(message.members, spread=is_far)
+        known = self._table.get(message.sender)
+        if sender is None and known is not None:
+            self._send(known, self._reconciliation.summarize())
+
+    def _take_summary(self, message: Summary, sender: MemberRecord) -> None:
+        self._follower.hear_stamp(message.sender, message.stamp)
+        if self.own.leaving and not self._wishes.lacks(message.stamp):
+            self._feeding.feed()
+        self._reconciliation.take_summary(message, sender)
+        self.has_met.set()
 
-    def _introduce(self, source: Address) -> None:
-        """Tell an unknown sender of this daemon.
+    def _introduce(self, sender: VmId, source: Address) -> None:
+        """Tell an unknown sender of this daemon, and ask who it is.
 
         While the store is out of reach, a daemon that was restarted knows
         nobody. Others still know it and write to it; answered, they tell it
         all they know, and it serves again without the store.
         """
-        self._send_to(source, Rumours([self._own]))
-        self._send_to(source, self._summary(is_reply=False))
-
-    def _take_summary(self, message: Compare, source: Address) -> None:
-        self._hear(message.sender)
-        sender = self._table.get(message.sender)
-        self._take_moves(message)
-        if sender is None:
-            self._introduce(source)
-            return
-        if self._wishes.lacks(message.stamp):
-            self._behind(message.sender, message.stamp, False)
-        digests = self._table.digests
-        if len(message.digests) != BUCKETS:
+        now = trio.current_time()
+        if now - self._introduced_at.get(source, -1) < _INTRODUCE_PERIOD:
             return
-        differing = [
-            bucket
-            for bucket, digest in enumerate(message.digests)
-            if digests[bucket] != digest
-        ]
-        if differing:
-            records = self._table.in_buckets(differing)
-            self._send_records(sender, records, Rumours())
-        if not message.is_reply:
-            self._send(sender, self._summary(is_reply=True))
-        self.has_met.set()
+        if len(self._introduced_at) >= _MOST_INTRODUCED:
+            self._introduced_at.clear()
+        self._introduced_at[source] = now
+        self._send_to(source, Rumors([self.own]), crosses=False)
+        wanted = Wanted(self.own.vm, [sender])
+        self._send_to(source, wanted, crosses=False)
 
     def _send(self, to: MemberRecord, message: Message) -> None:
-        self._send_to(_address_of(to.gossip), message)
+        crosses = to.availability_zone != self._zone
+        self._send_to(_address_of(to.gossip), message, crosses=crosses)
 
-    def _send_to(self, address: Address, message: Message) -> None:
+    def _send_to(
+        self,
+        address: Address,
+        message: Message,
+        *,
+        crosses: bool,
+    ) -> None:
         sock = self._sock
         if sock is None:
             return
+        data = write_message(message)
         try:
-            sock.sendto(
-                write_message(message),
-                (address.host, address.port),
-            )
+            sock.sendto(data, (address.host, address.port))
         except OSError:
             # A datagram may be lost on its way as well; all that it told is
             # told again by the next comparison.
             return
-        self.sent += 1
+        self.traffic.count_sent(message, len(data), crosses=crosses)
--- a/libs/sidecar/src/verbenamill_sidecar/knowledge.py
+++ b/libs/sidecar/src/verbenamill_sidecar/knowledge.py
@@ -1,6 +1,7 @@
 """What this daemon knows of the operators' wishes."""
 
 import zlib
+from collections.abc import Iterable
 
 import msgspec
 from msgspec import Struct
@@ -31,6 +32,7 @@
 
     :param settled: what operators were told last of each service.
     :param verdicts: those on versions of earlier moves as well.
+    :param has_verdicts: whether the store's verdicts are among them.
     """
 
     configuration: Configuration | None = None
@@ -38,6 +40,7 @@
     settled: dict[ServiceName, Settled] = {}
     progress: dict[ServiceName, Progress] = {}
     verdicts: list[Settled] = []
+    has_verdicts: bool = False
 
 
 _decoder = msgspec.msgpack.Decoder(Knowledge)
@@ -77,6 +80,11 @@
         self._verdicts: dict[ServiceName, Verdicts] = {}
         self.changes = 0
 
+    @property
+    def has_verdicts(self) -> bool:
+        """Whether all verdicts that the store had are known."""
+        return self._known.has_verdicts
+
     @property
     def table(self) -> RouteTable | None:
         """Routes in force."""
@@ -178,6 +186,12 @@
         )
         return True
 
+    def take_settlements(self, settled: Iterable[Settled]) -> None:
+        """Take in all verdicts of the store."""
+        for one in settled:
+            self.take_settled(one)
+        self._known.has_verdicts = True
+
     def take_settled(self, settled: Settled) -> bool:
         """Take in a verdict, unless one of a later order is known."""
         if self._verdicts_of(settled.service).add(settled):
@@ -218,12 +232,14 @@
         """Take in all that another daemon knows."""
         if other.configuration is not None:
             self.take_configuration(other.configuration, source)
-        for order in other.orders.values():
-            self.take_order(order)
-        for settled in other.settled.values():
-            self.take_settled(settled)
+        # Verdicts first: an order without its verdict seems to run still.
         for verdict in other.verdicts:
             self.take_settled(verdict)
+        for settled in other.settled.values():
+            self.take_settled(settled)
+        self._known.has_verdicts |= other.has_verdicts
+        for order in other.orders.values():
+            self.take_order(order)
         for progress in other.progress.values():
             self.take_progress(progress)
 
--- a/libs/sidecar/src/verbenamill_sidecar/metrics.py
+++ b/libs/sidecar/src/verbenamill_sidecar/metrics.py
@@ -1,6 +1,8 @@
 """Metrics in the text format of Prometheus."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
+from typing import NamedTuple
 
 import trio
 from prometheus_client import CollectorRegistry, generate_latest
@@ -12,7 +14,9 @@
 )
 from prometheus_client.registry import Collector
 
+from verbenamill_sidecar.protocol import StorePurpose
 from verbenamill_sidecar.stats import BOUNDS, CallStats
+from verbenamill_sidecar.traffic import Traffic
 
 
 #: Help and value by name.
@@ -26,13 +30,28 @@
         self.read = read
 
 
+class Control(NamedTuple):
+    """What coordination costs: calls to the store, and datagrams."""
+
+    store_calls: Counter[StorePurpose]
+    traffic: Traffic
+
+
 class _Collector(Collector):
-    def __init__(self, stats: CallStats, gauges: Gauges) -> None:
+    def __init__(
+        self,
+        stats: CallStats,
+        gauges: Gauges,
+        control: Control,
+    ) -> None:
         self._stats = stats
         self._gauges = gauges
+        self._control = control
 
     def collect(self) -> Iterable[Metric]:
         yield from self._counters()
+        yield self._store_calls()
+        yield from self._datagrams()
         yield self._outcomes()
         yield self._latencies()
         for name, (text, value) in self._gauges.read().items():
@@ -52,6 +71,32 @@
                 value=value,
             )
 
+    def _store_calls(self) -> Metric:
+        family = CounterMetricFamily(
+            'verbenamill_store_calls',
+            'Calls to the store, by what they are for.',
+            labels=['purpose'],
+        )
+        for purpose, count in self._control.store_calls.items():
+            family.add_metric([purpose.value], count)
+        return family
+
+    def _datagrams(self) -> Iterator[Metric]:
+        traffic = self._control.traffic
+        for name, text, counts in (
+            ('datagrams', 'Datagrams sent to daemons.', traffic.datagrams),
+            ('bytes', 'Their payload in bytes.', traffic.bytes),
+        ):
+            family = CounterMetricFamily(
+                f'verbenamill_gossip_{name}',
+                text,
+                labels=['message', 'zone'],
+            )
+            for kind, count in counts.items():
+                zone = 'other' if kind.crosses else 'own'
+                family.add_metric([kind.message, zone], count)
+            yield family
+
     def _outcomes(self) -> Metric:
         family = CounterMetricFamily(
             'verbenamill_calls_failed',
@@ -80,10 +125,10 @@
         return family
 
 
-def render(stats: CallStats, gauges: Gauges) -> bytes:
+def render(stats: CallStats, gauges: Gauges, control: Control) -> bytes:
     """Text of all metrics."""
     registry = CollectorRegistry(auto_describe=False)
-    registry.register(_Collector(stats, gauges))
+    registry.register(_Collector(stats, gauges, control))
     return generate_latest(registry)
 
 
--- a/libs/sidecar/src/verbenamill_sidecar/peers.py
+++ b/libs/sidecar/src/verbenamill_sidecar/peers.py
@@ -202,6 +202,13 @@
         """Whether it is this daemon."""
         return peer.record.vm == self._own
 
+    def is_suspect(self, vm: VmId) -> bool:
+        """Whether a daemon seems to be out of reach."""
+        peer = self.get(vm)
+        if peer is None or not peer.owner.down_until:
+            return False
+        return peer.owner.down_until > trio.current_time()
+
     def of_service(self, service: ServiceName) -> list[Peer]:
         """Daemons whose upstream takes requests of a service."""
         self._refresh()
--- a/libs/sidecar/src/verbenamill_sidecar/protocol.py
+++ b/libs/sidecar/src/verbenamill_sidecar/protocol.py
@@ -4,14 +4,15 @@
 there and decides nothing.
 """
 
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Collection
 from enum import Enum, unique
 from typing import Protocol
 
 from msgspec import Struct
 from returns.result import Result
 
-from verbenamill_model.typing import ServiceName
+from verbenamill_model.typing import AvailabilityZone, ServiceName, VmId
 from verbenamill_policy.heartbeats import Heartbeat
 from verbenamill_policy.members import MemberRecord
 from verbenamill_policy.rollouts import Order, Settled
@@ -52,6 +53,21 @@
     EXPIRED = 'expired'
 
 
+@unique
+class StorePurpose(Enum):
+    """What a call to the store is for."""
+
+    PUBLISHED = 'published'
+    FOLLOW = 'follow'
+    SETTLEMENTS = 'settlements'
+    SETTLE = 'settle'
+    MEMBERS = 'members'
+    ANNOUNCE = 'announce'
+    SAVE_ZONE = 'save-zone'
+    JOIN = 'join'
+    LEAVE = 'leave'
+
+
 class Published(Struct, frozen=True, kw_only=True):
     """What operators have published, as far as a read tells it.
 
@@ -80,8 +96,8 @@
     """The platform's store, as far as the daemon uses it."""
 
     @property
-    def calls(self) -> int:
-        """Calls made since the start."""
+    def calls(self) -> Counter[StorePurpose]:
+        """Calls made since the start, by purpose."""
 
     async def published(self) -> Result[Published, StoreFault]:
         """The newest of all that operators have published."""
@@ -110,8 +126,23 @@
     async def members(self) -> Result[tuple[MemberRecord, ...], StoreFault]:
         """Daemons that have told of themselves and not left."""
 
+    async def announce(self, member: MemberRecord) -> Result[None, StoreFault]:
+        """Make a daemon known until its zone is saved."""
+
+    async def save_zone(
+        self,
+        zone: AvailabilityZone,
+        members: Collection[MemberRecord],
+        *,
+        announced: Collection[VmId],
+    ) -> Result[None, StoreFault]:
+        """Replace what is kept of a zone's daemons.
+
+        :param announced: daemons that need no announcement any more.
+        """
+
     async def join(self, member: MemberRecord) -> Result[None, StoreFault]:
-        """Tell of this daemon."""
+        """Keep the record of one daemon, beside that of its zone."""
 
     async def leave(self, member: MemberRecord) -> Result[None, StoreFault]:
         """Take back what was told of this daemon."""
--- a/libs/sidecar/src/verbenamill_sidecar/settings.py
+++ b/libs/sidecar/src/verbenamill_sidecar/settings.py
@@ -12,6 +12,7 @@
 from verbenamill_model.faults import Fault
 from verbenamill_model.typing import AvailabilityZone, ServiceName, VmId
 from verbenamill_runtime.settings_fields import (
+    Flag,
     Name,
     OneAddress,
     as_choice,
@@ -81,6 +82,16 @@
     grace: Annotated[int, as_integer(1000, 600_000)] = 6000
 
 
+class StartSettings(Struct, frozen=True, kw_only=True):
+    """What is known of this start.
+
+    :param first: whether the whole fleet starts for the first time, so that
+        the store has nothing of it yet.
+    """
+
+    first: Annotated[bool, Flag] = False
+
+
 class LoggingSettings(Struct, frozen=True, kw_only=True):
     """How events are written."""
 
@@ -96,6 +107,7 @@
     upstream: UpstreamSettings
     store: StoreSettings
     advertise: AdvertiseSettings = AdvertiseSettings()
+    start: StartSettings = StartSettings()
     stop: StopSettings = StopSettings()
     logging: LoggingSettings = LoggingSettings()
 
--- a/libs/sidecar/tests/test_feeding.py
+++ b/libs/sidecar/tests/test_feeding.py
@@ -1,4 +1,6 @@
-"""The tree in a zone: every daemon is fed by exactly one other."""
+"""Who of a zone reads the store, and who is told by whom."""
+
+from zlib import crc32
 
 import pytest
 import trio
@@ -8,16 +10,20 @@
 from verbenamill_sidecar.feeding import (
     FANOUT,
     HUNGRY_AFTER,
-    READERS,
+    LEAD,
+    NOTICE_PERIOD,
+    PROBERS,
+    READERS_ALONE,
+    READING_ZONES,
     STARVED_AFTER,
     Feeding,
 )
 
 
-def make_table(count, *, leaving=()):
+def make_table(count, *, leaving=(), zones='abc'):
     table = MemberTable()
     for place in range(count):
-        for zone in 'ab':
+        for zone in zones:
             name = f'{zone}{place}'
             table.merge(
                 MemberRecord(
@@ -33,52 +39,218 @@
     return table
 
 
+def play(scene):
+    trio.run(scene, clock=MockClock(autojump_threshold=0))
+
+
+class Fleet:
+    """All daemons of some zones; notices get there at once."""
+
+    def __init__(self, count, *, leaving=(), zones='abcd'):
+        self.table = make_table(count, leaving=leaving, zones=zones)
+        self.zones = sorted(zones, key=lambda zone: crc32(zone.encode()))
+        self.feedings = {
+            record.vm: Feeding(self.table, record.vm) for record in self.table
+        }
+        self.down = set()
+        self.cut = set()
+        for feeding in self.feedings.values():
+            feeding.begin(HUNGRY_AFTER)
+
+    def find(self, rank, zone_rank=0):
+        """The daemon of some rank in a zone of some rank."""
+        zone = self.zones[zone_rank]
+        found = [
+            vm
+            for vm, feeding in self.feedings.items()
+            if vm.startswith(zone) and feeding.rank == rank
+        ]
+        return found[0]
+
+    def of_zone(self, zone_rank=0):
+        zone = self.zones[zone_rank]
+        return {vm for vm in self.feedings if vm.startswith(zone)}
+
+    def reading(self):
+        return {
+            vm
+            for vm, feeding in self.feedings.items()
+            if vm not in self.down and feeding.must_read()
+        }
+
+    def tell(self):
+        """One round of notices."""
+        for vm, feeding in self.feedings.items():
+            if vm in self.down:
+                continue
+            stalls = feeding.must_read() and vm in self.cut
+            for child in feeding.children:
+                if child.vm in self.down:
+                    continue
+                if stalls:
+                    self.feedings[child.vm].stall(vm)
+                else:
+                    self.feedings[child.vm].feed()
+
+    async def run(self, seconds):
+        """Most daemons that read at a time, and those at the end."""
+        most = 0
+        end = trio.current_time() + seconds
+        while trio.current_time() < end:
+            self.tell()
+            for _ in range(12):
+                before = self.reading()
+                await trio.sleep(NOTICE_PERIOD / 12)
+                most = max(most, len(self.reading()))
+                if self.reading() - before:
+                    # Who begins to read tells the others at once.
+                    self.tell()
+        return most, self.reading()
+
+
 @pytest.mark.parametrize('count', [1, 2, 3, 4, 17, 300])
-def test_all_but_the_readers_have_one_parent(count):
-    table = make_table(count)
-    feedings = {f'a{n}': Feeding(table, f'a{n}') for n in range(count)}
-    readers = [vm for vm, one in feedings.items() if one.is_reader]
-    fed = [child.vm for one in feedings.values() for child in one.children]
-    assert len(readers) == min(READERS, count)
-    assert sorted([*readers, *fed]) == sorted(feedings)
-    assert all(len(one.children) <= FANOUT for one in feedings.values())
+def test_all_but_the_readers_are_told(count):
+    async def scene():
+        feedings = Fleet(count).feedings
+        readers = {vm for vm, one in feedings.items() if one.is_reader}
+        told = {child.vm for one in feedings.values() for child in one.children}
+        assert len(readers) == READING_ZONES
+        assert told | readers == set(feedings)
+        assert all(
+            len(one.children) <= 2 * FANOUT
+            for one in feedings.values()
+            if not one.is_reader
+        )
+
+    play(scene)
+
+
+@pytest.mark.parametrize('zones', ['a', 'ab'])
+def test_more_read_where_too_few_zones_could_tell_them(zones):
+    # A reader that is cut off from the store notices it when its read is
+    # overdue. Without peers in other zones nobody tells it of a change.
+    async def scene():
+        feedings = Fleet(10, zones=zones).feedings
+        readers = [vm for vm, one in feedings.items() if one.is_reader]
+        assert len(readers) == READERS_ALONE * len(zones)
+
+    play(scene)
+
+
+@pytest.mark.parametrize('count', [3, 5, 33])
+@pytest.mark.parametrize('zones', ['abc', 'abcdef', 'abcdefghijklmnopqrstu'])
+def test_in_calm_as_many_read_however_many_zones_there_are(count, zones):
+    async def scene():
+        fleet = Fleet(count, zones=zones)
+        most, reading = await fleet.run(5)
+        assert most == READING_ZONES
+        assert reading == {fleet.find(0), fleet.find(0, 1)}
+
+    play(scene)
+
+
+@pytest.mark.parametrize('count', [5, 33, 100])
+@pytest.mark.parametrize('lost', [1, 2])
+def test_the_next_in_rank_steps_in_for_a_silent_reader(count, lost):
+    # The reader is killed, or frozen. Its zone would run an old
+    # configuration for as long as nobody reads in its place, and would read
+    # the store many times over if all did.
+    async def scene():
+        fleet = Fleet(count)
+        await fleet.run(3)
+        fleet.down = {fleet.find(rank) for rank in range(lost)}
+        _, reading = await fleet.run(2)
+        assert fleet.find(lost) in reading
+        most, reading = await fleet.run(5)
+        assert reading & fleet.of_zone() == {fleet.find(lost)}
+        assert most <= READING_ZONES + 2
+
+    play(scene)
+
+
+def test_both_zones_that_read_are_lost():
+    async def scene():
+        fleet = Fleet(20, zones='abcdef')
+        await fleet.run(3)
+        fleet.down = fleet.of_zone(0) | fleet.of_zone(1)
+        _, reading = await fleet.run(2.5)
+        assert fleet.find(0, 2) in reading
+        _, reading = await fleet.run(5)
+        assert reading == {fleet.find(0, 2)}
+
+    play(scene)
+
+
+def test_all_who_lead_a_zone_are_lost():
+    async def scene():
+        fleet = Fleet(60)
+        await fleet.run(3)
+        fleet.down = {fleet.find(rank) for rank in range(LEAD)}
+        await fleet.run(3)
+        assert fleet.reading() & fleet.of_zone()
+        for vm in fleet.of_zone() - fleet.down - fleet.reading():
+            assert not fleet.feedings[vm].must_read()
+
+    play(scene)
+
+
+def test_a_reader_that_only_itself_is_cut_off_is_replaced():
+    async def scene():
+        fleet = Fleet(33)
+        await fleet.run(3)
+        fleet.cut = {fleet.find(0)}
+        _, reading = await fleet.run(3)
+        assert reading & fleet.of_zone() == {fleet.find(0), fleet.find(1)}
+
+    play(scene)
+
+
+@pytest.mark.parametrize('count', [5, 33, 100])
+def test_few_ask_a_store_that_answers_nobody(count):
+    # Each call is priced, the refused ones as well. If all daemons ask, they
+    # send hundreds of calls a second into an outage.
+    async def scene():
+        fleet = Fleet(count)
+        await fleet.run(3)
+        fleet.cut = set(fleet.feedings)
+        await fleet.run(4)
+        most, reading = await fleet.run(10)
+        assert most <= PROBERS * len(fleet.zones)
+        assert {fleet.find(0), fleet.find(0, 1)} <= reading
+
+    play(scene)
 
 
 def test_who_leaves_feeds_nobody():
-    whole = make_table(10)
-    first = next(f'a{n}' for n in range(10) if Feeding(whole, f'a{n}').children)
-    table = make_table(10, leaving=(first,))
-    fed = [
-        child.vm
-        for n in range(10)
-        if f'a{n}' != first
-        for child in Feeding(table, f'a{n}').children
-    ]
-    readers = [
-        f'a{n}'
-        for n in range(10)
-        if f'a{n}' != first and Feeding(table, f'a{n}').is_reader
-    ]
-    assert len(fed) + len(readers) == 9
-
-
-def test_who_is_not_fed_reads_by_itself():
-    # The parent was killed, or is cut off from the store itself. Its child
-    # would run an old configuration for as long as nobody else tells it.
     async def scene():
-        table = make_table(10)
-        hungry = next(
-            feeding
-            for feeding in (Feeding(table, f'a{n}') for n in range(10))
-            if not feeding.is_reader
-        )
-        assert hungry.must_read()
-        hungry.feed()
-        assert not hungry.must_read()
-        await trio.sleep(HUNGRY_AFTER + 0.1)
-        assert hungry.must_read()
+        first = Fleet(10).find(0)
+        fleet = Fleet(10, leaving=(first,))
+        told = {
+            child.vm
+            for vm, one in fleet.feedings.items()
+            for child in one.children
+            if vm != first
+        }
+        readers = {vm for vm, one in fleet.feedings.items() if one.is_reader}
+        assert told | readers | {first} == set(fleet.feedings)
+        assert first not in readers
+        assert len(readers) == READING_ZONES
 
-    trio.run(scene, clock=MockClock(autojump_threshold=0))
+    play(scene)
+
+
+def test_who_leaves_and_hears_nobody_reads_by_itself():
+    # A daemon that stops serves its callers for some seconds more, and the
+    # others have taken it out of the tree.
+    async def scene():
+        vm = Fleet(10).find(4)
+        feeding = Fleet(10, leaving=(vm,)).feedings[vm]
+        feeding.feed()
+        assert not feeding.must_read()
+        await trio.sleep(HUNGRY_AFTER + 1)
+        assert feeding.must_read()
+
+    play(scene)
 
 
 def test_who_hears_of_news_and_does_not_get_them_reads_by_itself():
@@ -86,12 +258,8 @@
     # answer. Taken as fed, the child would run an old configuration for as
     # long as that lasts.
     async def scene():
-        table = make_table(10)
-        starved = next(
-            feeding
-            for feeding in (Feeding(table, f'a{n}') for n in range(10))
-            if not feeding.is_reader
-        )
+        fleet = Fleet(10)
+        starved = fleet.feedings[fleet.find(5)]
         starved.feed()
         starved.starve()
         assert not starved.must_read()
@@ -103,58 +271,32 @@
         starved.feed()
         assert not starved.must_read()
 
-    trio.run(scene, clock=MockClock(autojump_threshold=0))
+    play(scene)
 
 
-def test_readers_know_each_other():
-    table = make_table(10)
-    feedings = {f'a{n}': Feeding(table, f'a{n}') for n in range(10)}
-    readers = {vm for vm, one in feedings.items() if one.is_reader}
-    for vm, one in feedings.items():
-        others = {record.vm for record in one.other_readers}
-        assert others == readers - {vm}
-
-
-def test_who_leaves_reads_by_itself():
-    # A daemon that stops serves its callers for some seconds more. The others
-    # have taken it out of the tree, so that nobody feeds it; a new route
-    # would be refused there until its end.
+def test_readers_tell_the_first_of_other_zones():
     async def scene():
-        whole = make_table(10)
-        names = [f'a{n}' for n in range(10)]
-        fed = next(vm for vm in names if not Feeding(whole, vm).is_reader)
-        feeding = Feeding(make_table(10, leaving=(fed,)), fed)
-        feeding.feed()
-        assert feeding.must_read()
+        fleet = Fleet(10, zones='abc')
+        reader = fleet.feedings[fleet.find(0)]
+        firsts = {
+            fleet.find(rank, zone) for rank in range(2) for zone in (1, 2)
+        }
+        assert {record.vm for record in reader.heads} == firsts
 
-    trio.run(scene, clock=MockClock(autojump_threshold=0))
+    play(scene)
 
 
-@pytest.mark.parametrize('count', [5, 12, 40, 300])
-def test_a_second_parent_tells_the_children_as_well(count):
+@pytest.mark.parametrize('count', [12, 40, 300])
+def test_a_daemon_below_the_lead_has_two_parents(count):
     # The parent is cut off from the store and has not noticed yet: it says
     # that nothing is new. Its children need the news from somebody else.
-    table = make_table(count)
-    feedings = {f'a{n}': Feeding(table, f'a{n}') for n in range(count)}
-    parents = {vm: set() for vm in feedings}
-    for vm, one in feedings.items():
-        for child in (*one.children, *one.wards):
-            parents[child.vm].add(vm)
-    for vm, one in feedings.items():
-        assert len(parents[vm]) == (0 if one.is_reader else 2)
-
-
-def test_a_child_is_reached_although_one_reader_is_not():
-    table = make_table(300)
-    feedings = {f'a{n}': Feeding(table, f'a{n}') for n in range(300)}
-    readers = [vm for vm, one in feedings.items() if one.is_reader]
-    for cut in readers:
-        reached = set(readers) - {cut}
-        wave = list(reached)
-        while wave:
-            one = feedings[wave.pop()]
-            for child in (*one.children, *one.wards):
-                if child.vm not in reached:
-                    reached.add(child.vm)
-                    wave.append(child.vm)
-        assert reached == set(feedings) - {cut}
+    async def scene():
+        fleet = Fleet(count, zones='abc')
+        parents = {vm: set() for vm in fleet.feedings}
+        for vm, one in fleet.feedings.items():
+            for child in one.children:
+                parents[child.vm].add(vm)
+        for rank in range(LEAD, count):
+            assert len(parents[fleet.find(rank)]) == 2
+
+    play(scene)
--- a/libs/sidecar/tests/test_following.py
+++ b/libs/sidecar/tests/test_following.py
@@ -74,8 +74,7 @@
             peers=self.peers,
             random=Random(1),
             feeding=Feeding(self._table, 'own'),
-            feed_children=lambda: None,
-            compare_soon=lambda: None,
+            feed=lambda kind: None,
         )
 
     def _add(self, vm, port):
@@ -129,9 +128,9 @@
     async def act(scene):
         await scene.add('far', silent)
         await scene.add('parent', telling)
-        scene.follower.is_behind('far', STAMP, False)
+        scene.follower.is_behind('far', STAMP, is_parent=False)
         await trio.sleep(0.6)
-        scene.follower.is_behind('parent', STAMP, True)
+        scene.follower.is_behind('parent', STAMP, is_parent=True)
         await scene.in_step()
 
     play(act)
@@ -141,9 +140,9 @@
     async def act(scene):
         await scene.add('far', silent)
         await scene.add('near', telling)
-        scene.follower.is_behind('far', STAMP, False)
-        scene.follower.is_behind('far', STAMP, False)
-        scene.follower.is_behind('near', STAMP, False)
+        scene.follower.is_behind('far', STAMP, is_parent=False)
+        scene.follower.is_behind('far', STAMP, is_parent=False)
+        scene.follower.is_behind('near', STAMP, is_parent=False)
         await scene.in_step()
 
     play(act)
--- a/libs/sidecar/tests/test_gossip.py
+++ b/libs/sidecar/tests/test_gossip.py
@@ -20,14 +20,29 @@
 from verbenamill_sidecar.peers import Peers
 
 
+class FakeFollower:
+    """Notes who knows more."""
+
+    def __init__(self, wishes):
+        self._wishes = wishes
+        self.behind = []
+
+    def hear_stamp(self, vm, stamp):
+        if self._wishes.lacks(stamp):
+            self.behind.append(vm)
+
+    def is_behind(self, vm, stamp, *, is_parent):
+        self.behind.append(vm)
+
+
 class Node:
     """One daemon's gossip, without the rest of it."""
 
     def __init__(self, vm, *, incarnation=1, port=0):
         self.recalled = []
-        self.behind = []
         self.table = MemberTable()
         self.wishes = Wishes()
+        self.follower = FakeFollower(self.wishes)
         record = MemberRecord(
             vm=vm,
             incarnation=incarnation,
@@ -43,7 +58,7 @@
             wishes=self.wishes,
             random=Random(vm),
             recall=self.recalled.append,
-            behind=lambda vm, stamp, is_parent: self.behind.append(vm),
+            follower=self.follower,
             feeding=Feeding(self.table, vm),
             counted=lambda tally: None,
         )
@@ -52,6 +67,10 @@
     def knows(self, vm):
         return self.table.get(vm)
 
+    def meet(self, other):
+        self.gossip.take_members([other.gossip.own], spread=False)
+        self.gossip.greet()
+
 
 def make_upstream(state=UpstreamState.READY):
     return UpstreamRecord('i1', 100, 3, 's', 'v1', state, 4)
@@ -79,7 +98,7 @@
 def make_nodes(count, ports):
     nodes = [Node(f'vm{place}', port=next(ports)) for place in range(count)]
     for node in nodes[1:]:
-        node.gossip.meet([nodes[0].gossip.own])
+        node.meet(nodes[0])
     return nodes
 
 
@@ -111,7 +130,9 @@
                 upstream=make_upstream(UpstreamState.DRAINING),
             )
         await until(
-            lambda: len({tuple(node.table.digests) for node in nodes}) == 1,
+            lambda: all(
+                node.table.digests == nodes[0].table.digests for node in nodes
+            ),
         )
         versions = [node.table.version for node in nodes]
         await trio.sleep(1)
@@ -129,10 +150,10 @@
     before = Node('vm0', incarnation=900, port=port)
     before.gossip.update(upstream=make_upstream(UpstreamState.DRAINING))
     other = Node('vm1', port=next(ports))
-    other.gossip.take_members([before.gossip.own])
+    other.gossip.take_members([before.gossip.own], spread=False)
     before.gossip.close()
     after = Node('vm0', incarnation=5, port=port)
-    after.gossip.meet([other.gossip.own])
+    after.meet(other)
 
     async def check(nursery):
         await until(lambda: other.knows('vm0').age > before.gossip.own.age)
@@ -148,7 +169,7 @@
     async def check(nursery):
         await until(lambda: all(len(node.table) == 2 for node in nodes))
         nodes[0].wishes.take_configuration(make_configuration(), 'test')
-        await until(lambda: 'vm0' in nodes[1].behind)
+        await until(lambda: 'vm0' in nodes[1].follower.behind)
 
     trio.run(run_nodes, nodes, check)
 
--- a/libs/sidecar/tests/test_silence.py
+++ b/libs/sidecar/tests/test_silence.py
@@ -39,7 +39,7 @@
             wishes=Wishes(),
             random=Random(1),
             recall=lambda _: None,
-            behind=lambda *_: None,
+            follower=None,
             feeding=Feeding(table, 'vm0'),
             counted=lambda _: None,
         )
