--- a/deploy/tests/test_store_calls.py
+++ b/deploy/tests/test_store_calls.py
@@ -34,7 +34,7 @@
 
 def find_fed(site):
     """A VM whose daemon gets the configuration from others."""
-    return next(vm for vm in site.vms if not vm.daemon._feeding.must_read())
+    return next(vm for vm in site.vms if not vm.daemon._tree.must_read())
 
 
 def test_a_daemon_that_starts_beside_others_makes_one_call(play):
@@ -58,7 +58,7 @@
         vm = await site.add('vm9', zone=zone)
         await site.in_force(1)
         await site.settled()
-        if not vm.daemon._feeding.must_read():
+        if not vm.daemon._tree.must_read():
             assert_read_once(site, vm)
 
     play(scene, clock=MockClock(autojump_threshold=0))
@@ -93,7 +93,7 @@
 def test_a_reader_that_falls_silent_is_replaced(play, kit):
     async def scene(site):
         await open_site(site)
-        for vm in [one for one in site.vms if one.daemon._feeding.is_reader]:
+        for vm in [one for one in site.vms if one.daemon._tree.is_reader]:
             await vm.kill()
             site.vms.remove(vm)
         site.store.operate('config', kit.document(2))
@@ -107,7 +107,7 @@
     # reader of another zone tells it of the change.
     async def scene(site):
         await open_site(site)
-        reader = next(vm for vm in site.vms if vm.daemon._feeding.is_reader)
+        reader = next(vm for vm in site.vms if vm.daemon._tree.is_reader)
         reader.daemon._follower._store.follow = _never
         site.store.operate('config', kit.document(2))
         with trio.fail_after(2):
--- a/libs/policy/src/verbenamill_policy/evidence.py
+++ b/libs/policy/src/verbenamill_policy/evidence.py
@@ -43,16 +43,13 @@
 _TAIL = 0.05
 #: Buckets by which a new version may be slower all in all: a factor of 1.7, as
 #: when it gets nearly all requests. How upstreams differ is in the times of
-#: the old version already. With 2, two of 30 simulated good moves were
-#: taken back, with 3 none.
+#: the old version already.
 _ALLOWANCE = 3
 #: Calls of the old version without which its tail says nothing.
 _FEW_FOR_TAIL = 30
 #: Part of the requests of a good version, and of a bad one, that take a long
-#: time. A version that is eight times slower in half of its requests is found
-#: within 16 of them in the median, 32 in nine cases of ten (40 simulated
-#: moves); by its mean alone within 46 in the median, and one in ten not
-#: within 60.
+#: time. A version that is slow in half of its requests shows by this much
+#: sooner than by its mean.
 _USUAL_LONG = 0.1
 _BAD_LONG = 0.4
 #: Calls of the old version without which its mean says nothing.
--- a/libs/policy/src/verbenamill_policy/placement.py
+++ b/libs/policy/src/verbenamill_policy/placement.py
@@ -11,8 +11,8 @@
 
 #: Weight of the newest answer in what is believed of an owner.
 _WEIGHT = 0.15
-#: The same for failures. A good upstream fails one request in a hundred; with
-#: more weight, each such failure sent the next seconds' requests away.
+#: The same for failures. A single failure of a good upstream must not send the
+#: next seconds' requests away.
 _FAILURE_WEIGHT = 0.05
 #: Bounds of an owner's pace; beyond them a single answer would decide.
 _MIN_PACE = 0.25
@@ -29,7 +29,7 @@
 #: failures and pace is forgotten, in seconds: it may have recovered, and only
 #: requests can show that.
 _BELIEF_HALVES = 2.0
-#: Owners looked at for one request. More cost time and gain little.
+#: Owners looked at for one request; bounds its processor time.
 _MAX_LOOKS = 12
 #: Random part of an estimate. Daemons that hear the same would all choose
 #: the same owner otherwise and fill it at once.
@@ -40,11 +40,8 @@
 _HEADROOM = 0.9
 #: Worth of an answer after its objective, beside one in time.
 _LATE_WORTH = 0.3
-#: Bytes whose way between zones costs as much as an answer is worth. Prices
-#: of 23 kB to 83 kB were seen, and no daemon can observe its own; near the
-#: dearer one, a small answer (2 kB with its headers) is sent away for a gain
-#: of 0.08 in the chance to be in time. With 35 kB, the bytes of a day cost up
-#: to 0.01 of its worth more, and no more requests came in time.
+#: Bytes whose way between zones costs as much as an answer is worth. No
+#: daemon can observe that price.
 _BYTES_PER_ANSWER = 26_000
 #: Headers of a request, an answer and those between daemons, in bytes.
 _HEADER_BYTES = 900
--- a/libs/policy/src/verbenamill_policy/service_times.py
+++ b/libs/policy/src/verbenamill_policy/service_times.py
@@ -13,11 +13,10 @@
 HALVES = 1.0
 #: The same for the spread, which a single long time would move too far.
 _SPREAD_WEIGHT = 0.03
-#: Assumed before any request of a route was seen, as a part of its latency
+#: Assumed before the first request of a route, as a part of its latency
 #: objective. Operators set an objective at three to four times the usual
-#: service time. With a fixed 50 ms in its place, a daemon that was just
-#: started admitted several times too many requests of 160 ms to 640 ms, and
-#: nearly all of them came late.
+#: service time. A fixed time in its place would let a daemon that has just
+#: started admit several times too much long work.
 PRIOR_SHARE = 0.3
 #: Mean of all routes while nothing is known, in seconds.
 FIRST = 0.05
--- a/libs/sidecar/src/verbenamill_sidecar/daemon.py
+++ b/libs/sidecar/src/verbenamill_sidecar/daemon.py
@@ -21,7 +21,7 @@
 )
 
 from verbenamill_sidecar.announcing import Announcements
-from verbenamill_sidecar.feeding import Feeding
+from verbenamill_sidecar.distribution import DistributionTree
 from verbenamill_sidecar.following import Follower
 from verbenamill_sidecar.gossip import Gossip
 from verbenamill_sidecar.health import Health
@@ -85,7 +85,7 @@
         settings = context.settings
         self._table = MemberTable()
         self._peers = Peers(self._table, settings.vm.id)
-        self._feeding = Feeding(self._table, settings.vm.id)
+        self._tree = DistributionTree(self._table, settings.vm.id)
         self._wishes = Wishes()
         self._stats = CallStats()
         self._own = OwnUpstream(
@@ -110,8 +110,8 @@
             wishes=self._wishes,
             peers=self._peers,
             random=context.random,
-            feeding=self._feeding,
-            feed=lambda kind: self._gossip.feed(kind),
+            tree=self._tree,
+            notify=lambda kind: self._gossip.notify(kind),
         )
         self._gossip = Gossip(
             own=self._own_record(),
@@ -121,13 +121,13 @@
             random=context.random,
             recall=self._own.recall,
             follower=self._follower,
-            feeding=self._feeding,
+            tree=self._tree,
             counted=self._moving.take_tally,
         )
         self._registrar = Registrar(
             context.store,
             self._gossip,
-            self._feeding,
+            self._tree,
             self._table,
             context.random,
             is_lost=lambda: self._follower.is_lost,
@@ -174,7 +174,7 @@
             await self._follower.run()
             return
         # Nobody calls yet, and nobody has anything to tell.
-        self._feeding.begin(_FIRST_PATIENCE)
+        self._tree.await_notice(_FIRST_PATIENCE)
         await self._follower.run(patience=_FIRST_WAIT)
 
     def is_ready(self) -> bool:
@@ -381,7 +381,7 @@
             ),
             'reads_store': (
                 'Whether this daemon reads the store for its zone.',
-                self._feeding.must_read(),
+                self._tree.must_read(),
             ),
             'ready': ('Whether callers may be sent here.', self.is_ready()),
         }
--- a/libs/sidecar/src/verbenamill_sidecar/datagrams.py
+++ b/libs/sidecar/src/verbenamill_sidecar/datagrams.py
@@ -78,12 +78,12 @@
 class NoticeKind(IntEnum):
     """What a daemon tells about its knowledge of the store.
 
-    ``FED``: the sender is up to date, and the receiver need not read.
+    ``CURRENT``: the sender is up to date, and the receiver need not read.
     ``STALLED``: the sender reads, and the store does not answer it.
     ``NEWS``: the sender of another zone has just become newer.
     """
 
-    FED = 0
+    CURRENT = 0
     STALLED = 1
     NEWS = 2
 
@@ -96,7 +96,7 @@
 
     sender: VmId
     stamp: tuple[int, int]
-    kind: NoticeKind = NoticeKind.FED
+    kind: NoticeKind = NoticeKind.CURRENT
 
 
 class Ask(Struct, tag='a', array_like=True):
--- a/libs/sidecar/src/verbenamill_sidecar/feeding.py
+++ b/libs/sidecar/src/verbenamill_sidecar/distribution.py
@@ -33,22 +33,22 @@
 LEAD = 9
 #: First in rank of another zone, who are told news by readers.
 _HEADS = 2
-#: How often children are told that they are fed, in seconds.
+#: How often children are told that they are up to date, in seconds.
 NOTICE_PERIOD = 0.6
 #: After this long without a notice, a daemon reads by itself, in seconds: two
 #: notices were lost by then, and a change is still in force within two
 #: seconds.
-HUNGRY_AFTER = 1.3
+NOTICE_TIMEOUT = 1.3
 #: How much longer each next one in rank waits, in seconds, so that one steps
 #: in and tells the others, and not all of them read; and how often at most.
 _STAGGER = 0.1
 _MOST_STAGGERS = 4
 #: A daemon that knows of news and does not get them for this long reads by
 #: itself, in seconds; leaves it time to be in step within the bound of 2 s.
-STARVED_AFTER = 0.7
+BEHIND_TIMEOUT = 0.7
 
 
-class Feeding:
+class DistributionTree:
     """Place of this daemon among those of its zone."""
 
     def __init__(self, table: MemberTable, own: VmId) -> None:
@@ -64,9 +64,9 @@
         self._lead: list[MemberRecord] = []
         self._heads: list[MemberRecord] = []
         self._later_heads: list[MemberRecord] = []
-        self._fed_at = float('-inf')
+        self._notice_at = float('-inf')
         self._stalled_at: dict[VmId, float] = {}
-        self._starved_since: float | None = None
+        self._behind_since: float | None = None
 
     @property
     def rank(self) -> int:
@@ -96,7 +96,7 @@
 
         Each has a second parent. One that was just cut off from the store
         does not notice that until its read is overdue, and goes on telling
-        its children that they are fed.
+        its children that they are up to date.
         """
         self._refresh()
         if not self.must_read():
@@ -110,41 +110,41 @@
         self._refresh()
         return self._heads
 
-    def begin(self, patience: float) -> None:
+    def await_notice(self, patience: float) -> None:
         """Wait some time for a first notice.
 
         :param patience: in seconds; without a notice by then, this daemon
             reads by itself.
         """
         now = trio.current_time()
-        self._fed_at = max(self._fed_at, now + patience - HUNGRY_AFTER)
+        self._notice_at = max(self._notice_at, now + patience - NOTICE_TIMEOUT)
 
-    def feed(self) -> None:
+    def hear_notice(self) -> None:
         """A parent has told all that it runs."""
-        self._fed_at = trio.current_time()
-        self._starved_since = None
+        self._notice_at = trio.current_time()
+        self._behind_since = None
 
-    def stall(self, sender: VmId) -> None:
+    def hear_stalled(self, sender: VmId) -> None:
         """A daemon that reads gets no answer of the store."""
         self._stalled_at[sender] = trio.current_time()
 
-    def starve(self) -> None:
+    def hear_news(self) -> None:
         """A parent runs something that has not come here yet.
 
         Its notices may get here while nothing can be fetched from it, as
-        when its port for requests is out of reach. Taken as fed, this
+        when its port for requests is out of reach. Taken as up to date, this
         daemon would never read by itself and stay behind.
         """
-        if self._starved_since is None:
-            self._starved_since = trio.current_time()
+        if self._behind_since is None:
+            self._behind_since = trio.current_time()
 
     def must_read(self) -> bool:
         """Whether this daemon has to read the store now."""
         if self.is_reader:
             return True
         now = trio.current_time()
-        since = self._starved_since
-        if since is not None and now - since > STARVED_AFTER:
+        since = self._behind_since
+        if since is not None and now - since > BEHIND_TIMEOUT:
             return True
         probers = self._count_probers(now)
         if probers >= PROBERS:
@@ -153,13 +153,13 @@
             # All before it ask in vain; it may be them and not the store.
             return True
         place = self._rank or max(self._zone_rank - READING_ZONES, 0)
-        patience = HUNGRY_AFTER + _STAGGER * min(place, _MOST_STAGGERS)
-        return now - self._fed_at > patience
+        patience = NOTICE_TIMEOUT + _STAGGER * min(place, _MOST_STAGGERS)
+        return now - self._notice_at > patience
 
     def _count_probers(self, now: float) -> int:
         """Daemons that ask the store in vain, and rank before this one."""
         return sum(
-            now - at <= HUNGRY_AFTER
+            now - at <= NOTICE_TIMEOUT
             and self._ranks.get(vm, self._rank) < self._rank
             for vm, at in self._stalled_at.items()
         )
@@ -182,7 +182,7 @@
         zones = self._order_zones()
         self._zone_rank = zones.index(own.availability_zone)
         self._readers = READERS_ALONE if len(zones) < _ENOUGH_ZONES else 1
-        # Those before it must not be told: two readers that feed each other
+        # Those before it must not be told: two readers that satisfy each other
         # would both stop.
         self._lead = neighbours[self._rank + 1 : LEAD]
         self._children = [
--- a/libs/sidecar/src/verbenamill_sidecar/following.py
+++ b/libs/sidecar/src/verbenamill_sidecar/following.py
@@ -8,7 +8,7 @@
 
 from verbenamill_model.typing import VmId
 from verbenamill_sidecar.datagrams import NoticeKind
-from verbenamill_sidecar.feeding import NOTICE_PERIOD, Feeding
+from verbenamill_sidecar.distribution import NOTICE_PERIOD, DistributionTree
 from verbenamill_sidecar.fetching import fetch_knowledge
 from verbenamill_sidecar.knowledge import Stamp, Wishes
 from verbenamill_sidecar.peers import Peer, Peers
@@ -37,11 +37,11 @@
 LONGEST_PAUSE = 1.0
 #: How long a daemon that others are ahead of waits for its own read, in s.
 _HEAD_START = 0.4
-#: The same for one that is fed; a storm of changes is fetched in steps of
+#: The same for one with a parent; a storm of changes is fetched in steps of
 #: this length.
 _FIRST_START = 0.05
-#: How often a daemon that is fed looks whether it still is, in seconds.
-_FED_PAUSE = 0.1
+#: How often a daemon that does not read looks whether it has to, in seconds.
+_IDLE_PAUSE = 0.1
 #: How long a daemon that starts waits for what its neighbours know, in
 #: seconds; and how many that know nothing end the wait.
 START_WAIT = 0.2
@@ -57,7 +57,7 @@
 class Follower:
     """Follows what operators publish.
 
-    :param feed: tells other daemons what is known here.
+    :param notify: tells other daemons what is known here.
     :ivar read_at: when the store last answered, on trio's clock.
     """
 
@@ -68,11 +68,11 @@
         wishes: Wishes,
         peers: Peers,
         random: Random,
-        feeding: Feeding,
-        feed: Callable[[NoticeKind], None],
+        tree: DistributionTree,
+        notify: Callable[[NoticeKind], None],
     ) -> None:
-        self._feeding = feeding
-        self._feed = feed
+        self._tree = tree
+        self._notify = notify
         self._store = store
         self._wishes = wishes
         self._peers = peers
@@ -81,7 +81,7 @@
         self._is_lost = False
         self._settle_until = float('-inf')
         self._stirred_at = trio.current_time()
-        self._is_fed = False
+        self._has_idled = False
         self._ignorant: set[VmId] = set()
         self._begun = trio.Event()
         self._fetching: set[VmId] = set()
@@ -133,7 +133,7 @@
         same.
 
         :param stamp: what it knows, in short.
-        :param is_parent: whether it is to feed this one; then there is no
+        :param is_parent: whether it is the parent of this one; then there is no
             read of its own to wait for.
         """
         if self._nursery is None or vm in self._fetching:
@@ -156,14 +156,14 @@
             self._begun.set()
 
     async def _step(self) -> StoreFault | None:
-        if not self._feeding.must_read():
-            await trio.sleep(_FED_PAUSE)
-            self._is_fed = True
+        if not self._tree.must_read():
+            await trio.sleep(_IDLE_PAUSE)
+            self._has_idled = True
             return None
-        if self._is_fed:
+        if self._has_idled:
             # What was passed on meanwhile is not read once more; the newest
             # of each kind is one call.
-            self._is_fed = False
+            self._has_idled = False
             self._position = None
         if not self._wishes.has_verdicts:
             # A version that was taken back may run without an order, and an
@@ -247,7 +247,7 @@
         return fault
 
     async def _tell(self) -> None:
-        """Tell others of all that is new, and that they are fed."""
+        """Tell others of all that is new, and that they are up to date."""
         told = self._wishes.stamp
         told_at = float('-inf')
         was_reading = False
@@ -266,19 +266,19 @@
     def _is_reading(self) -> bool:
         """Whether this daemon reads, and the store answers it."""
         return (
-            self._feeding.must_read()
+            self._tree.must_read()
             and self._position is not None
-            and not self._is_fed
+            and not self._has_idled
             and not self._is_lost
         )
 
     def _tell_now(self, *, is_news: bool) -> None:
-        if not self._feeding.must_read() or self._is_reading():
-            self._feed(NoticeKind.FED)
+        if not self._tree.must_read() or self._is_reading():
+            self._notify(NoticeKind.CURRENT)
         elif self._is_lost:
-            self._feed(NoticeKind.STALLED)
-        if is_news and self._feeding.must_read():
-            self._feed(NoticeKind.NEWS)
+            self._notify(NoticeKind.STALLED)
+        if is_news and self._tree.must_read():
+            self._notify(NoticeKind.NEWS)
 
     async def _fetch(self, peer: Peer, stamp: Stamp, is_parent: bool) -> None:
         """Get from another daemon what the store did not bring in time."""
@@ -291,7 +291,7 @@
                 with trio.move_on_after(_FETCH_TIMEOUT):
                     await self._fetch_now(peer)
                 if is_parent and not self._wishes.lacks(stamp):
-                    self._feeding.feed()
+                    self._tree.hear_notice()
         finally:
             self._fetching.discard(peer.record.vm)
 
@@ -307,10 +307,10 @@
         known = await fetch_knowledge(peer.pool)
         if known is not None:
             self._wishes.take_all(known, peer.record.vm)
-            self._begin_fed()
+            self._begin_informed()
 
-    def _begin_fed(self) -> None:
+    def _begin_informed(self) -> None:
         """A neighbour has told all; its notices will come."""
         if not self._begun.is_set() and self._wishes.version >= 0:
             self._begun.set()
-            self._feeding.feed()
+            self._tree.hear_notice()
--- a/libs/sidecar/src/verbenamill_sidecar/gossip.py
+++ b/libs/sidecar/src/verbenamill_sidecar/gossip.py
@@ -39,7 +39,7 @@
     write_message,
 )
 from verbenamill_sidecar.dissemination import Dissemination
-from verbenamill_sidecar.feeding import Feeding
+from verbenamill_sidecar.distribution import DistributionTree
 from verbenamill_sidecar.following import Follower
 from verbenamill_sidecar.knowledge import Wishes
 from verbenamill_sidecar.peers import Peer, Peers
@@ -93,7 +93,7 @@
         random: Random,
         recall: Callable[[UpstreamRecord], None],
         follower: Follower,
-        feeding: Feeding,
+        tree: DistributionTree,
         counted: Callable[[Tally], None],
     ) -> None:
         self._table = table
@@ -101,7 +101,7 @@
         self._wishes = wishes
         self._random = random
         self._follower = follower
-        self._feeding = feeding
+        self._tree = tree
         self._counted = counted
         self._zone = own.availability_zone
         self._sock: socket.socket | None = None
@@ -212,11 +212,11 @@
         """Tell a verdict that this daemon knows of the store."""
         self._news.tell_settled(settled)
 
-    def feed(self, kind: NoticeKind) -> None:
+    def notify(self, kind: NoticeKind) -> None:
         """Tell others what is known here of the store's content."""
         notice = Notice(self.own.vm, self._wishes.stamp, kind)
         is_news = kind is NoticeKind.NEWS
-        to = self._feeding.heads if is_news else self._feeding.children
+        to = self._tree.heads if is_news else self._tree.children
         for record in to:
             self._send(record, notice)
 
@@ -293,11 +293,11 @@
                 self._follower.hear_stamp(message.sender, message.stamp)
                 return
             case NoticeKind.STALLED:
-                self._feeding.stall(message.sender)
-            case NoticeKind.FED if not is_behind:
-                self._feeding.feed()
+                self._tree.hear_stalled(message.sender)
+            case NoticeKind.CURRENT if not is_behind:
+                self._tree.hear_notice()
         if is_behind:
-            self._feeding.starve()
+            self._tree.hear_news()
             self._follower.is_behind(
                 message.sender,
                 message.stamp,
@@ -350,7 +350,7 @@
     def _take_summary(self, message: Summary, sender: MemberRecord) -> None:
         self._follower.hear_stamp(message.sender, message.stamp)
         if self.own.leaving and not self._wishes.lacks(message.stamp):
-            self._feeding.feed()
+            self._tree.hear_notice()
         self._reconciliation.take_summary(message, sender)
         self.has_met.set()
 
--- a/libs/sidecar/src/verbenamill_sidecar/peers.py
+++ b/libs/sidecar/src/verbenamill_sidecar/peers.py
@@ -25,10 +25,9 @@
 #: Open connections to one daemon: more than any upstream's slots and queue.
 MAX_CONNECTIONS = 128
 #: Silence after which a daemon that owes an answer is asked for a sign of
-#: life, and after which it seems to be lost, in seconds. A daemon whose
-#: processor is busy or out of its quota answers 0.1 to 0.2 s late, so the
-#: second is well above such a delay; with 1 s, what was under way to a zone as
-#: it was cut off could not be answered elsewhere within the objective any more.
+#: life, and after which it seems to be lost, in seconds. The second is well
+#: above the delay of a daemon whose processor is busy or out of its quota, and
+#: leaves time for another owner to answer within the objective.
 ASK_AFTER = 0.3
 LOST_AFTER = 0.6
 
--- a/libs/sidecar/src/verbenamill_sidecar/registering.py
+++ b/libs/sidecar/src/verbenamill_sidecar/registering.py
@@ -8,7 +8,7 @@
 
 from verbenamill_model.typing import UpstreamState, VmId
 from verbenamill_policy.members import MemberRecord, MemberTable
-from verbenamill_sidecar.feeding import Feeding
+from verbenamill_sidecar.distribution import DistributionTree
 from verbenamill_sidecar.gossip import GREETED_FIRST, Gossip
 from verbenamill_sidecar.protocol import Store
 
@@ -47,7 +47,7 @@
         self,
         store: Store,
         gossip: Gossip,
-        feeding: Feeding,
+        tree: DistributionTree,
         table: MemberTable,
         random: Random,
         *,
@@ -57,7 +57,7 @@
         self._found_nobody = found_nobody
         self._is_lost = is_lost
         self._table = table
-        self._feeding = feeding
+        self._tree = tree
         self._store = store
         self._gossip = gossip
         self._random = random
@@ -126,7 +126,7 @@
         self._has_read = True
         while True:
             await trio.sleep(_LOOK_AGAIN * (0.5 + self._random.random()))
-            if self._feeding.is_reader and not self._is_lost():
+            if self._tree.is_reader and not self._is_lost():
                 await self._read_members(spread=True)
 
     async def _find_members(self) -> None:
@@ -178,7 +178,7 @@
         """Write the members of the own zone whenever they have changed."""
         while True:
             await trio.sleep(_SAVE_STEP)
-            is_due = self._feeding.is_head and not self._is_lost()
+            is_due = self._tree.is_head and not self._is_lost()
             if is_due and self._zone_digest() != self._saved_digest:
                 await self._save_zone()
                 await trio.sleep(_SAVE_PERIOD - _SAVE_STEP)
--- a/libs/sidecar/tests/test_feeding.py
+++ b/libs/sidecar/tests/test_distribution.py
@@ -7,16 +7,16 @@
 from trio.testing import MockClock
 
 from verbenamill_policy.members import MemberRecord, MemberTable
-from verbenamill_sidecar.feeding import (
+from verbenamill_sidecar.distribution import (
     FANOUT,
-    HUNGRY_AFTER,
+    NOTICE_TIMEOUT,
     LEAD,
     NOTICE_PERIOD,
     PROBERS,
     READERS_ALONE,
     READING_ZONES,
-    STARVED_AFTER,
-    Feeding,
+    BEHIND_TIMEOUT,
+    DistributionTree,
 )
 
 
@@ -49,48 +49,49 @@
     def __init__(self, count, *, leaving=(), zones='abcd'):
         self.table = make_table(count, leaving=leaving, zones=zones)
         self.zones = sorted(zones, key=lambda zone: crc32(zone.encode()))
-        self.feedings = {
-            record.vm: Feeding(self.table, record.vm) for record in self.table
+        self.trees = {
+            record.vm: DistributionTree(self.table, record.vm)
+            for record in self.table
         }
         self.down = set()
         self.cut = set()
-        for feeding in self.feedings.values():
-            feeding.begin(HUNGRY_AFTER)
+        for tree in self.trees.values():
+            tree.await_notice(NOTICE_TIMEOUT)
 
     def find(self, rank, zone_rank=0):
         """The daemon of some rank in a zone of some rank."""
         zone = self.zones[zone_rank]
         found = [
             vm
-            for vm, feeding in self.feedings.items()
-            if vm.startswith(zone) and feeding.rank == rank
+            for vm, tree in self.trees.items()
+            if vm.startswith(zone) and tree.rank == rank
         ]
         return found[0]
 
     def of_zone(self, zone_rank=0):
         zone = self.zones[zone_rank]
-        return {vm for vm in self.feedings if vm.startswith(zone)}
+        return {vm for vm in self.trees if vm.startswith(zone)}
 
     def reading(self):
         return {
             vm
-            for vm, feeding in self.feedings.items()
-            if vm not in self.down and feeding.must_read()
+            for vm, tree in self.trees.items()
+            if vm not in self.down and tree.must_read()
         }
 
     def tell(self):
         """One round of notices."""
-        for vm, feeding in self.feedings.items():
+        for vm, tree in self.trees.items():
             if vm in self.down:
                 continue
-            stalls = feeding.must_read() and vm in self.cut
-            for child in feeding.children:
+            stalls = tree.must_read() and vm in self.cut
+            for child in tree.children:
                 if child.vm in self.down:
                     continue
                 if stalls:
-                    self.feedings[child.vm].stall(vm)
+                    self.trees[child.vm].hear_stalled(vm)
                 else:
-                    self.feedings[child.vm].feed()
+                    self.trees[child.vm].hear_notice()
 
     async def run(self, seconds):
         """Most daemons that read at a time, and those at the end."""
@@ -111,14 +112,14 @@
 @pytest.mark.parametrize('count', [1, 2, 3, 4, 17, 300])
 def test_all_but_the_readers_are_told(count):
     async def scene():
-        feedings = Fleet(count).feedings
-        readers = {vm for vm, one in feedings.items() if one.is_reader}
-        told = {child.vm for one in feedings.values() for child in one.children}
+        trees = Fleet(count).trees
+        readers = {vm for vm, one in trees.items() if one.is_reader}
+        told = {child.vm for one in trees.values() for child in one.children}
         assert len(readers) == READING_ZONES
-        assert told | readers == set(feedings)
+        assert told | readers == set(trees)
         assert all(
             len(one.children) <= 2 * FANOUT
-            for one in feedings.values()
+            for one in trees.values()
             if not one.is_reader
         )
 
@@ -130,8 +131,8 @@
     # A reader that is cut off from the store notices it when its read is
     # overdue. Without peers in other zones nobody tells it of a change.
     async def scene():
-        feedings = Fleet(10, zones=zones).feedings
-        readers = [vm for vm, one in feedings.items() if one.is_reader]
+        trees = Fleet(10, zones=zones).trees
+        readers = [vm for vm, one in trees.items() if one.is_reader]
         assert len(readers) == READERS_ALONE * len(zones)
 
     play(scene)
@@ -189,7 +190,7 @@
         await fleet.run(3)
         assert fleet.reading() & fleet.of_zone()
         for vm in fleet.of_zone() - fleet.down - fleet.reading():
-            assert not fleet.feedings[vm].must_read()
+            assert not fleet.trees[vm].must_read()
 
     play(scene)
 
@@ -212,7 +213,7 @@
     async def scene():
         fleet = Fleet(count)
         await fleet.run(3)
-        fleet.cut = set(fleet.feedings)
+        fleet.cut = set(fleet.trees)
         await fleet.run(4)
         most, reading = await fleet.run(10)
         assert most <= PROBERS * len(fleet.zones)
@@ -227,12 +228,12 @@
         fleet = Fleet(10, leaving=(first,))
         told = {
             child.vm
-            for vm, one in fleet.feedings.items()
+            for vm, one in fleet.trees.items()
             for child in one.children
             if vm != first
         }
-        readers = {vm for vm, one in fleet.feedings.items() if one.is_reader}
-        assert told | readers | {first} == set(fleet.feedings)
+        readers = {vm for vm, one in fleet.trees.items() if one.is_reader}
+        assert told | readers | {first} == set(fleet.trees)
         assert first not in readers
         assert len(readers) == READING_ZONES
 
@@ -244,11 +245,11 @@
     # others have taken it out of the tree.
     async def scene():
         vm = Fleet(10).find(4)
-        feeding = Fleet(10, leaving=(vm,)).feedings[vm]
-        feeding.feed()
-        assert not feeding.must_read()
-        await trio.sleep(HUNGRY_AFTER + 1)
-        assert feeding.must_read()
+        tree = Fleet(10, leaving=(vm,)).trees[vm]
+        tree.hear_notice()
+        assert not tree.must_read()
+        await trio.sleep(NOTICE_TIMEOUT + 1)
+        assert tree.must_read()
 
     play(scene)
 
@@ -259,16 +260,16 @@
     # long as that lasts.
     async def scene():
         fleet = Fleet(10)
-        starved = fleet.feedings[fleet.find(5)]
-        starved.feed()
-        starved.starve()
+        starved = fleet.trees[fleet.find(5)]
+        starved.hear_notice()
+        starved.hear_news()
         assert not starved.must_read()
-        await trio.sleep(STARVED_AFTER / 2)
-        starved.starve()
+        await trio.sleep(BEHIND_TIMEOUT / 2)
+        starved.hear_news()
         assert not starved.must_read()
-        await trio.sleep(STARVED_AFTER / 2 + 0.1)
+        await trio.sleep(BEHIND_TIMEOUT / 2 + 0.1)
         assert starved.must_read()
-        starved.feed()
+        starved.hear_notice()
         assert not starved.must_read()
 
     play(scene)
@@ -277,7 +278,7 @@
 def test_readers_tell_the_first_of_other_zones():
     async def scene():
         fleet = Fleet(10, zones='abc')
-        reader = fleet.feedings[fleet.find(0)]
+        reader = fleet.trees[fleet.find(0)]
         firsts = {
             fleet.find(rank, zone) for rank in range(2) for zone in (1, 2)
         }
@@ -292,8 +293,8 @@
     # that nothing is new. Its children need the news from somebody else.
     async def scene():
         fleet = Fleet(count, zones='abc')
-        parents = {vm: set() for vm in fleet.feedings}
-        for vm, one in fleet.feedings.items():
+        parents = {vm: set() for vm in fleet.trees}
+        for vm, one in fleet.trees.items():
             for child in one.children:
                 parents[child.vm].add(vm)
         for rank in range(LEAD, count):
--- a/libs/sidecar/tests/test_following.py
+++ b/libs/sidecar/tests/test_following.py
@@ -10,7 +10,7 @@
 from verbenamill_policy.members import MemberRecord, MemberTable
 from verbenamill_policy.routes import Configuration, Limits
 from verbenamill_sidecar import following
-from verbenamill_sidecar.feeding import Feeding
+from verbenamill_sidecar.distribution import DistributionTree
 from verbenamill_sidecar.following import Follower
 from verbenamill_sidecar.knowledge import Knowledge, Wishes, write_knowledge
 from verbenamill_sidecar.peers import Peers
@@ -73,8 +73,8 @@
             wishes=self.wishes,
             peers=self.peers,
             random=Random(1),
-            feeding=Feeding(self._table, 'own'),
-            feed=lambda kind: None,
+            tree=DistributionTree(self._table, 'own'),
+            notify=lambda kind: None,
         )
 
     def _add(self, vm, port):
--- a/libs/sidecar/tests/test_gossip.py
+++ b/libs/sidecar/tests/test_gossip.py
@@ -14,7 +14,7 @@
 )
 from verbenamill_policy.rollouts import Progress
 from verbenamill_policy.routes import Configuration, Limits
-from verbenamill_sidecar.feeding import Feeding
+from verbenamill_sidecar.distribution import DistributionTree
 from verbenamill_sidecar.gossip import Gossip
 from verbenamill_sidecar.knowledge import Wishes
 from verbenamill_sidecar.peers import Peers
@@ -59,7 +59,7 @@
             random=Random(vm),
             recall=self.recalled.append,
             follower=self.follower,
-            feeding=Feeding(self.table, vm),
+            tree=DistributionTree(self.table, vm),
             counted=lambda tally: None,
         )
         self.gossip.bind(parse_address(record.gossip))
--- a/libs/sidecar/tests/test_silence.py
+++ b/libs/sidecar/tests/test_silence.py
@@ -8,7 +8,7 @@
 
 from verbenamill_http.addresses import parse_address
 from verbenamill_policy.members import MemberRecord, MemberTable
-from verbenamill_sidecar.feeding import Feeding
+from verbenamill_sidecar.distribution import DistributionTree
 from verbenamill_sidecar.gossip import Gossip
 from verbenamill_sidecar.knowledge import Wishes
 from verbenamill_sidecar.peers import MAX_IDLE, Peers
@@ -40,7 +40,7 @@
             random=Random(1),
             recall=lambda _: None,
             follower=None,
-            feeding=Feeding(table, 'vm0'),
+            tree=DistributionTree(table, 'vm0'),
             counted=lambda _: None,
         )
         self.gossip.bind(parse_address(own.gossip))
