Only daemons that owe an answer are watched

Change: a peer enters a set when a request waits for it or when it is avoided, and leaves it when neither holds; that set and the daemons that leave are looked at.

Test: test_daemons_that_owe_nothing_are_not_looked_at. Not measured alone.

--- a/libs/sidecar/src/verbenamill_sidecar/peers.py
+++ b/libs/sidecar/src/verbenamill_sidecar/peers.py
@@ -50,12 +50,18 @@
 class Peer:
     """One daemon and its upstream.
 
+    :param watched: where a daemon is added that owes an answer or is avoided.
     :ivar heard_at: when it last gave a sign of life, on trio's clock.
     """
 
-    def __init__(self, record: MemberRecord) -> None:
+    def __init__(
+        self,
+        record: MemberRecord,
+        watched: 'set[Peer] | None' = None,
+    ) -> None:
         upstream = record.upstream
         self.record = record
+        self._watched = set() if watched is None else watched
         self._waiting: set[_Waiter] = set()
         self.heard_at = float('-inf')
         self._doubted_at = float('-inf')
@@ -81,6 +87,11 @@
             return None
         return upstream
 
+    @property
+    def needs_watch(self) -> bool:
+        """Whether it owes an answer or is avoided."""
+        return bool(self._waiting) or self.owner.down_until > 0
+
     @contextmanager
     def await_answer(self, doubt: Doubt) -> Iterator[None]:
         """Wait for its answer.
@@ -89,6 +100,7 @@
         """
         waiter = _Waiter(trio.current_time(), doubt)
         self._waiting.add(waiter)
+        self._watched.add(self)
         try:
             yield
         finally:
@@ -168,6 +180,7 @@
             silent_ms=int(self.silent_for(now) * 1000),
         )
         self.owner.mark_down(now, pause=pause)
+        self._watched.add(self)
 
     def restarted(self) -> None:
         """Another process is there: what waits for the one before is lost."""
@@ -185,6 +198,8 @@
         self._own = own
         self._seen = -1
         self._peers: dict[VmId, Peer] = {}
+        self._watched: set[Peer] = set()
+        self._leaving: list[Peer] = []
         self._by_service: dict[ServiceName, list[Peer]] = {}
 
     def all(self) -> Iterable[Peer]:
@@ -213,6 +228,18 @@
         self._refresh()
         return self._by_service.get(service, [])
 
+    def to_watch(self) -> list[Peer]:
+        """Daemons that owe an answer, are avoided or leave.
+
+        All others need no look, however many there are.
+        """
+        self._refresh()
+        for peer in list(self._watched):
+            is_known = self._peers.get(peer.record.vm) is peer
+            if not is_known or not peer.needs_watch:
+                self._watched.discard(peer)
+        return list({*self._watched, *self._leaving})
+
     def sweep(self) -> None:
         """Close connections that were idle for long."""
         for peer in self._peers.values():
@@ -230,27 +257,35 @@
         known = self._peers
         self._peers = {}
         self._by_service = {}
+        self._leaving = []
         for record in self._table:
-            peer = _follow(known.pop(record.vm, None), record)
+            peer = self._follow(known.pop(record.vm, None), record)
             self._peers[record.vm] = peer
+            if record.leaving:
+                self._leaving.append(peer)
             upstream = peer.upstream
             if upstream is not None:
                 self._by_service.setdefault(upstream.service, []).append(peer)
         for gone in known.values():
             gone.pool.close_idle()
 
+    def _follow(self, peer: Peer | None, record: MemberRecord) -> Peer:
+        """The peer of a record; a new one where connections are useless."""
+        if peer is None or peer.record.calls != record.calls:
+            return Peer(record, self._watched)
+        _update(peer, record)
+        return peer
+
 
-def _follow(peer: Peer | None, record: MemberRecord) -> Peer:
-    """The peer of a record; a new one where connections would be useless."""
-    if peer is None or peer.record.calls != record.calls:
-        return Peer(record)
+def _update(peer: Peer, record: MemberRecord) -> None:
+    """Take in what a daemon tells anew of itself."""
     before = peer.record
     peer.record = record
     if before.incarnation != record.incarnation:
         peer.restarted()
     upstream = record.upstream
     if upstream is None:
-        return peer
+        return
     old = before.upstream
     if old is None or old.instance != upstream.instance:
         peer.owner = Owner(
@@ -259,7 +294,6 @@
             slots=upstream.slots,
         )
     peer.owner.slots = max(upstream.slots, 1)
-    return peer
 
 
 def with_version(
--- a/libs/sidecar/src/verbenamill_sidecar/watching.py
+++ b/libs/sidecar/src/verbenamill_sidecar/watching.py
@@ -45,7 +45,7 @@
             if now - due >= HELD_UP:
                 log(Event.HELD_UP, ms=int((now - due) * 1000))
                 self._awake_since = now
-            for peer in list(self._peers.all()):
+            for peer in self._peers.to_watch():
                 self._look_at(peer, now)
 
     def _look_at(self, peer: Peer, now: float) -> None:
--- a/libs/sidecar/tests/test_silence.py
+++ b/libs/sidecar/tests/test_silence.py
@@ -200,3 +200,19 @@
         )
 
     assert play(ports, scene) == (True, 0, True, MAX_IDLE)
+
+
+def test_daemons_that_owe_nothing_are_not_looked_at(free_ports):
+    # Looked at ten times a second, the other daemons of a large fleet take
+    # more processor time than the requests.
+    async def scene(made, _):
+        assert made.peers.to_watch() == []
+        with made.peer.await_answer(lambda _: None):
+            assert made.peers.to_watch() == [made.peer]
+        assert made.peers.to_watch() == []
+        made.peer.avoid('test')
+        assert made.peers.to_watch() == [made.peer]
+        made.peer.hear()
+        assert made.peers.to_watch() == []
+
+    play(free_ports(2), scene)
