A daemon reads the store in each of three zones, and a refused reader says so at once

Supposed: both readers were among the daemons that the store turned away as the order was given, so it was seen late.

Kept all the same, since the supposed case can come: with two readers, each daemon that the store refuses is a larger part of all that can see a change, and a long poll that hangs was noticed after up to 6 s. Readers in three zones, waits of at most 3 s in calm, and a reader that gets no answer tells the next in rank at once.

--- a/libs/sidecar/src/verbenamill_sidecar/distribution.py
+++ b/libs/sidecar/src/verbenamill_sidecar/distribution.py
@@ -1,7 +1,7 @@
 """Who reads the store, and who passes changes on.
 
 Reads of the store are priced, and it takes a bounded number of them. One
-daemon reads in each of two availability zones, however many zones there are.
+daemon reads in each of three availability zones, however many zones there are.
 They tell the first in rank of the other zones, and within a zone a change goes
 along a tree: whoever runs something new tells its children, and they fetch it
 from there. Readers tell each other as well, so one that is cut off from the
@@ -20,8 +20,9 @@
 from verbenamill_policy.members import MemberRecord, MemberTable
 
 #: Zones in which a daemon reads the store. One that is cut off from the store
-#: does not notice it before its read is overdue; the other one tells it.
-READING_ZONES = 2
+#: does not notice it before its read is overdue; another one tells it. A store
+#: that turns some daemons away may do so to two of them.
+READING_ZONES = 3
 #: Daemons that read in each zone, where there are too few zones for that.
 READERS_ALONE = 3
 _ENOUGH_ZONES = 3
--- a/libs/sidecar/src/verbenamill_sidecar/following.py
+++ b/libs/sidecar/src/verbenamill_sidecar/following.py
@@ -23,7 +23,7 @@
 #: The same once nothing has happened for a while. By then the reads of the
 #: daemons end at different times, as each waits a random part less, and the
 #: first one that notices an outage has not long to go.
-CALM_WAIT = 5.0
+CALM_WAIT = 3.0
 _CALM_AFTER = 10.0
 _CALM_SPREAD = 0.4
 #: Pause after news, in seconds. In a storm of changes each read would bring
@@ -250,17 +250,18 @@
         """Tell others of all that is new, and that they are up to date."""
         told = self._wishes.stamp
         told_at = float('-inf')
-        was_reading = False
+        was = (False, False)
         while True:
             now = trio.current_time()
             is_news = self._wishes.stamp != told
-            # Who steps in for a reader tells it before the next one does so.
-            steps_in = self._is_reading() and not was_reading
-            if is_news or steps_in or now - told_at >= NOTICE_PERIOD:
+            # Who steps in for a reader tells it before the next one does so,
+            # and a reader that gets no answer is replaced at once.
+            state = (self._is_reading(), self._is_lost)
+            if is_news or state != was or now - told_at >= NOTICE_PERIOD:
                 told = self._wishes.stamp
                 told_at = now
                 self._tell_now(is_news=is_news)
-            was_reading = self._is_reading()
+            was = state
             await trio.sleep(_NEWS_PERIOD)
 
     def _is_reading(self) -> bool:
