A crash of an upstream is told from a lost answer, and logged with what it ran

The owner now finds out why a connection broke: after a lost answer the upstream still takes connections, after a crash nobody listens, or its successor does. VM6013 names the fingerprints (method, host, target, caller's service, body) of all requests in hand at a crash, and VM6008 that of a request under which an upstream crashed. The stand-in upstream crashes of chosen requests and starts again. Which requests are sent where has not changed.

--- a/deploy/tests/conftest.py
+++ b/deploy/tests/conftest.py
@@ -1,6 +1,6 @@
 """A small site in one loop: store, upstreams, daemons and callers."""
 
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from datetime import UTC, datetime
 from functools import partial
 from itertools import count
@@ -263,7 +263,7 @@
 
     async def add(self, name, *, zone='z1', start=True, **upstream):
         made = UpstreamStandIn(instance=f'i-{name}', zone=zone, **upstream)
-        await self.nursery.start(made.serve)
+        await self.nursery.start(made.serve_again, self.restarted)
         vm = Vm(self, name, self._find_ports(5), zone=zone, upstream=made)
         self.vms.append(vm)
         if start:
@@ -271,6 +271,16 @@
             await vm.beat()
         return vm
 
+    def restarted(self):
+        """Each upstream that has started again tells its daemon."""
+        self.nursery.start_soon(self._beat_all)
+
+    async def _beat_all(self):
+        for vm in self.vms:
+            if vm.upstream.crashed_at and vm.daemon is not None:
+                with suppress(OSError, trio.BrokenResourceError):
+                    await vm.beat()
+
     async def until(self, condition):
         """Wait until something holds; fails after long."""
         with trio.fail_after(15):
--- a/libs/policy/src/verbenamill_policy/heartbeats.py
+++ b/libs/policy/src/verbenamill_policy/heartbeats.py
@@ -112,6 +112,11 @@
         self._set_state(UpstreamState.GONE)
         return True
 
+    def has_left(self, upstream: UpstreamRecord) -> bool:
+        """Whether a start of an upstream said that it ends."""
+        known = self._left.get(upstream.instance, (-1, -1))
+        return known >= (upstream.born, upstream.heartbeat)
+
     def lose(self, instance: str) -> None:
         """Nobody of this name listens any more, until a heartbeat comes."""
         if self._current is not None and self._current.instance == instance:
--- a/libs/sidecar/src/verbenamill_sidecar/call.py
+++ b/libs/sidecar/src/verbenamill_sidecar/call.py
@@ -5,8 +5,10 @@
 from msgspec import Struct
 
 from verbenamill_http.client import Answer
-from verbenamill_http.messages import Header
+from verbenamill_http.messages import Header, header
 from verbenamill_model.typing import ServiceName
+from verbenamill_policy.fingerprints import Fingerprint, take_fingerprint
+from verbenamill_policy.quarantine import CrashId
 from verbenamill_policy.routes import Route
 
 
@@ -46,6 +48,16 @@
         """Whether it may run more than once."""
         return self.route.is_idempotent
 
+    def find_fingerprint(self) -> Fingerprint:
+        """What it is known by when it comes again."""
+        return take_fingerprint(
+            method=self.method,
+            host=header(self.headers, b'host') or b'',
+            target=self.target,
+            caller=self.origin,
+            body=self.body,
+        )
+
 
 @unique
 class Fate(Enum):
@@ -72,6 +84,7 @@
     :param took: time at the upstream, in seconds.
     :param usual: what requests of this route take at this upstream, in s.
     :param load: requests running and queued at the owner.
+    :param crash: of the upstream while it ran the request, if it crashed.
     """
 
     fate: Fate
@@ -84,6 +97,7 @@
     took: float | None = None
     usual: float | None = None
     load: int = -1
+    crash: CrashId | None = None
 
 
 def not_run(
@@ -101,6 +115,11 @@
     )
 
 
-def unknown(reason: str, *, reached: bool = True) -> Outcome:
+def unknown(reason: str, *, crash: CrashId | None = None) -> Outcome:
     """Outcome of a request that may have run."""
-    return Outcome(fate=Fate.UNKNOWN, reason=reason, reached=reached)
+    return Outcome(
+        fate=Fate.UNKNOWN,
+        reason=reason,
+        reached=True,
+        crash=crash,
+    )
--- /dev/null
+++ b/libs/sidecar/src/verbenamill_sidecar/crashing.py
@@ -0,0 +1,101 @@
+"""Tells a crash of the own upstream from a connection that broke alone."""
+
+from collections.abc import Callable, Iterable
+
+from verbenamill_http.client import Pool
+from verbenamill_model.typing import UpstreamState
+from verbenamill_policy.fingerprints import Fingerprint
+from verbenamill_policy.heartbeats import UpstreamRegister
+from verbenamill_policy.members import UpstreamRecord
+from verbenamill_policy.quarantine import CrashId
+from verbenamill_telemetry import Event, log
+
+#: Fingerprints in one log line.
+_SHOWN = 32
+
+
+class CrashDetector:
+    """Finds out why a connection to the own upstream broke.
+
+    :param lose: told that nobody listens at the upstream's address.
+    :param in_hand: fingerprints of the requests that the upstream runs.
+    """
+
+    def __init__(
+        self,
+        register: UpstreamRegister,
+        pool: Pool,
+        *,
+        lose: Callable[[UpstreamRecord], None],
+        in_hand: Callable[[], Iterable[Fingerprint]],
+    ) -> None:
+        self.count = 0
+        self._register = register
+        self._pool = pool
+        self._lose = lose
+        self._in_hand = in_hand
+        self._newest: CrashId | None = None
+
+    async def find(self, upstream: UpstreamRecord) -> CrashId | None:
+        """The crash that broke a connection, if there was one.
+
+        Where an answer is lost, or a link is reset, the upstream still takes
+        connections. After a crash nobody listens, or its successor does.
+
+        :param upstream: as it was when the request was sent to it.
+        """
+        crash = name_crash(upstream)
+        if crash == self._newest:
+            return crash
+        if self._has_left(upstream):
+            return None
+        if not self._is_replaced(upstream) and await self._listens():
+            return None
+        if crash != self._newest and not self._has_left(upstream):
+            self._note(crash, upstream)
+        return crash if crash == self._newest else None
+
+    async def _listens(self) -> bool:
+        connection = await self._pool.take(max_idle=0)
+        if connection is None:
+            return False
+        self._pool.give_back(connection)
+        return True
+
+    def _has_left(self, upstream: UpstreamRecord) -> bool:
+        """Whether it said that it ends; what it cuts then, no request did."""
+        if self._register.has_left(upstream):
+            return True
+        current = self._register.current
+        return (
+            current is not None
+            and not self._is_replaced(upstream)
+            and current.state is not UpstreamState.READY
+        )
+
+    def _is_replaced(self, upstream: UpstreamRecord) -> bool:
+        current = self._register.current
+        return current is not None and (
+            (current.instance, current.born)
+            != (upstream.instance, upstream.born)
+        )
+
+    def _note(self, crash: CrashId, upstream: UpstreamRecord) -> None:
+        self._newest = crash
+        self.count += 1
+        found = list(self._in_hand())
+        log(
+            Event.UPSTREAM_CRASHED,
+            instance=upstream.instance,
+            service=upstream.service,
+            version=upstream.version,
+            running=len(found),
+            fingerprints=[one.hex() for one in found[:_SHOWN]],
+        )
+        if not self._is_replaced(upstream):
+            self._lose(upstream)
+
+
+def name_crash(upstream: UpstreamRecord) -> CrashId:
+    """Names the end of one start of an upstream."""
+    return CrashId(f'{upstream.instance}/{upstream.born}')
--- a/libs/sidecar/src/verbenamill_sidecar/hop.py
+++ b/libs/sidecar/src/verbenamill_sidecar/hop.py
@@ -15,6 +15,7 @@
     ServiceName,
     VersionName,
 )
+from verbenamill_policy.quarantine import CrashId
 from verbenamill_policy.routes import RouteKind
 from verbenamill_sidecar.call import Fate, Outcome
 
@@ -58,6 +59,7 @@
     :param took: time at the upstream in milliseconds; -1 if not known.
     :param usual: mean time of the route there in milliseconds; -1 if not known.
     :param wait: when there may be room, in milliseconds.
+    :param crash: of the upstream while it ran the request; empty if none.
     """
 
     load: int
@@ -68,6 +70,7 @@
     reached: bool = False
     everywhere: bool = False
     usual: int = -1
+    crash: str = ''
 
 
 _calls = msgspec.json.Decoder(HopCall)
@@ -107,6 +110,7 @@
         wait=int(outcome.wait * 1000),
         reached=outcome.reached,
         everywhere=outcome.everywhere,
+        crash=outcome.crash or '',
     )
     told = (OWNER_HEADER, _encoder.encode(report))
     answer = outcome.answer
@@ -139,6 +143,7 @@
         took=None if report.took < 0 else report.took / 1000,
         usual=None if report.usual < 0 else report.usual / 1000,
         load=report.load,
+        crash=CrashId(report.crash) if report.crash else None,
     )
     if report.fate is Fate.ANSWERED:
         answer.headers = end_to_end(answer.headers)
--- a/libs/sidecar/src/verbenamill_sidecar/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/ingress.py
@@ -269,6 +269,8 @@
         stats = self._context.stats
         stats.count(call.service, outcome)
         now = trio.current_time()
+        # Hashing a body takes time, so only where it can be of use.
+        fingerprint = call.find_fingerprint().hex() if tries.crashed else None
         log(
             Event.CALL_FAILED,
             request=call.id.decode('latin-1'),
@@ -280,6 +282,7 @@
             left=int((call.deadline - now) * 1000),
             nested=call.is_nested,
             tried=tries.story,
+            fingerprint=fingerprint,
             configuration=self._context.version,
         )
 
--- a/libs/sidecar/src/verbenamill_sidecar/owner.py
+++ b/libs/sidecar/src/verbenamill_sidecar/owner.py
@@ -20,10 +20,12 @@
 )
 from verbenamill_policy.admission import Admission, Entry, Ticket
 from verbenamill_policy.evidence import OwnCounts
+from verbenamill_policy.fingerprints import Fingerprint
 from verbenamill_policy.heartbeats import Belief, Heartbeat, UpstreamRegister
 from verbenamill_policy.members import UpstreamRecord
 from verbenamill_policy.nesting import NestedCall, Nesting
 from verbenamill_sidecar.call import Call, Fate, Outcome, not_run, unknown
+from verbenamill_sidecar.crashing import CrashDetector
 from verbenamill_sidecar.protocol import HeaderNames, Left
 
 #: Idle time after which a connection is not used again, in seconds. Servers
@@ -94,6 +96,12 @@
             # An upstream may answer before it reads a long body.
             unacknowledged=0,
         )
+        self.crashes = CrashDetector(
+            self.register,
+            self._pool,
+            lose=self._lose,
+            in_hand=self._fingerprints,
+        )
 
     @property
     def load(self) -> int:
@@ -354,7 +362,16 @@
         self._count(call, failed=True, took=None)
         if fault is Fault.UNSENT:
             return not_run('the upstream closed the connection')
-        return unknown(f'the answer was {fault.value}')
+        return await self._explain(upstream, fault)
+
+    async def _explain(self, upstream: UpstreamRecord, fault: Fault) -> Outcome:
+        """What became of a request that was sent and not answered."""
+        if fault is Fault.GARBLED:
+            return unknown('the answer was garbled')
+        crash = await self.crashes.find(upstream)
+        if crash is None:
+            return unknown('the answer was lost')
+        return unknown('the upstream crashed', crash=crash)
 
     async def _exchange(
         self,
@@ -466,6 +483,10 @@
         self._lose(upstream)
         return not_run('the upstream takes no connection')
 
+    def _fingerprints(self) -> list[Fingerprint]:
+        """Of the requests at the upstream."""
+        return [call.find_fingerprint() for call in self._calls.values()]
+
     def _lose(self, upstream: UpstreamRecord) -> None:
         self.register.lose(upstream.instance)
         self._adopt()
--- a/libs/sidecar/src/verbenamill_sidecar/tries.py
+++ b/libs/sidecar/src/verbenamill_sidecar/tries.py
@@ -11,6 +11,7 @@
 
     :ivar reached: upstreams that have seen it.
     :ivar is_same_everywhere: whether other owners would say the same.
+    :ivar crashed: whether an upstream has crashed while it ran it.
     """
 
     def __init__(self) -> None:
@@ -20,6 +21,7 @@
         self.wants_target: bool | None = None
         self.answer: Answer | None = None
         self.may_have_run = False
+        self.crashed = False
         self.is_same_everywhere = False
         self.reason = ''
         self.wait = float(0)
@@ -53,6 +55,7 @@
             return
         if outcome.fate is Fate.UNKNOWN:
             self.may_have_run = True
+            self.crashed |= outcome.crash is not None
             self.reason = outcome.reason
             return
         self.answer = outcome.answer
--- a/libs/telemetry/src/verbenamill_telemetry/events.py
+++ b/libs/telemetry/src/verbenamill_telemetry/events.py
@@ -413,6 +413,17 @@
         'that it took this daemon for lost.',
         rate=5,
     )
+    UPSTREAM_CRASHED = EventKind(
+        'VM6013',
+        logging.WARNING,
+        'upstream {instance} crashed with {running} requests in hand',
+        'Its connections broke and nobody listens at its address, though it '
+        'did not say that it leaves. `fingerprints` names the requests that it '
+        'ran; a request that comes again has the same one.',
+        'Look for a fingerprint that is in the lines of several crashes: that '
+        'request may be the cause. VM6008 has it too, beside the request id.',
+        rate=20,
+    )
     INVARIANT_BROKEN = EventKind(
         'VM9001',
         logging.CRITICAL,
