A lookup that was sent is not called "not run" when its upstream crashed

Callers got 503 for a lookup that an upstream had begun: sent on a kept connection that broke within 20 ms, it is sent once more, and if nobody listens by then, the second try alone decided what the caller was told. The ingress also took it for unseen, and went on to up to three owners in place of max_attempts.

What was sent once stays sent. The test failed before (503) and passes (502).

--- a/deploy/tests/test_failures.py
+++ b/deploy/tests/test_failures.py
@@ -539,3 +539,22 @@
 
 async def _never(*_):
     await trio.sleep_forever()
+
+
+def test_not_run_is_not_told_of_a_lookup_whose_upstream_crashed_at_once(play):
+    """Guards against "not run" for a request under which an upstream crashed.
+
+    On a kept connection, so that it is sent once more.
+    """
+
+    async def scene(site):
+        vm = await site.add(
+            'vm1', kills=lambda asked: asked.path == '/lookup/x'
+        )
+        await site.in_force(1)
+        assert (await vm.call('/lookup/1', id='l1')).status == 200
+        answer = await vm.call('/lookup/x', id='l2')
+        assert [ran.id for ran in vm.upstream.ran] == ['l1', 'l2']
+        assert answer.status == 502
+
+    play(scene)
--- a/libs/sidecar/src/verbenamill_sidecar/owner.py
+++ b/libs/sidecar/src/verbenamill_sidecar/owner.py
@@ -342,10 +342,13 @@
             return not_run('the deadline has passed')
         max_idle = MAX_IDLE if call.is_idempotent else MAX_IDLE_UNSAFE
         fault = Fault.LOST
+        was_sent = False
         for _ in range(2):
             connection = await self._pool.take(max_idle=max_idle)
-            if connection is None:
+            if connection is None and not was_sent:
                 return self._unreachable(upstream)
+            if connection is None:
+                break
             began = trio.current_time()
             result = await self._exchange(call, upstream, connection)
             took = trio.current_time() - began
@@ -356,11 +359,12 @@
             # on it then; for a request that must not be repeated, only a
             # send that the kernel refused proves that.
             fault = result
+            was_sent |= fault is not Fault.UNSENT
             is_safe = fault is Fault.UNSENT or call.is_idempotent
             if not (was_kept and is_safe and took < _WAS_DEAD):
                 break
         self._count(call, failed=True, took=None)
-        if fault is Fault.UNSENT:
+        if not was_sent:
             return not_run('the upstream closed the connection')
         return await self._explain(upstream, fault)
 
