A request under which three upstreams crashed is refused by all daemons

Cause: nobody remembered. A crash left nothing but an unknown outcome at one daemon, which sent the request to a second upstream at once; when it came again, here or elsewhere, all began anew: two upstreams a coming. Class: a retry without memory of what the tries before have cost.

A fingerprint names a request by method, host, path, caller's service and body. Each crash accuses what was in hand and did not complete; what completes anywhere is cleared everywhere. From two crashes on, copies run one at a time at each daemon and reach one upstream each; from three on, they are held for 0.5 s, in which copies of a popular request elsewhere complete and clear it, and are refused then: 503, truly not run, with the time of the block as Retry-After. Owners refuse what other daemons send them or what waits in their queue. Rumors carry suspicions, comparisons carry blocks. A block ends after 15 min with one run alone, and each further crash makes it four times as long. Decisions are in policy/quarantine.py, without network or clock.

Bytes cost nothing while nothing is suspected: no request is hashed then.

--- a/deploy/tests/test_query_of_death.py
+++ b/deploy/tests/test_query_of_death.py
@@ -1,5 +1,7 @@
 """Requests under which upstreams crash, and harmless ones beside them."""
 
+from functools import partial
+
 import trio
 from trio.testing import MockClock
 
@@ -63,3 +65,170 @@
         assert count_late(vms) <= ALLOWED
 
     play(scene, clock=MockClock(autojump_threshold=0))
+
+
+def crashes_of(vms):
+    return sum(len(vm.upstream.crashed_at) for vm in vms)
+
+
+def blocked_by(vm):
+    """Requests that a daemon has refused for crashes under them."""
+    outcomes = vm.daemon._stats.outcomes
+    return sum(
+        count for (_, told), count in outcomes.items() if told == 'blocked'
+    )
+
+
+def test_a_caller_that_comes_again_at_once_crashes_three_upstreams(play):
+    """Guards against a chain of crashes within one caller's deadline."""
+
+    async def scene(site):
+        vms = await open_fleet(site)
+        statuses = []
+        for coming in range(8):
+            answer = await vms[0].call(PATH, id=f'd{coming}')
+            statuses.append(answer.status)
+        assert statuses[:2] == [502, 502]
+        assert set(statuses[2:]) == {503}
+        assert crashes_of(vms) == 3
+
+    play(scene, clock=MockClock(autojump_threshold=0))
+
+
+def test_a_blocked_request_is_refused_at_once_and_not_invited_back(play):
+    """Guards against refusals that are late, false, or ask for a retry."""
+
+    async def scene(site):
+        vms = await open_fleet(site)
+        for coming in range(3):
+            await vms[0].call(PATH, id=f'd{coming}')
+        began = trio.current_time()
+        answer = await vms[0].call(PATH, id='d9')
+        assert trio.current_time() - began < 0.05
+        assert answer.status == 503
+        assert float(answer.headers['retry-after']) >= 60
+        assert 'd9' not in {ran.id for vm in vms for ran in vm.upstream.ran}
+        assert blocked_by(vms[0])
+
+    play(scene, clock=MockClock(autojump_threshold=0))
+
+
+def test_copies_that_wait_for_an_upstream_are_not_begun_once_blocked(play):
+    """Guards against copies in queues that crash what starts again."""
+
+    async def scene(site):
+        vms = await open_fleet(site, slots=1)
+        async with trio.open_nursery() as nursery:
+            for copy in range(30):
+                vm = vms[copy % len(vms)]
+                nursery.start_soon(
+                    partial(vm.call, PATH, id=f'd{copy}', deadline=3000),
+                )
+                await trio.sleep(0.15)
+        assert count_late(vms) <= ALLOWED
+        assert crashes_of(vms) <= 2 * len(vms)
+
+    play(scene, clock=MockClock(autojump_threshold=0))
+
+
+def test_a_fee_that_crashes_upstreams_is_blocked_too(play):
+    """Guards against a deadly request that must not be repeated."""
+
+    async def scene(site):
+        vms = await open_fleet(site)
+        for vm in vms:
+            vm.upstream.kills = lambda asked: asked.body == b'deadly'
+        for coming in range(8):
+            answer = await vms[coming % len(vms)].call(
+                '/fee/1',
+                method='POST',
+                id=f'f{coming}',
+                body=b'deadly',
+            )
+            assert answer.status in (502, 503)
+            await trio.sleep(0.6)
+        assert crashes_of(vms) == 3
+        answer = await vms[0].call('/fee/1', method='POST', body=b'harmless')
+        assert answer.status == 200
+
+    play(scene, clock=MockClock(autojump_threshold=0))
+
+
+def test_a_popular_request_is_not_blocked_for_a_rack_that_crashed(play):
+    """Guards against refusing harmless requests for others' crashes."""
+
+    async def scene(site):
+        vms = await open_fleet(site, vms=8)
+        statuses = []
+
+        async def load(vm):
+            for number in range(40):
+                answer = await vm.call(
+                    '/lookup/popular', id=f'{vm.name}-{number}'
+                )
+                statuses.append(answer.status)
+
+        async with trio.open_nursery() as nursery:
+            for vm in vms:
+                for _ in range(2):
+                    nursery.start_soon(load, vm)
+            for _ in range(3):
+                await trio.sleep(0.8)
+                for vm in vms[:3]:
+                    vm.upstream.crash()
+        assert crashes_of(vms) >= 6
+        assert not sum(map(blocked_by, vms))
+        assert statuses.count(200) > 0.9 * len(statuses)
+        answer = await vms[7].call('/lookup/popular', id='last')
+        assert answer.status == 200
+
+    play(scene, clock=MockClock(autojump_threshold=0))
+
+
+def test_a_daemon_that_started_since_refuses_a_blocked_request(play):
+    """Guards against a start that forgets what the others know."""
+
+    async def scene(site):
+        vms = await open_fleet(site)
+        for coming in range(3):
+            await vms[0].call(PATH, id=f'd{coming}')
+        await trio.sleep(1)
+        await vms[1].kill()
+        await vms[1].start()
+        await vms[1].beat()
+        await trio.sleep(3)
+        before = crashes_of(vms)
+        answer = await vms[1].call(PATH, id='d9')
+        assert answer.status == 503
+        assert crashes_of(vms) == before
+
+    play(scene, clock=MockClock(autojump_threshold=0))
+
+
+def test_a_call_of_an_upstream_that_is_blocked_does_not_close_its_service(
+    play,
+    kit,
+):
+    """Guards against taking a blocked call for a service without room."""
+
+    async def scene(site):
+        owner = await site.add('vm1', work=WORK)
+        catalog = [
+            await site.add(f'c{place}', service='catalog', kills=lambda _: True)
+            for place in range(4)
+        ]
+        rows = [*kit.rows, kit.row('read', '/read/', service='catalog')]
+        site.store.operate('config', kit.document(2, rows))
+        await site.settled()
+        await site.in_force(2)
+        for coming in range(12):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    partial(owner.call, '/lookup/1', id=f'r{coming}'),
+                )
+                await trio.sleep(WORK / 2)
+                await owner.call('/read/deadly', id=f'r{coming}.n')
+        assert crashes_of(catalog) == 3
+        assert (await owner.call('/lookup/1', id='last')).status == 200
+
+    play(scene, clock=MockClock(autojump_threshold=0))
--- a/libs/policy/src/verbenamill_policy/rumors.py
+++ b/libs/policy/src/verbenamill_policy/rumors.py
@@ -34,12 +34,14 @@
     MEMBER = 'member'
     PROGRESS = 'progress'
     VERDICT = 'verdict'
+    SUSPECT = 'suspect'
 
 
 class NewsKey(NamedTuple):
     """Names a piece of news; its content is looked up when it is sent.
 
-    :param name: of the member's VM, or of the moving service.
+    :param name: of the member's VM or of the moving service, or a fingerprint
+        in hexadecimal digits.
     """
 
     kind: NewsKind
--- /dev/null
+++ b/libs/policy/tests/test_quarantine.py
@@ -0,0 +1,226 @@
+"""Who is suspected of crashes, who is blocked, and for how long."""
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from verbenamill_policy.fingerprints import take_fingerprint
+from verbenamill_policy.quarantine import (
+    BLOCK_AFTER,
+    BLOCK_TIME,
+    HOLD_TIME,
+    LONGEST_BLOCK,
+    MAX_CRASHES,
+    MAX_RECORDS,
+    SUSPICION_TIME,
+    Merge,
+    Quarantine,
+    Standing,
+    Suspect,
+)
+
+FP = b'0123456789abcdef'
+CLOCKS = {'now': 10.0, 'wall': 1000.0}
+
+
+def accuse(quarantine, *crashes, fingerprint=FP, now=10.0, wall=1000.0):
+    for crash in crashes:
+        quarantine.accuse(
+            fingerprint,
+            crash,
+            about='GET shop/x',
+            now=now,
+            wall=wall,
+        )
+
+
+def judge(quarantine, fingerprint=FP, *, now=11.0, wall=1001.0):
+    return quarantine.judge(fingerprint, now=now, wall=wall)
+
+
+def fingerprint_of(**changed):
+    parts = {
+        'method': b'GET',
+        'host': b'shop.example',
+        'target': b'/lookup/1',
+        'caller': b'entries',
+        'body': b'',
+    }
+    return take_fingerprint(**(parts | changed))
+
+
+def test_a_fingerprint_tells_requests_apart_by_all_that_upstreams_see():
+    # Harmless requests on the same path, of another caller or with another
+    # body, must not share the fate of a deadly one.
+    known = {
+        fingerprint_of(),
+        fingerprint_of(method=b'POST'),
+        fingerprint_of(host=b'other.example'),
+        fingerprint_of(target=b'/lookup/1?a'),
+        fingerprint_of(caller=b'catalog'),
+        fingerprint_of(body=b'x'),
+        fingerprint_of(target=b'/lookup/', caller=b'1entries'),
+    }
+    assert len(known) == 7
+    assert fingerprint_of(host=b'SHOP.example') == fingerprint_of()
+
+
+def test_a_request_is_blocked_after_three_crashes_and_a_moment():
+    """Guards against a query of death that reaches a fourth upstream."""
+    quarantine = Quarantine()
+    assert quarantine.is_idle
+    found = []
+    for crash in ('a/1', 'b/1', 'c/1'):
+        accuse(quarantine, crash)
+        found.append(judge(quarantine, now=10.1))
+    assert found == [Standing.WATCHED, Standing.ISOLATED, Standing.HELD]
+    assert judge(quarantine, now=10 + HOLD_TIME) is Standing.BLOCKED
+
+
+def test_one_crash_counts_once_however_many_copies_it_broke():
+    quarantine = Quarantine()
+    accuse(quarantine, *('a/1' for _ in range(14)))
+    assert judge(quarantine) is Standing.WATCHED
+    assert quarantine.may_repeat(FP)
+
+
+def test_a_request_that_completes_is_innocent():
+    """Guards against refusing a popular request for others' crashes."""
+    quarantine = Quarantine()
+    accuse(quarantine, 'a/1', 'b/1', 'c/1')
+    quarantine.share(FP)
+    assert quarantine.clear(FP, **CLOCKS)
+    assert judge(quarantine) is Standing.CLEAR
+    assert quarantine.is_idle
+    accuse(quarantine, 'd/1')
+    assert judge(quarantine) is Standing.WATCHED
+
+
+def test_a_suspicion_that_nobody_heard_of_leaves_no_trace():
+    quarantine = Quarantine()
+    accuse(quarantine, 'a/1')
+    assert not quarantine.clear(FP, **CLOCKS)
+    assert not len(quarantine)
+
+
+def test_a_block_ends_with_one_run_and_grows_when_that_crashes():
+    """Guards against a block for ever, and against many tries after it."""
+    quarantine = Quarantine()
+    accuse(quarantine, 'a/1', 'b/1', 'c/1')
+    end = 1000 + BLOCK_TIME
+    assert judge(quarantine, wall=end - 1) is Standing.BLOCKED
+    assert judge(quarantine, wall=end + 1) is Standing.ISOLATED
+    assert not quarantine.may_repeat(FP)
+    accuse(quarantine, 'd/1', wall=end + 1)
+    assert judge(quarantine, wall=end + 2) is Standing.BLOCKED
+    assert judge(quarantine, wall=end + 2 + BLOCK_TIME) is Standing.BLOCKED
+    for number in range(20):
+        accuse(quarantine, f'e{number}/1', wall=end + 2)
+    (record,) = quarantine
+    assert record.block_time == LONGEST_BLOCK
+    assert len(record.crashes) == MAX_CRASHES
+
+
+def test_daemons_do_not_all_try_at_the_same_time():
+    first, last = Quarantine(patience=0), Quarantine(patience=0.5)
+    for quarantine in (first, last):
+        accuse(quarantine, 'a/1', 'b/1', 'c/1')
+    wall = 1000 + BLOCK_TIME + 1
+    assert judge(first, wall=wall) is Standing.ISOLATED
+    assert judge(last, wall=wall) is Standing.BLOCKED
+
+
+def test_a_clock_that_jumps_by_seconds_neither_blocks_nor_frees():
+    quarantine = Quarantine()
+    accuse(quarantine, 'a/1', 'b/1', 'c/1')
+    for jump in (-30, 30):
+        assert judge(quarantine, wall=1000 + jump) is Standing.BLOCKED
+
+
+def test_old_suspicions_are_forgotten_and_blocks_are_not():
+    quarantine = Quarantine()
+    accuse(quarantine, 'a/1')
+    accuse(quarantine, 'a/1', 'b/1', 'c/1', fingerprint=FP[::-1])
+    quarantine.sweep(wall=1000 + SUSPICION_TIME + 1)
+    assert [one.fingerprint for one in quarantine] == [FP[::-1]]
+    quarantine.sweep(wall=1000 + BLOCK_TIME + LONGEST_BLOCK + 1)
+    assert not len(quarantine)
+    assert quarantine.is_idle
+
+
+def test_a_flood_of_suspects_does_not_drive_out_a_block():
+    """Guards against a caller with a million bodies that crash upstreams."""
+    quarantine = Quarantine()
+    accuse(quarantine, 'a/1', 'b/1', 'c/1')
+    for number in range(3 * MAX_RECORDS):
+        fingerprint = number.to_bytes(16, 'big')
+        accuse(quarantine, 'd/1', 'e/1', fingerprint=fingerprint, wall=2000)
+    assert len(quarantine) == MAX_RECORDS
+    assert judge(quarantine) is Standing.BLOCKED
+
+
+def test_what_another_program_wrote_is_not_taken_in():
+    quarantine = Quarantine()
+    names = tuple(f'c{number}' for number in range(MAX_CRASHES + 1))
+    for record in (
+        Suspect(fingerprint=b'short', crashes=('a',)),
+        Suspect(fingerprint=FP, crashes=names),
+        Suspect(fingerprint=FP, crashes=('b', 'a')),
+        Suspect(fingerprint=FP, crashes=('x' * 1000,)),
+        Suspect(fingerprint=FP, crashes=('a',), about='x' * 1000),
+        Suspect(fingerprint=FP, crashes=('a',), round=-1),
+    ):
+        assert quarantine.merge(record, now=0) is Merge.KNOWN
+    assert quarantine.is_idle
+
+
+records = st.builds(
+    Suspect,
+    fingerprint=st.sampled_from([FP, FP[::-1]]),
+    round=st.integers(0, 2),
+    crashes=st.lists(
+        st.sampled_from('abcdefghijkl'),
+        max_size=MAX_CRASHES,
+        unique=True,
+    ).map(lambda names: tuple(sorted(names))),
+    changed_at=st.integers(0, 5),
+    about=st.sampled_from(['', 'GET shop/x']),
+)
+
+
+@settings(derandomize=True, max_examples=200)
+@given(st.lists(records, max_size=8), st.randoms(use_true_random=False))
+def test_records_may_come_in_any_order_and_again(found, random):
+    """Guards against daemons that stay of different minds."""
+    one, other = Quarantine(), Quarantine()
+    for record in found:
+        one.merge(record, now=0)
+    shuffled = [*found, *found]
+    random.shuffle(shuffled)
+    for record in shuffled:
+        other.merge(record, now=0)
+    assert _content(one) == _content(other)
+    assert one.digest == other.digest
+    assert one.accused == sum(bool(each.crashes) for each in one)
+
+
+@settings(derandomize=True, max_examples=100)
+@given(st.lists(records, max_size=4), records)
+def test_who_lacks_something_is_told(found, record):
+    quarantine = Quarantine()
+    for each in found:
+        quarantine.merge(each, now=0)
+    before = _content(quarantine)
+    result = quarantine.merge(record, now=0)
+    assert (result is Merge.NEWS) == (_content(quarantine) != before)
+    known = quarantine.get(record.fingerprint)
+    if result is Merge.KNOWN:
+        assert known == record
+    if known.round == record.round:
+        assert set(known.crashes) >= set(record.crashes[:BLOCK_AFTER]) or (
+            len(known.crashes) == MAX_CRASHES
+        )
+
+
+def _content(quarantine):
+    return {one.fingerprint: msgspec.to_builtins(one) for one in quarantine}
--- a/libs/sidecar/src/verbenamill_sidecar/call.py
+++ b/libs/sidecar/src/verbenamill_sidecar/call.py
@@ -85,6 +85,7 @@
     :param usual: what requests of this route take at this upstream, in s.
     :param load: requests running and queued at the owner.
     :param crash: of the upstream while it ran the request, if it crashed.
+    :param blocked: whether the request is refused for crashes under it.
     """
 
     fate: Fate
@@ -98,6 +99,7 @@
     usual: float | None = None
     load: int = -1
     crash: CrashId | None = None
+    blocked: bool = False
 
 
 def not_run(
--- a/libs/sidecar/src/verbenamill_sidecar/daemon.py
+++ b/libs/sidecar/src/verbenamill_sidecar/daemon.py
@@ -19,6 +19,7 @@
     MemberTable,
     UpstreamRecord,
 )
+from verbenamill_policy.quarantine import Quarantine
 
 from verbenamill_sidecar.announcing import Announcements
 from verbenamill_sidecar.distribution import DistributionTree
@@ -40,6 +41,7 @@
 from verbenamill_sidecar.registering import Registrar
 from verbenamill_sidecar.settings import Settings
 from verbenamill_sidecar.stats import CallStats
+from verbenamill_sidecar.suspects import SuspectGate
 from verbenamill_telemetry import Event, log
 
 #: Time in which callers and daemons hear that this one leaves, in seconds:
@@ -59,6 +61,9 @@
 _BIND_PAUSE = 0.05
 #: Longest head between daemons: a caller's head and ours.
 _HOP_HEAD = 128 * 1024
+#: Longest further wait of a daemon, as a share of a block's time, until it lets
+#: a blocked request run once more. Each daemon draws its own.
+_PATIENCE = 0.5
 #: Limits before any configuration is known.
 _DEFAULTS = ServerLimits()
 
@@ -88,12 +93,17 @@
         self._tree = DistributionTree(self._table, settings.vm.id)
         self._wishes = Wishes()
         self._stats = CallStats()
+        self._gate = SuspectGate(
+            Quarantine(patience=_PATIENCE * context.random.random()),
+            wall=lambda: context.now().timestamp(),
+        )
         self._own = OwnUpstream(
             OwnerContext(
                 names=context.names,
                 address=settings.upstream_address,
                 changed=self._tell_upstream,
                 allows=self._allows,
+                gate=self._gate,
                 wall_ms=lambda: int(context.now().timestamp() * 1000),
             ),
         )
@@ -123,7 +133,9 @@
             follower=self._follower,
             tree=self._tree,
             counted=self._moving.take_tally,
+            gate=self._gate,
         )
+        self._gate.publish = self._gossip.tell_suspect
         self._registrar = Registrar(
             context.store,
             self._gossip,
@@ -205,6 +217,7 @@
                 peers=self._peers,
                 own=self._own,
                 stats=self._stats,
+                gate=self._gate,
                 origin=context.settings.vm.service,
                 sender=f'{own.vm}/{own.incarnation}',
                 availability_zone=context.settings.vm.availability_zone,
@@ -288,6 +301,7 @@
             await trio.sleep(_SWEEP)
             self._peers.sweep()
             self._own.sweep()
+            self._gate.sweep()
 
     async def _stop(self) -> None:
         grace = self._context.settings.stop.grace / 1000
@@ -383,6 +397,18 @@
                 'Whether this daemon reads the store for its zone.',
                 self._tree.must_read(),
             ),
+            'upstream_crashes': (
+                'Crashes of the upstream since the start.',
+                self._own.crashes.count,
+            ),
+            'requests_suspected': (
+                'Requests under which upstreams crashed, blocked or not.',
+                self._gate.quarantine.accused,
+            ),
+            'requests_blocked': (
+                'Requests that are refused for that.',
+                len(self._gate.quarantine.blocked),
+            ),
             'ready': ('Whether callers may be sent here.', self.is_ready()),
         }
 
--- a/libs/sidecar/src/verbenamill_sidecar/datagrams.py
+++ b/libs/sidecar/src/verbenamill_sidecar/datagrams.py
@@ -8,15 +8,17 @@
 from verbenamill_model.typing import AvailabilityZone, VmId
 from verbenamill_policy.evidence import Tally
 from verbenamill_policy.members import MemberRecord
+from verbenamill_policy.quarantine import Suspect
 from verbenamill_policy.rollouts import Progress, Settled
 
 
 class Rumors(Struct, tag='r', array_like=True):
-    """News: records of members, stages and verdicts of moves."""
+    """News: records of members, stages and verdicts of moves, suspects."""
 
     members: list[MemberRecord] = []
     progress: list[Progress] = []
     settled: list[Settled] = []
+    suspects: list[Suspect] = []
 
 
 class Summary(Struct, tag='s', array_like=True):
@@ -26,6 +28,7 @@
     :param moves: digest of the stages and verdicts of moves.
     :param stamp: versions of the configuration and of the newest order.
     :param is_reply: whether it answers one of the receiver's.
+    :param blocked: digest of the requests that are blocked.
     """
 
     sender: VmId
@@ -33,6 +36,7 @@
     moves: int
     stamp: tuple[int, int]
     is_reply: bool = False
+    blocked: int = 0
 
 
 class Digests(Struct, tag='d', array_like=True):
--- a/libs/sidecar/src/verbenamill_sidecar/dissemination.py
+++ b/libs/sidecar/src/verbenamill_sidecar/dissemination.py
@@ -1,13 +1,15 @@
-"""Spreads news: the own record, those of other daemons, stages, verdicts."""
+"""Spreads news: of daemons, of moves, and of requests that are suspected."""
 
 from collections.abc import Callable, Iterable
 
 from verbenamill_model.typing import ServiceName, VmId
+from verbenamill_policy.fingerprints import Fingerprint
 from verbenamill_policy.members import (
     MemberRecord,
     MemberTable,
     UpstreamRecord,
 )
+from verbenamill_policy.quarantine import Merge, Suspect
 from verbenamill_policy.rollouts import Progress, Settled
 from verbenamill_policy.rumors import (
     FANOUT,
@@ -18,6 +20,7 @@
 )
 from verbenamill_sidecar.datagrams import Message, Records, Rumors
 from verbenamill_sidecar.knowledge import Wishes
+from verbenamill_sidecar.suspects import SuspectGate
 from verbenamill_telemetry import Event, log
 
 #: Pieces of news that a daemon passes on in one round; bounds its bytes a
@@ -25,6 +28,10 @@
 ROUND_LIMIT = 18
 #: Records in one datagram; keeps it below the usual 1,400 bytes.
 RECORDS = 6
+#: The same for suspects: a caller that crashes many upstreams leaves room for
+#: all other news. And suspects in one datagram.
+SUSPECTS_ROUND_LIMIT = 6
+SUSPECTS = 3
 #: Daemons that remind one that has started again, on average.
 _REMINDERS = 3
 
@@ -36,6 +43,7 @@
     """Keeps the own record and passes news on.
 
     :param recall: told what others remember of the own upstream.
+    :param gate: knows the requests under which upstreams crashed.
     """
 
     def __init__(
@@ -47,7 +55,9 @@
         wishes: Wishes,
         send: Send,
         recall: Callable[[UpstreamRecord], None],
+        gate: SuspectGate,
     ) -> None:
+        self._gate = gate
         self._own = own
         self._table = table
         self._neighbours = neighbours
@@ -55,6 +65,7 @@
         self._send = send
         self._recall = recall
         self._hot = HotNews()
+        self._hot_suspects = HotNews()
         self._exports: dict[NewsKey, None] = {}
         table.merge(own)
 
@@ -133,9 +144,27 @@
             self._publish(NewsKey(NewsKind.VERDICT, settled.service))
             self.next_round()
 
+    def tell_suspect(self, fingerprint: Fingerprint) -> None:
+        """Tell what is known here of a request, at once."""
+        key = _suspect_key(fingerprint)
+        self._hot_suspects.start(key)
+        self._exports[key] = None
+        self.next_round()
+
+    def take_suspects(self, suspects: Iterable[Suspect]) -> None:
+        """Take in what others know of requests, and pass on what is new."""
+        for suspect in suspects:
+            key = _suspect_key(suspect.fingerprint)
+            if self._gate.merge(suspect) is not Merge.NEWS:
+                self._hot_suspects.hear_again(key)
+                continue
+            self._hot_suspects.start(key)
+            if self._neighbours.is_relay():
+                self._exports[key] = None
+
     def next_round(self) -> None:
         """Pass on what is new, once."""
-        if self._hot:
+        if self._hot or self._hot_suspects:
             self._spread()
         if self._exports:
             self._export()
@@ -170,6 +199,7 @@
 
     def _spread(self) -> None:
         keys = self._hot.next_round(ROUND_LIMIT)
+        keys += self._hot_suspects.next_round(SUSPECTS_ROUND_LIMIT)
         messages = self._resolve(keys)
         for record in self._neighbours.pick_near(FANOUT):
             for message in messages:
@@ -187,6 +217,7 @@
         """Messages that carry some news, as they are now."""
         members: list[MemberRecord] = []
         moves = Rumors([], [], [])
+        suspects: list[Suspect] = []
         for key in keys:
             match key.kind:
                 case NewsKind.MEMBER:
@@ -198,9 +229,18 @@
                 case NewsKind.VERDICT:
                     verdicts = self._wishes.known.settled
                     moves.settled.append(verdicts[ServiceName(key.name)])
+                case NewsKind.SUSPECT:
+                    suspects += self._find_suspect(key)
         messages = [Rumors(chunk) for chunk in split_records(members)]
+        messages += pack_suspects(suspects)
         return messages if moves == Rumors() else [moves, *messages]
 
+    def _find_suspect(self, key: NewsKey) -> list[Suspect]:
+        """The record that news are about, unless it was forgotten since."""
+        fingerprint = Fingerprint(bytes.fromhex(key.name))
+        found = self._gate.quarantine.get(fingerprint)
+        return [] if found is None else [found]
+
     def _renew(
         self,
         incarnation: int,
@@ -252,6 +292,18 @@
     ]
 
 
+def pack_suspects(suspects: list[Suspect]) -> list[Rumors]:
+    """Datagrams that tell of suspects."""
+    return [
+        Rumors(suspects=suspects[start : start + SUSPECTS])
+        for start in range(0, len(suspects), SUSPECTS)
+    ]
+
+
+def _suspect_key(fingerprint: Fingerprint) -> NewsKey:
+    return NewsKey(NewsKind.SUSPECT, fingerprint.hex())
+
+
 def _member_key(vm: VmId) -> NewsKey:
     return NewsKey(NewsKind.MEMBER, vm)
 
--- a/libs/sidecar/src/verbenamill_sidecar/gossip.py
+++ b/libs/sidecar/src/verbenamill_sidecar/gossip.py
@@ -15,11 +15,13 @@
 from verbenamill_http.addresses import Address, parse_address
 from verbenamill_model.typing import VmId
 from verbenamill_policy.evidence import Tally
+from verbenamill_policy.fingerprints import Fingerprint
 from verbenamill_policy.members import (
     MemberRecord,
     MemberTable,
     UpstreamRecord,
 )
+from verbenamill_policy.quarantine import Suspect
 from verbenamill_policy.rollouts import Progress, Settled
 from verbenamill_policy.rumors import Neighbours
 from verbenamill_sidecar.datagrams import (
@@ -44,6 +46,7 @@
 from verbenamill_sidecar.knowledge import Wishes
 from verbenamill_sidecar.peers import Peer, Peers
 from verbenamill_sidecar.reconciliation import Reconciliation
+from verbenamill_sidecar.suspects import SuspectGate
 from verbenamill_sidecar.traffic import Traffic
 from verbenamill_sidecar.watching import Watch
 from verbenamill_telemetry import Event, log
@@ -78,6 +81,7 @@
     :param recall: told what others remember of the own upstream.
     :param follower: told what other daemons know of the store.
     :param counted: told of the counts of other owners.
+    :param gate: knows the requests under which upstreams crashed.
     :ivar has_met: set once others have told what they remember, or soon after
         the start.
     :ivar has_heard: set once another daemon has sent something.
@@ -95,6 +99,7 @@
         follower: Follower,
         tree: DistributionTree,
         counted: Callable[[Tally], None],
+        gate: SuspectGate,
     ) -> None:
         self._table = table
         self._peers = peers
@@ -118,6 +123,7 @@
             wishes=wishes,
             send=self._send,
             recall=recall,
+            gate=gate,
         )
         self._reconciliation = Reconciliation(
             own=lambda: self._news.own,
@@ -125,6 +131,7 @@
             neighbours=self._neighbours,
             wishes=wishes,
             send=self._send,
+            quarantine=gate.quarantine,
         )
         self._watch = Watch(
             peers,
@@ -212,6 +219,14 @@
         """Tell a verdict that this daemon knows of the store."""
         self._news.tell_settled(settled)
 
+    def tell_suspect(self, fingerprint: Fingerprint) -> None:
+        """Tell what is known here of a request, at once."""
+        self._news.tell_suspect(fingerprint)
+
+    def take_suspects(self, suspects: Iterable[Suspect]) -> None:
+        """Take in what the store knows of requests."""
+        self._news.take_suspects(suspects)
+
     def notify(self, kind: NoticeKind) -> None:
         """Tell others what is known here of the store's content."""
         notice = Notice(self.own.vm, self._wishes.stamp, kind)
@@ -310,6 +325,7 @@
             self._news.take_settled(settled)
         for progress in message.progress:
             self._news.take_progress(progress)
+        self._news.take_suspects(message.suspects)
         self.has_met.set()
 
     def _take_comparison(
--- a/libs/sidecar/src/verbenamill_sidecar/hop.py
+++ b/libs/sidecar/src/verbenamill_sidecar/hop.py
@@ -60,6 +60,7 @@
     :param usual: mean time of the route there in milliseconds; -1 if not known.
     :param wait: when there may be room, in milliseconds.
     :param crash: of the upstream while it ran the request; empty if none.
+    :param blocked: whether the request is refused for crashes under it.
     """
 
     load: int
@@ -71,6 +72,7 @@
     everywhere: bool = False
     usual: int = -1
     crash: str = ''
+    blocked: bool = False
 
 
 _calls = msgspec.json.Decoder(HopCall)
@@ -111,6 +113,7 @@
         reached=outcome.reached,
         everywhere=outcome.everywhere,
         crash=outcome.crash or '',
+        blocked=outcome.blocked,
     )
     told = (OWNER_HEADER, _encoder.encode(report))
     answer = outcome.answer
@@ -144,6 +147,7 @@
         usual=None if report.usual < 0 else report.usual / 1000,
         load=report.load,
         crash=CrashId(report.crash) if report.crash else None,
+        blocked=report.blocked,
     )
     if report.fate is Fate.ANSWERED:
         answer.headers = end_to_end(answer.headers)
--- a/libs/sidecar/src/verbenamill_sidecar/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/ingress.py
@@ -18,7 +18,8 @@
 from verbenamill_sidecar.peers import Doubt, Peer, with_version
 from verbenamill_sidecar.racing import Race
 from verbenamill_sidecar.reading import CallReader
-from verbenamill_sidecar.refusing import come_back, refusal
+from verbenamill_sidecar.refusing import come_back, refusal, refuse_blocked
+from verbenamill_sidecar.suspects import BLOCKED_REASON, Entry
 from verbenamill_sidecar.tries import Tries
 from verbenamill_telemetry import Event, log
 
@@ -28,6 +29,7 @@
 #: Least time left in which another try can succeed, in service times.
 _RETRY_ROOM = 0.8
 
+_FREE_ENTRY = Entry(is_admitted=True)
 _FAILURE = HTTPStatus.INTERNAL_SERVER_ERROR
 
 
@@ -50,11 +52,11 @@
         response = None
         tries = Tries()
         with trio.CancelScope(deadline=call.deadline):
-            response = await self._answer(call, tries)
+            response = await self._admit(call, tries)
         if response is None:
             response = self._time_out(call, tries)
         if call.is_nested:
-            self._tell_parent(call, response.status)
+            self._tell_parent(call, response.status, blocked=tries.blocked)
         if call.method == b'HEAD':
             response.is_bodiless = True
         return response
@@ -67,7 +69,7 @@
         self._tell(call, 'timed-out', reason, tries)
         return refusal(HTTPStatus.GATEWAY_TIMEOUT, reason)
 
-    def _tell_parent(self, call: Call, status: int) -> None:
+    def _tell_parent(self, call: Call, status: int, *, blocked: bool) -> None:
         """Remember what became of a call that the own upstream made."""
         parent = self._context.own.find_parent(call.id)
         if parent is None:
@@ -77,10 +79,24 @@
         self._context.own.nesting.tell_outcome(
             parent.route.name,
             call.service,
-            refused=status == HTTPStatus.SERVICE_UNAVAILABLE,
+            refused=status == HTTPStatus.SERVICE_UNAVAILABLE and not blocked,
             now=trio.current_time(),
         )
 
+    async def _admit(self, call: Call, tries: Tries) -> Response:
+        """Answer a request, unless upstreams crashed under it."""
+        gate = self._context.gate
+        entry = _FREE_ENTRY if gate.is_idle else await gate.enter(call)
+        if not entry.is_admitted:
+            tries.refuse(BLOCKED_REASON, blocked_for=entry.blocked_for)
+            return self._conclude(call, tries)
+        try:
+            return await self._answer(call, tries)
+        finally:
+            gate.conclude(call, has_completed=tries.has_completed)
+            if entry.is_alone:
+                gate.leave(call)
+
     async def _answer(self, call: Call, tries: Tries) -> Response:
         budget = self._budgets.setdefault(call.service, RetryBudget())
         budget.earn()
@@ -112,6 +128,9 @@
             if ended is None:
                 continue
             tries.end(*ended)
+            crash = ended[1].crash
+            if crash is not None:
+                self._context.gate.accuse(call, crash)
             # The other try may still make a better answer, and a refusal
             # would say "not run", which nobody knows of it yet.
             decides = not race.under_way or _is_good(ended[1])
@@ -223,6 +242,9 @@
         """
         if seen >= call.route.max_attempts:
             return False
+        gate = self._context.gate
+        if not gate.is_idle and not gate.may_repeat(call):
+            return False
         left = call.deadline - trio.current_time()
         return left >= _RETRY_ROOM * self._learned.usual(call.route)
 
@@ -241,6 +263,9 @@
         if tries.may_have_run:
             self._tell(call, 'unknown', tries.reason, tries)
             return refusal(HTTPStatus.BAD_GATEWAY, tries.reason)
+        if tries.blocked:
+            self._tell(call, 'blocked', tries.reason, tries)
+            return refuse_blocked(tries.reason, tries.wait)
         reason = tries.reason or 'no upstream is known'
         self._tell(call, 'refused', reason, tries)
         return come_back(reason, tries.wait, self._context.random)
@@ -270,7 +295,8 @@
         stats.count(call.service, outcome)
         now = trio.current_time()
         # Hashing a body takes time, so only where it can be of use.
-        fingerprint = call.find_fingerprint().hex() if tries.crashed else None
+        is_suspected = tries.crashed or tries.blocked
+        fingerprint = call.find_fingerprint().hex() if is_suspected else None
         log(
             Event.CALL_FAILED,
             request=call.id.decode('latin-1'),
--- a/libs/sidecar/src/verbenamill_sidecar/ingress_context.py
+++ b/libs/sidecar/src/verbenamill_sidecar/ingress_context.py
@@ -12,6 +12,7 @@
 from verbenamill_sidecar.peers import Peers
 from verbenamill_sidecar.protocol import HeaderNames
 from verbenamill_sidecar.stats import CallStats
+from verbenamill_sidecar.suspects import SuspectGate
 
 
 class IngressContext(Struct, frozen=True, kw_only=True):
@@ -19,6 +20,7 @@
 
     :param table: routes in force; ``None`` before any are known.
     :param shares: split of a service between its versions.
+    :param gate: knows the requests under which upstreams crashed.
     :param origin: service of this VM.
     :param sender: names this start of this daemon to the others.
     """
@@ -29,6 +31,7 @@
     peers: Peers
     own: OwnUpstream
     stats: CallStats
+    gate: SuspectGate
     origin: ServiceName
     sender: str
     availability_zone: AvailabilityZone
--- a/libs/sidecar/src/verbenamill_sidecar/owner.py
+++ b/libs/sidecar/src/verbenamill_sidecar/owner.py
@@ -27,6 +27,7 @@
 from verbenamill_sidecar.call import Call, Fate, Outcome, not_run, unknown
 from verbenamill_sidecar.crashing import CrashDetector
 from verbenamill_sidecar.protocol import HeaderNames, Left
+from verbenamill_sidecar.suspects import BLOCKED_REASON, SuspectGate
 
 #: Idle time after which a connection is not used again, in seconds. Servers
 #: commonly close idle ones after 5 s or more; a request must not race that.
@@ -64,6 +65,7 @@
 
     :param changed: told when the upstream is another, or in another state.
     :param allows: whether a version may get requests at all.
+    :param gate: knows the requests under which upstreams crashed.
     :param wall_ms: Unix time in milliseconds.
     """
 
@@ -71,6 +73,7 @@
     address: Address
     changed: Callable[[], None]
     allows: Callable[[UpstreamRecord], bool]
+    gate: SuspectGate
     wall_ms: Callable[[], int]
 
 
@@ -260,6 +263,9 @@
                 entry = settled[0]
             if entry is Entry.SHED or self._is_withdrawn(upstream):
                 return self._no_room(admission)
+            blocked_for = self._context.gate.blocked_for(call)
+            if blocked_for:
+                return _refuse_blocked(blocked_for)
             started = trio.current_time()
             outcome = await self._send_known(call, upstream)
             took = outcome.took
@@ -496,6 +502,13 @@
         self._adopt()
 
 
+def _refuse_blocked(wait: float) -> Outcome:
+    outcome = not_run(BLOCKED_REASON, wait=wait)
+    outcome.blocked = True
+    outcome.everywhere = True
+    return outcome
+
+
 def _settle(settled: list[Entry], event: trio.Event, entry: Entry) -> None:
     settled.append(entry)
     event.set()
--- a/libs/sidecar/src/verbenamill_sidecar/reconciliation.py
+++ b/libs/sidecar/src/verbenamill_sidecar/reconciliation.py
@@ -18,6 +18,7 @@
     MemberTable,
     bucket_of,
 )
+from verbenamill_policy.quarantine import Quarantine, Suspect
 from verbenamill_policy.rumors import Neighbours
 from verbenamill_sidecar.datagrams import (
     Age,
@@ -28,7 +29,11 @@
     Summary,
     Wanted,
 )
-from verbenamill_sidecar.dissemination import Send, split_records
+from verbenamill_sidecar.dissemination import (
+    Send,
+    pack_suspects,
+    split_records,
+)
 from verbenamill_sidecar.knowledge import Wishes
 
 #: Comparisons a second with each other zone together, of all daemons of a
@@ -42,6 +47,8 @@
 #: Records and ages that are sent in answer between two own comparisons; a
 #: daemon that asks without end, or lies about what it knows, gets no more.
 ALLOWANCE = 600
+#: Blocked requests that are sent in answer to one digest, the newest ones.
+_MOST_SUSPECTS = 24
 #: Stages and verdicts of moves in one datagram.
 _MOVES = 8
 
@@ -60,7 +67,9 @@
         neighbours: Neighbours,
         wishes: Wishes,
         send: Send,
+        quarantine: Quarantine,
     ) -> None:
+        self._quarantine = quarantine
         self._own = own
         self._table = table
         self._neighbours = neighbours
@@ -90,6 +99,7 @@
             moves=_digest_moves(self._wishes),
             stamp=self._wishes.stamp,
             is_reply=is_reply,
+            blocked=self._quarantine.digest,
         )
 
     def take_summary(self, message: Summary, sender: MemberRecord) -> None:
@@ -98,6 +108,8 @@
             self._send(sender, self.summarize(is_reply=True))
         if message.moves != _digest_moves(self._wishes):
             self._send_moves(sender)
+        if message.blocked != self._quarantine.digest:
+            self._send_suspects(sender)
         if message.is_reply:
             # The daemon that answered compares the zones.
             return
@@ -195,6 +207,14 @@
         for chunk in split_records(records[:allowed]):
             self._send(to, Records(self._own().vm, chunk))
 
+    def _send_suspects(self, to: MemberRecord) -> None:
+        """Send what is blocked, and what was cleared since it was."""
+        known = [one for one in self._quarantine if one.is_blocked or one.round]
+        known.sort(key=_newest_first)
+        allowed = self._allow(min(len(known), _MOST_SUSPECTS))
+        for message in pack_suspects(known[:allowed]):
+            self._send(to, message)
+
     def _send_moves(self, to: MemberRecord) -> None:
         known = self._wishes.known
         progress = list(known.progress.values())
@@ -207,6 +227,10 @@
             )
 
 
+def _newest_first(suspect: Suspect) -> int:
+    return -suspect.changed_at
+
+
 def _digest_moves(wishes: Wishes) -> int:
     """Digest of stages and verdicts, without the ages of moves."""
     found = 0
--- a/libs/sidecar/src/verbenamill_sidecar/refusing.py
+++ b/libs/sidecar/src/verbenamill_sidecar/refusing.py
@@ -17,6 +17,8 @@
 _HINT_SPREAD = 0.5
 #: Hint while no configuration is known, or no owner, in seconds.
 _UNKNOWN_HINT = 0.3
+#: Hint for a request that is blocked, nobody knows for how long, in seconds.
+_BLOCKED_HINT = 60
 
 
 class _Problem(Struct):
@@ -50,6 +52,17 @@
     return response
 
 
+def refuse_blocked(reason: str, wait: float) -> Response:
+    """Refuse a request that is not to come back for long.
+
+    :param wait: until it may run again, in seconds; 0 if nobody knows.
+    """
+    response = refusal(HTTPStatus.SERVICE_UNAVAILABLE, reason)
+    told = math.ceil(wait) or _BLOCKED_HINT
+    response.headers.append((b'retry-after', b'%d' % told))
+    return response
+
+
 def find_fault(head: RequestHead) -> Response | None:
     """Why a request is refused for its own sake, if it is.
 
--- a/libs/sidecar/src/verbenamill_sidecar/tries.py
+++ b/libs/sidecar/src/verbenamill_sidecar/tries.py
@@ -5,6 +5,8 @@
 from verbenamill_sidecar.call import Fate, Outcome
 from verbenamill_sidecar.peers import Peer
 
+_FIRST_FAILURE = 500
+
 
 class Tries:
     """What has been tried for one request.
@@ -12,6 +14,7 @@
     :ivar reached: upstreams that have seen it.
     :ivar is_same_everywhere: whether other owners would say the same.
     :ivar crashed: whether an upstream has crashed while it ran it.
+    :ivar blocked: whether it is refused for crashes under it.
     """
 
     def __init__(self) -> None:
@@ -22,6 +25,7 @@
         self.answer: Answer | None = None
         self.may_have_run = False
         self.crashed = False
+        self.blocked = False
         self.is_same_everywhere = False
         self.reason = ''
         self.wait = float(0)
@@ -33,6 +37,16 @@
         """Whether an upstream has run the request, or may have."""
         return self.may_have_run or self.answer is not None
 
+    @property
+    def has_completed(self) -> bool:
+        """Whether an upstream has run the request and lives.
+
+        A failure may be told by an upstream that did not begin it, and 504 by
+        one that broke it off.
+        """
+        answer = self.answer
+        return answer is not None and answer.status < _FIRST_FAILURE
+
     def begin(self, peer: Peer) -> None:
         """Note that a try begins."""
         vm = peer.record.vm
@@ -41,11 +55,21 @@
         self._places[vm] = len(self.story)
         self.story.append(f'{vm}: no answer yet')
 
+    def refuse(self, reason: str, *, blocked_for: float) -> None:
+        """Note that it is refused here for crashes under it.
+
+        :param blocked_for: in seconds; 0 if it only waited for another copy.
+        """
+        self.blocked = blocked_for > 0
+        self.reason = reason
+        self.wait = blocked_for
+
     def end(self, peer: Peer, outcome: Outcome) -> None:
         """Note what became of a try."""
         vm = peer.record.vm
         self.reached += outcome.reached
         self.is_same_everywhere |= outcome.everywhere
+        self.blocked |= outcome.blocked
         self.story[self._places[vm]] = f'{vm}: {_summary(outcome)}'
         if outcome.fate is Fate.NOT_RUN:
             self.reason = self.reason or outcome.reason
--- a/libs/sidecar/tests/test_dissemination.py
+++ b/libs/sidecar/tests/test_dissemination.py
@@ -17,7 +17,14 @@
     MemberTable,
     UpstreamRecord,
 )
+from verbenamill_policy.quarantine import (
+    MAX_RECORDS,
+    CrashId,
+    Quarantine,
+    Standing,
+)
 from verbenamill_policy.rollouts import Progress
+from verbenamill_policy.routes import Route, RouteKind, Split
 from verbenamill_policy.rumors import FANOUT, RELAYS, ROUNDS, Neighbours
 from verbenamill_sidecar.datagrams import (
     Ages,
@@ -29,15 +36,19 @@
     write_message,
 )
 from verbenamill_sidecar.dissemination import Dissemination
+from verbenamill_sidecar.call import Call
 from verbenamill_sidecar.knowledge import Wishes
 from verbenamill_sidecar.reconciliation import (
     ALLOWANCE,
     FAR_COMPARISONS,
     Reconciliation,
 )
+from verbenamill_sidecar.suspects import SuspectGate
 
 #: Rounds of rumors between two comparisons.
 COMPARED = 10
+#: Time of a round, in seconds.
+ROUND = 0.1
 
 
 def make_record(vm, zone, *, incarnation=1):
@@ -64,6 +75,12 @@
         self.table = MemberTable()
         self.wishes = Wishes()
         self.recalled = []
+        self.gate = SuspectGate(
+            Quarantine(),
+            wall=lambda: fleet.now,
+            now=lambda: fleet.now,
+        )
+        self.gate.publish = lambda one: self.news.tell_suspect(one)
         self._fleet = fleet
         neighbours = Neighbours(
             self.table,
@@ -78,6 +95,7 @@
             wishes=self.wishes,
             send=self._send,
             recall=self.recalled.append,
+            gate=self.gate,
         )
         self.compared = Reconciliation(
             own=lambda: self.news.own,
@@ -85,6 +103,7 @@
             neighbours=neighbours,
             wishes=self.wishes,
             send=self._send,
+            quarantine=self.gate.quarantine,
         )
 
     def _send(self, to, message):
@@ -97,6 +116,7 @@
                 self.news.take_members(message.members, spread=True)
                 for progress in message.progress:
                     self.news.take_progress(progress)
+                self.news.take_suspects(message.suspects)
             case Records():
                 is_far = sender.zone != self.zone
                 self.news.take_members(message.members, spread=is_far)
@@ -116,6 +136,7 @@
     def __init__(self, zones, size, *, loss=0.0, seed=1):
         self.random = Random(seed)
         self.loss = loss
+        self.now = float(0)
         self.is_cut = lambda one, other: False
         self.sent = defaultdict(int)
         self.bytes = defaultdict(int)
@@ -148,6 +169,7 @@
                 self.daemons[to].handle(message, sender)
 
     def round(self, *, compares=False):
+        self.now += ROUND
         for daemon in self.daemons.values():
             daemon.news.next_round()
             if compares:
@@ -172,6 +194,19 @@
             if daemon.table.get(vm).upstream == upstream
         ]
 
+    def blocking(self, fingerprint):
+        """Daemons that refuse a request, or hold it."""
+        found = []
+        for daemon in self.daemons.values():
+            standing = daemon.gate.quarantine.judge(
+                fingerprint,
+                now=self.now,
+                wall=self.now,
+            )
+            if standing in (Standing.BLOCKED, Standing.HELD):
+                found.append(daemon)
+        return found
+
     def agree(self):
         tables = [daemon.table.digests for daemon in self.daemons.values()]
         return all(table == tables[0] for table in tables)
@@ -368,3 +403,98 @@
     )
     assert known is not None
     assert records <= ALLOWANCE
+
+
+def make_call(target=b'/deadly'):
+    route = Route(
+        name='lookup',
+        host='shop.example',
+        prefix='/',
+        kind=RouteKind.IDEMPOTENT,
+        timeout=1,
+        objective=1,
+        priority=0,
+        max_attempts=2,
+        splits=(Split('s', 1),),
+    )
+    return Call(
+        id=b'r1',
+        route=route,
+        service='s',
+        method=b'GET',
+        target=target,
+        headers=[(b'host', b'shop.example')],
+        body=b'',
+        origin=b's',
+        arrived=0,
+        objective=1,
+        deadline=1,
+    )
+
+
+def accuse(daemon, *crashes, call=None):
+    """Upstreams crash under a request that comes to a daemon."""
+    call = call or make_call()
+    for crash in crashes:
+        daemon.gate.accuse(call, CrashId(crash))
+    daemon.gate.conclude(call, has_completed=False)
+
+
+@pytest.mark.parametrize(('zones', 'size'), [(4, 3), (4, 15), (6, 33)])
+@pytest.mark.parametrize('loss', [0, 0.05, 0.2])
+def test_a_blocked_request_is_known_to_all_within_the_window(zones, size, loss):
+    """Guards against daemons that go on sending a query of death."""
+    for seed in range(5):
+        fleet = Fleet(zones, size, loss=loss, seed=seed)
+        accuse(fleet.daemons['0-0'], 'i1/1', 'i2/1')
+        fleet.run(3)
+        accuse(fleet.daemons['1-1'], 'i3/1')
+        fingerprint = make_call().find_fingerprint()
+        everybody = len(fleet.daemons)
+        fleet.rounds_until(
+            lambda: len(fleet.blocking(fingerprint)) == everybody,
+            int(3.0 / ROUND),
+        )
+
+
+def test_crashes_seen_on_both_sides_of_a_cut_add_up_once_it_heals():
+    """Guards against two halves that each forget what the other half saw."""
+    fleet = Fleet(4, 3)
+    fleet.is_cut = lambda one, other: (one.zone == 'z0') != (other.zone == 'z0')
+    accuse(fleet.daemons['0-0'], 'i1/1', 'i2/1')
+    accuse(fleet.daemons['1-0'], 'i3/1', 'i4/1', 'i5/1')
+    fleet.run(COMPARED)
+    fingerprint = make_call().find_fingerprint()
+    assert len(fleet.blocking(fingerprint)) == 9
+    fleet.is_cut = lambda one, other: False
+    fleet.rounds_until(
+        lambda: len(fleet.blocking(fingerprint)) == 12,
+        3 * COMPARED,
+    )
+
+
+def test_a_completion_anywhere_frees_a_request_everywhere():
+    """Guards against a harmless request that stays refused."""
+    fleet = Fleet(4, 15)
+    accuse(fleet.daemons['0-0'], 'i1/1', 'i2/1', 'i3/1')
+    fleet.run(6)
+    fingerprint = make_call().find_fingerprint()
+    assert fleet.blocking(fingerprint)
+    fleet.daemons['3-3'].gate.conclude(make_call(), has_completed=True)
+    fleet.rounds_until(lambda: not fleet.blocking(fingerprint), 2 * COMPARED)
+
+
+def test_many_suspects_leave_room_for_other_news():
+    """Guards against a caller that crashes upstreams to delay other news."""
+    fleet = Fleet(4, 3)
+    maker = fleet.daemons['0-0']
+    for number in range(200):
+        accuse(maker, f'i{number}/1', call=make_call(b'/%d' % number))
+    fleet.sent.clear()
+    upstream = make_upstream()
+    maker.news.update(upstream=upstream)
+    fleet.rounds_until(lambda: len(fleet.knowing('0-0', upstream)) == 12, 20)
+    assert all(
+        len(daemon.gate.quarantine) <= MAX_RECORDS
+        for daemon in fleet.daemons.values()
+    )
--- a/libs/sidecar/tests/test_gossip.py
+++ b/libs/sidecar/tests/test_gossip.py
@@ -14,10 +14,12 @@
 )
 from verbenamill_policy.rollouts import Progress
 from verbenamill_policy.routes import Configuration, Limits
+from verbenamill_policy.quarantine import Quarantine
 from verbenamill_sidecar.distribution import DistributionTree
 from verbenamill_sidecar.gossip import Gossip
 from verbenamill_sidecar.knowledge import Wishes
 from verbenamill_sidecar.peers import Peers
+from verbenamill_sidecar.suspects import SuspectGate
 
 
 class FakeFollower:
@@ -61,6 +63,7 @@
             follower=self.follower,
             tree=DistributionTree(self.table, vm),
             counted=lambda tally: None,
+            gate=SuspectGate(Quarantine(), wall=lambda: 0),
         )
         self.gossip.bind(parse_address(record.gossip))
 
--- a/libs/sidecar/tests/test_silence.py
+++ b/libs/sidecar/tests/test_silence.py
@@ -8,9 +8,11 @@
 
 from verbenamill_http.addresses import parse_address
 from verbenamill_policy.members import MemberRecord, MemberTable
+from verbenamill_policy.quarantine import Quarantine
 from verbenamill_sidecar.distribution import DistributionTree
 from verbenamill_sidecar.gossip import Gossip
 from verbenamill_sidecar.knowledge import Wishes
+from verbenamill_sidecar.suspects import SuspectGate
 from verbenamill_sidecar.peers import MAX_IDLE, Peers
 
 
@@ -42,6 +44,7 @@
             follower=None,
             tree=DistributionTree(table, 'vm0'),
             counted=lambda _: None,
+            gate=SuspectGate(Quarantine(), wall=lambda: 0),
         )
         self.gossip.bind(parse_address(own.gossip))
         table.merge(make_record('vm1', ports[1]))
--- a/libs/telemetry/src/verbenamill_telemetry/events.py
+++ b/libs/telemetry/src/verbenamill_telemetry/events.py
@@ -424,6 +424,24 @@
         'request may be the cause. VM6008 has it too, beside the request id.',
         rate=20,
     )
+    REQUEST_BLOCKED = EventKind(
+        'VM6014',
+        logging.WARNING,
+        'requests {about} with fingerprint {fingerprint} are blocked',
+        'Upstreams crashed under this request, those in `crashes`, and it '
+        'completed nowhere. All daemons refuse it for `wait` seconds; then one '
+        'copy runs alone, and clears it or renews the block.',
+        'Mend the upstream; VM6013 of each crash tells what else was in hand.',
+        rate=20,
+    )
+    REQUEST_UNBLOCKED = EventKind(
+        'VM6015',
+        logging.INFO,
+        'requests {about} with fingerprint {fingerprint} run again',
+        'One has completed since.',
+        _NOTHING,
+        rate=20,
+    )
     INVARIANT_BROKEN = EventKind(
         'VM9001',
         logging.CRITICAL,
