Blocks outlive the daemons that know them; operators see and lift them

A block was known to the running daemons only: after all of them were killed or lost power, the same request would have crashed three more upstreams.

The first daemon of each zone writes blocks to the store, beside the records of daemons, so that the read of a start brings them without a further call; it tries again while the store is away. `verbenamill fleet blocked` lists them with the crashes that are the evidence, and `fleet unblock` clears one; daemons that read the store hear of that within three minutes and tell the others.

--- a/deploy/tests/test_query_of_death.py
+++ b/deploy/tests/test_query_of_death.py
@@ -1,10 +1,16 @@
 """Requests under which upstreams crash, and harmless ones beside them."""
 
+from datetime import UTC, datetime
 from functools import partial
 
 import trio
 from trio.testing import MockClock
 
+from verbenamill_cli.errors import ExitCode
+from verbenamill_cli.quarantine import find_blocked, unblock
+from verbenamill_http.addresses import parse_address
+from verbenamill_platform import PlatformStore
+
 #: Sends that are allowed beyond a window after the third crash, and that
 #: window in seconds.
 ALLOWED = 3
@@ -232,3 +238,83 @@
         assert (await owner.call('/lookup/1', id='last')).status == 200
 
     play(scene, clock=MockClock(autojump_threshold=0))
+
+
+async def block(site, vms):
+    """Have the request blocked, and the store know it."""
+    for coming in range(3):
+        await vms[0].call(PATH, id=f'd{coming}')
+    await trio.sleep(3)
+
+
+def test_a_blocked_request_stays_blocked_when_all_daemons_are_killed(play):
+    """Guards against a block that ends with the last daemon that knows it."""
+
+    async def scene(site):
+        vms = await open_fleet(site)
+        await block(site, vms)
+        for vm in vms:
+            await vm.kill()
+        for vm in vms:
+            await vm.start()
+            await vm.beat()
+        await site.settled()
+        await site.in_force(1)
+        await trio.sleep(3)
+        before = crashes_of(vms)
+        for coming, vm in enumerate(vms):
+            answer = await vm.call(PATH, id=f'e{coming}')
+            assert answer.status == 503
+        assert crashes_of(vms) == before == 3
+
+    play(scene, clock=MockClock(autojump_threshold=0))
+
+
+def test_a_block_reaches_the_store_once_that_is_back(play):
+    """Guards against a block that is not kept as the store was away."""
+
+    async def scene(site):
+        vms = await open_fleet(site)
+        site.store.is_down = True
+        await block(site, vms)
+        site.store.is_down = False
+        await trio.sleep(8)
+        for vm in vms:
+            await vm.kill()
+        await vms[0].start()
+        await vms[0].beat()
+        await site.in_force(1)
+        await trio.sleep(3)
+        assert (await vms[0].call(PATH, id='e1')).status == 503
+        assert crashes_of(vms) == 3
+
+    play(scene, clock=MockClock(autojump_threshold=0))
+
+
+def test_an_operator_sees_what_is_blocked_and_unblocks_it(play):
+    """Guards against a block that nobody can see or lift."""
+
+    async def scene(site):
+        vms = await open_fleet(site)
+        await block(site, vms)
+        store = PlatformStore(parse_address(site.store.address))
+        report = (await find_blocked(store, now=datetime.now(UTC))).unwrap()
+        row = report.lines[1].split()
+        assert 'shop.example/lookup/deadly' in row
+        fingerprint = row[0]
+        for vm in vms:
+            vm.upstream.kills = lambda _: False
+        done = await unblock(store, fingerprint, now=datetime.now(UTC))
+        assert done.unwrap().code is ExitCode.OK
+
+        async def runs_again():
+            await trio.sleep(5)
+            return (await vms[2].call(PATH, id='e1')).status == 200
+
+        with trio.fail_after(300):
+            while not await runs_again():
+                pass
+        missing = await unblock(store, 'ab' * 16, now=datetime.now(UTC))
+        assert missing.failure().code is ExitCode.NOT_FOUND
+
+    play(scene, clock=MockClock(autojump_threshold=0))
--- a/libs/cli/src/verbenamill_cli/fleet.py
+++ b/libs/cli/src/verbenamill_cli/fleet.py
@@ -39,13 +39,13 @@
 async def find_fleet(store: Store) -> Result[Report, CliError]:
     """Ask the store and every daemon."""
     published = await store.published()
-    members = await store.members()
-    match published, members:
-        case Success(told), Success(records):
-            seen = await _ask_all(records)
+    remembered = await store.remembered()
+    match published, remembered:
+        case Success(told), Success(kept):
+            seen = await _ask_all(kept.members)
             return Success(_report_fleet(told, seen))
         case (Failure(fault), _) | (_, Failure(fault)):
-            return Failure(_unavailable(fault))
+            return Failure(unavailable(fault))
     raise AssertionError('a result is a success or a failure')
 
 
@@ -57,7 +57,7 @@
         case Success(told), Success(known):
             return Success(_report_moves(told.orders, known.settled))
         case (Failure(fault), _) | (_, Failure(fault)):
-            return Failure(_unavailable(fault))
+            return Failure(unavailable(fault))
     raise AssertionError('a result is a success or a failure')
 
 
@@ -178,7 +178,8 @@
     return found.verdict.value
 
 
-def _unavailable(fault: StoreFault) -> CliError:
+def unavailable(fault: StoreFault) -> CliError:
+    """The store gave no answer, or refused."""
     return CliError(
         code=ExitCode.UNAVAILABLE,
         message=f'the store does not answer: {fault.value}',
--- a/libs/cli/src/verbenamill_cli/fleet_commands.py
+++ b/libs/cli/src/verbenamill_cli/fleet_commands.py
@@ -1,6 +1,7 @@
-"""``verbenamill fleet``: status and moves on a platform."""
+"""``verbenamill fleet``: daemons, moves and blocked requests."""
 
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Annotated
 
 import trio
@@ -12,6 +13,7 @@
 from verbenamill_cli.fleet import find_fleet, find_moves
 from verbenamill_cli.options import AsJson, Found, environment_of
 from verbenamill_cli.output import finish
+from verbenamill_cli.quarantine import find_blocked, unblock
 from verbenamill_http.addresses import parse_address
 from verbenamill_sidecar.protocol import Store
 
@@ -27,7 +29,7 @@
 ]
 
 app = typer.Typer(
-    help='Daemons and moves on a platform.',
+    help='Daemons, moves and blocked requests on a platform.',
     no_args_is_help=True,
 )
 
@@ -55,6 +57,38 @@
     finish(_ask(environment_of(context), store, find_moves), as_json=as_json)
 
 
+@app.command('blocked')
+def _blocked(
+    context: typer.Context,
+    store: StoreAddress = '',
+    as_json: AsJson = False,
+) -> None:
+    """Show the requests that are refused, as upstreams crashed under them."""
+    environment = environment_of(context)
+    find = partial(find_blocked, now=environment.clock.now())
+    finish(_ask(environment, store, find), as_json=as_json)
+
+
+@app.command('unblock')
+def _unblock(
+    context: typer.Context,
+    fingerprint: Annotated[
+        str,
+        typer.Argument(help='As `fleet blocked` shows it.'),
+    ],
+    store: StoreAddress = '',
+    as_json: AsJson = False,
+) -> None:
+    """Let a blocked request run again."""
+    environment = environment_of(context)
+    clear = partial(
+        unblock,
+        fingerprint=fingerprint,
+        now=environment.clock.now(),
+    )
+    finish(_ask(environment, store, clear), as_json=as_json)
+
+
 def _ask(
     environment: Environment,
     address: str,
--- a/libs/cli/tests/test_fleet_commands.py
+++ b/libs/cli/tests/test_fleet_commands.py
@@ -7,7 +7,7 @@
 from verbenamill_cli.environment import Environment
 from verbenamill_cli.errors import CliError, ExitCode
 from verbenamill_cli.main import app
-from verbenamill_sidecar.protocol import Published, Settlements
+from verbenamill_sidecar.protocol import Published, Remembered, Settlements
 
 
 class EmptyStore:
@@ -19,8 +19,8 @@
     async def published(self):
         return Success(Published(next=0))
 
-    async def members(self):
-        return Success(())
+    async def remembered(self):
+        return Success(Remembered())
 
     async def settlements(self):
         return Success(Settlements(end=0, settled={}))
@@ -44,7 +44,7 @@
     assert '--store HOST:PORT' in told.stderr
 
 
-@pytest.mark.parametrize('command', ['status', 'moves'])
+@pytest.mark.parametrize('command', ['status', 'moves', 'blocked'])
 def test_an_empty_store(command):
     store = EmptyStore()
     told = call(command, '--store', '10.0.0.1:80', opened=Success(store))
--- a/libs/sidecar/src/verbenamill_sidecar/daemon.py
+++ b/libs/sidecar/src/verbenamill_sidecar/daemon.py
@@ -144,6 +144,7 @@
             context.random,
             is_lost=lambda: self._follower.is_lost,
             found_nobody=self._follower.begin,
+            quarantine=self._gate.quarantine,
         )
         self._is_stopping = False
         self._servers = self._make_servers()
--- a/libs/sidecar/src/verbenamill_sidecar/protocol.py
+++ b/libs/sidecar/src/verbenamill_sidecar/protocol.py
@@ -14,7 +14,9 @@
 
 from verbenamill_model.typing import AvailabilityZone, ServiceName, VmId
 from verbenamill_policy.heartbeats import Heartbeat
+from verbenamill_policy.fingerprints import Fingerprint
 from verbenamill_policy.members import MemberRecord
+from verbenamill_policy.quarantine import Suspect
 from verbenamill_policy.rollouts import Order, Settled
 from verbenamill_policy.routes import Configuration
 
@@ -64,6 +66,7 @@
     MEMBERS = 'members'
     ANNOUNCE = 'announce'
     SAVE_ZONE = 'save-zone'
+    SAVE_SUSPECTS = 'save-suspects'
     JOIN = 'join'
     LEAVE = 'leave'
 
@@ -92,6 +95,17 @@
     settled: dict[ServiceName, Settled]
 
 
+class Remembered(Struct, frozen=True, kw_only=True):
+    """What daemons keep in the store for those that start later.
+
+    :param members: daemons that have told of themselves and not left.
+    :param suspects: requests that are blocked, or that an operator cleared.
+    """
+
+    members: tuple[MemberRecord, ...] = ()
+    suspects: tuple[Suspect, ...] = ()
+
+
 class Store(Protocol):
     """The platform's store, as far as the daemon uses it."""
 
@@ -123,8 +137,8 @@
     ) -> Result[None, StoreFault]:
         """Tell the operator, unless anything was told since ``end``."""
 
-    async def members(self) -> Result[tuple[MemberRecord, ...], StoreFault]:
-        """Daemons that have told of themselves and not left."""
+    async def remembered(self) -> Result[Remembered, StoreFault]:
+        """What daemons keep there for those that start later."""
 
     async def announce(self, member: MemberRecord) -> Result[None, StoreFault]:
         """Make a daemon known until its zone is saved."""
@@ -141,6 +155,17 @@
         :param announced: daemons that need no announcement any more.
         """
 
+    async def save_suspects(
+        self,
+        suspects: Collection[Suspect],
+        *,
+        forgotten: Collection[Fingerprint] = (),
+    ) -> Result[None, StoreFault]:
+        """Keep what is blocked.
+
+        :param forgotten: what need not be kept any more.
+        """
+
     async def join(self, member: MemberRecord) -> Result[None, StoreFault]:
         """Keep the record of one daemon, beside that of its zone."""
 
--- a/libs/sidecar/src/verbenamill_sidecar/registering.py
+++ b/libs/sidecar/src/verbenamill_sidecar/registering.py
@@ -1,4 +1,4 @@
-"""Keeping members in the store, and finding them there after a start."""
+"""Keeping in the store what must last, and finding it there after a start."""
 
 from collections.abc import Callable
 from random import Random
@@ -8,9 +8,11 @@
 
 from verbenamill_model.typing import UpstreamState, VmId
 from verbenamill_policy.members import MemberRecord, MemberTable
+from verbenamill_policy.quarantine import Quarantine
 from verbenamill_sidecar.distribution import DistributionTree
 from verbenamill_sidecar.gossip import GREETED_FIRST, Gossip
 from verbenamill_sidecar.protocol import Store
+from verbenamill_sidecar.remembering import QuarantineMemory
 
 #: Pause before the store is asked again after a call that failed, or while
 #: nobody is known, in seconds; and the longest, as it doubles.
@@ -40,6 +42,7 @@
     start of this daemon may send the upstream new work.
 
     :param is_lost: whether the store gives no answers.
+    :param quarantine: requests under which upstreams crashed.
     :param found_nobody: told at a start when the store names no other daemon.
     """
 
@@ -53,7 +56,9 @@
         *,
         is_lost: Callable[[], bool],
         found_nobody: Callable[[], None],
+        quarantine: Quarantine,
     ) -> None:
+        self._memory = QuarantineMemory(store, quarantine)
         self._found_nobody = found_nobody
         self._is_lost = is_lost
         self._table = table
@@ -91,6 +96,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._look, is_first_start)
             nursery.start_soon(self._save)
+            nursery.start_soon(self._save_suspects)
             pause = _LOOK_SOON
             while True:
                 await self._wanted.wait()
@@ -167,10 +173,13 @@
             await self._gossip.has_heard.wait()
 
     async def _read_members(self, *, spread: bool) -> bool:
-        found = await self._store.members()
+        found = await self._store.remembered()
         if not isinstance(found, Success):
             return False
-        self._gossip.take_members(found.unwrap(), spread=spread)
+        remembered = found.unwrap()
+        self._gossip.take_members(remembered.members, spread=spread)
+        self._memory.note_saved(remembered.suspects)
+        self._gossip.take_suspects(remembered.suspects)
         self._has_read = True
         return True
 
@@ -183,6 +192,13 @@
                 await self._save_zone()
                 await trio.sleep(_SAVE_PERIOD - _SAVE_STEP)
 
+    async def _save_suspects(self) -> None:
+        """Write what is blocked whenever that has changed."""
+        while True:
+            await trio.sleep(_SAVE_STEP)
+            if self._tree.is_head and not self._is_lost():
+                await self._memory.save()
+
     async def _save_zone(self) -> None:
         zone = self._gossip.own.availability_zone
         digest = self._zone_digest()
--- a/libs/telemetry/src/verbenamill_telemetry/events.py
+++ b/libs/telemetry/src/verbenamill_telemetry/events.py
@@ -431,14 +431,15 @@
         'Upstreams crashed under this request, those in `crashes`, and it '
         'completed nowhere. All daemons refuse it for `wait` seconds; then one '
         'copy runs alone, and clears it or renews the block.',
-        'Mend the upstream; VM6013 of each crash tells what else was in hand.',
+        'Mend the upstream. `verbenamill fleet blocked` lists what is blocked, '
+        'and `verbenamill fleet unblock FINGERPRINT` lets it run again.',
         rate=20,
     )
     REQUEST_UNBLOCKED = EventKind(
         'VM6015',
         logging.INFO,
         'requests {about} with fingerprint {fingerprint} run again',
-        'One has completed since.',
+        'One has completed, or an operator has unblocked it.',
         _NOTHING,
         rate=20,
     )
