A crash is also found behind a proxy that still accepts connections

Found by the soak, whose relays stand in front of upstreams: after a crash they accept connections and close them at once.

A connection that is opened to find out whether the upstream lives is now watched for 20 ms; an HTTP server says nothing on it, such a proxy closes it.

--- a/deploy/tests/test_query_of_death.py
+++ b/deploy/tests/test_query_of_death.py
@@ -73,6 +73,19 @@
     play(scene, clock=MockClock(autojump_threshold=0))
 
 
+def test_a_query_of_death_is_stopped_behind_proxies_that_still_accept(play):
+    """Guards against taking a crash for a lost answer behind a proxy."""
+
+    async def scene(site):
+        vms = await open_fleet(site, has_proxy=True)
+        for coming in range(12):
+            await vms[coming % len(vms)].call(PATH, id=f'd{coming}')
+            await trio.sleep(0.5)
+        assert crashes_of(vms) == 3
+
+    play(scene, clock=MockClock(autojump_threshold=0))
+
+
 def crashes_of(vms):
     return sum(len(vm.upstream.crashed_at) for vm in vms)
 
--- a/libs/http/src/verbenamill_http/client.py
+++ b/libs/http/src/verbenamill_http/client.py
@@ -71,6 +71,15 @@
             return False
         return False
 
+    async def is_closed_within(self, timeout: float) -> bool:
+        """Whether the other end closes it before anything was sent.
+
+        :param timeout: how long that is waited for, in seconds.
+        """
+        with trio.move_on_after(timeout):
+            await trio.lowlevel.wait_readable(self._sock)
+        return not self.is_quiet()
+
     def close(self) -> None:
         """Close at once."""
         self._sock.close()
--- a/libs/sidecar/src/verbenamill_sidecar/crashing.py
+++ b/libs/sidecar/src/verbenamill_sidecar/crashing.py
@@ -10,6 +10,9 @@
 from verbenamill_policy.quarantine import CrashId
 from verbenamill_telemetry import Event, log
 
+#: Time in which a proxy in front of an upstream that is down closes what it
+#: has accepted, in seconds.
+_PROXY_TIME = 0.02
 #: Fingerprints in one log line.
 _SHOWN = 32
 
@@ -59,6 +62,9 @@
         connection = await self._pool.take(max_idle=0)
         if connection is None:
             return False
+        if await connection.is_closed_within(_PROXY_TIME):
+            self._pool.discard(connection)
+            return False
         self._pool.give_back(connection)
         return True
 
