Soak: a deadly request and crashes of another cause are troubles

A request that crashes each upstream that runs it comes 10 to 30 times, at any daemon, beside crashes of a third of the upstreams for causes of their own and a harmless path that many requests share. Two promises: not more than three runs later than 3 s after the third crash, by daemons that nothing troubles, and no refusal of any other request for crashes. Crashed upstreams start again under new names.

--- a/deploy/tests/test_nested.py
+++ b/deploy/tests/test_nested.py
@@ -1,5 +1,7 @@
 """Calls that an upstream makes while it runs a request."""
 
+from contextlib import suppress
+
 import trio
 from trio.testing import MockClock
 
@@ -120,3 +122,78 @@
         assert statuses == [200]
 
     play(scene, clock=MockClock(autojump_threshold=0))
+
+
+GRACE = 6.0
+
+
+def test_a_stop_ends_in_its_time_though_an_upstream_never_answers(play, kit):
+    """Guards against a stop that a run in hand keeps from ending."""
+
+    async def scene(site):
+        fee = kit.row('fee', '/fee/', kind='non_idempotent', timeout=30_000)
+        site.store.operate('config', kit.document(2, [fee]))
+        caller = await site.add('vm1', service='catalog')
+        owner = await site.add('vm2', work=60)
+        await site.settled()
+        await site.in_force(2)
+        answers = []
+
+        async def call(vm, id):
+            answers.append(
+                await vm.call('/fee/1', method='POST', id=id, deadline=30_000),
+            )
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call, caller, 'f1')
+            nursery.start_soon(call, owner, 'f2')
+
+            async def are_running():
+                return owner.upstream.running == 2
+
+            await site.until(are_running)
+            owner.stopping.set()
+            with trio.move_on_after(GRACE):
+                await owner.ended.wait()
+            assert owner.ended.is_set()
+            # Nobody knows whether they have run.
+            await trio.sleep(0.5)
+            assert [answer.status for answer in answers] == [502, 502]
+            nursery.cancel_scope.cancel()
+
+    play(scene, clock=MockClock(autojump_threshold=0))
+
+
+def test_callers_that_send_half_a_request_do_not_hold_up_a_stop(play, kit):
+    """Guards against a stop that new connections keep from ending."""
+
+    async def scene(site):
+        lookup = kit.row('lookup', '/lookup/', timeout=5000)
+        site.store.operate('config', kit.document(2, [lookup]))
+        owner = await site.add('vm1', work=4.5)
+        await site.in_force(2)
+        statuses = []
+
+        async def call():
+            answer = await owner.call('/lookup/1', id='r1', deadline=5000)
+            statuses.append(answer.status)
+
+        async def send_halves():
+            while True:
+                half = await owner.connect()
+                await half.send(b'GET /lookup/1 HTTP/1.1\r\nHost: shop')
+                await trio.sleep(0.3)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call)
+            await trio.sleep(0.3)
+            owner.stopping.set()
+            began = trio.current_time()
+            with suppress(OSError), trio.move_on_after(GRACE):
+                await send_halves()
+            with trio.move_on_at(began + GRACE):
+                await owner.ended.wait()
+            assert owner.ended.is_set()
+        assert statuses == [200]
+
+    play(scene, clock=MockClock(autojump_threshold=0))
--- a/libs/soak/src/verbenamill_soak/callers.py
+++ b/libs/soak/src/verbenamill_soak/callers.py
@@ -24,6 +24,9 @@
 PAUSE = 0.04
 #: Share of the requests that must not be repeated.
 _FEES = 0.4
+#: Path that many harmless requests share, and how often it is called.
+POPULAR = '/lookup/popular'
+_POPULAR_EVERY = 5
 #: Share on routes that only some versions have, and versions they are of.
 _PROBES = 0.25
 _NEWEST = 3
@@ -48,6 +51,7 @@
     path: str
     is_fee: bool
     sent_at: float
+    target: str = ''
     ended_at: float = 0
     ending: Ending = Ending.UNSENT
     status: int = 0
@@ -78,11 +82,23 @@
             if self._random.random() < _PROBES:
                 is_fee = False
                 path = f'/v{self._random.choice(versions()[-_NEWEST:])}/'
-            await self.call(path, is_fee=is_fee)
-
-    async def call(self, path: str, *, is_fee: bool) -> Asked:
-        """Make one request."""
-        asked = self._note(path, is_fee=is_fee)
+            if path == '/lookup/' and len(self.asked) % _POPULAR_EVERY == 0:
+                await self.call(POPULAR, is_fee=False, is_unique=False)
+            else:
+                await self.call(path, is_fee=is_fee)
+
+    async def call(
+        self,
+        path: str,
+        *,
+        is_fee: bool,
+        is_unique: bool = True,
+    ) -> Asked:
+        """Make one request.
+
+        :param is_unique: whether its path is one that no other request has.
+        """
+        asked = self._note(path, is_fee=is_fee, is_unique=is_unique)
         try:
             await self._exchange(asked)
         except (OSError, trio.BrokenResourceError, h11.ProtocolError):
@@ -92,9 +108,17 @@
         asked.ended_at = trio.current_time()
         return asked
 
-    def _note(self, path: str, *, is_fee: bool) -> Asked:
+    def _note(
+        self,
+        path: str,
+        *,
+        is_fee: bool,
+        is_unique: bool = True,
+    ) -> Asked:
+        id = f'{self._name}-{len(self.asked)}'
         asked = Asked(
-            id=f'{self._name}-{len(self.asked)}',
+            id=id,
+            target=f'{path}{id}' if is_unique else path,
             vm=self._node.name,
             life=self._node.lives,
             path=path,
@@ -113,7 +137,7 @@
             self._connection = h11.Connection(h11.CLIENT)
         request = h11.Request(
             method='POST' if asked.is_fee else 'GET',
-            target=asked.path + asked.id,
+            target=asked.target,
             headers=[
                 ('Host', SITE),
                 *request_headers(asked.id, deadline=DEADLINE),
--- a/libs/soak/src/verbenamill_soak/nodes.py
+++ b/libs/soak/src/verbenamill_soak/nodes.py
@@ -5,6 +5,7 @@
 import sys
 from collections.abc import Iterator
 from contextlib import contextmanager
+from dataclasses import dataclass, field
 from pathlib import Path
 
 import h11
@@ -20,6 +21,8 @@
 _HOST = '127.0.0.1'
 #: Time for a killed process to be gone, in seconds.
 _END_LIMIT = 5.0
+#: Path of the request that crashes each upstream that runs it.
+DEADLY = '/lookup/deadly'
 #: How often an upstream beats, in seconds.
 BEAT_PERIOD = 0.5
 #: Longest wait for an acknowledgement, in seconds.
@@ -61,6 +64,7 @@
 """
 
 
+@dataclass
 class Upstream(UpstreamStandIn):
     """One upstream of a run.
 
@@ -68,12 +72,32 @@
     :ivar died_at: when it ended without that.
     :ivar is_leaving: whether it ends, or waits for somebody to know that.
     :ivar fails: whether it answers half of its requests with 500.
+    :ivar name: that of its first start; it has another one after a crash.
+    :ivar killed_at: when the deadly request crashed it.
     """
 
     acked_at: float | None = None
-    died_at = float('-inf')
-    is_leaving = False
-    fails = False
+    died_at: float = float('-inf')
+    is_leaving: bool = False
+    fails: bool = False
+    name: str = ''
+    killed_at: list[float] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        """Remember its first name."""
+        self.name = self.instance
+
+    def dies_of(self, asked: Asked) -> bool:
+        """Whether a request crashes it."""
+        if asked.path != DEADLY:
+            return False
+        self.killed_at.append(trio.current_time())
+        return True
+
+    def crash(self) -> None:
+        """End at once, and start again after a while."""
+        self.died_at = trio.current_time()
+        super().crash()
 
     def judge(self, asked: Asked) -> Told | None:
         """Fail every second request of a bad version."""
@@ -205,13 +229,14 @@
             instance=f'i-{self.name}-{len(self.upstreams)}',
             zone=self.zone,
             version=version,
-            born=1000 + len(self.upstreams),
+            born=1000 * (1 + len(self.upstreams)),
             work=WORK,
         )
         made.fails = fails
         made.script = made.judge
+        made.kills = made.dies_of
         scope = await self._nursery.start(self._serve, made)
-        self._serving[made.instance] = scope
+        self._serving[made.name] = scope
         self._upstream.target = made.address
         # The daemon reaches it through the relay.
         made.address = self._upstream.address
@@ -224,7 +249,7 @@
         upstream.is_leaving = True
         if upstream.acked_at is None:
             upstream.died_at = trio.current_time()
-        self._serving.pop(upstream.instance).cancel()
+        self._serving.pop(upstream.name).cancel()
 
     async def leave(self, upstream: Upstream, *, is_told: bool) -> bool:
         """Have an upstream leave; tells whether that was acknowledged.
@@ -314,12 +339,13 @@
     ) -> None:
         with trio.CancelScope() as scope:
             async with trio.open_nursery() as nursery:
-                await nursery.start(upstream.serve)
+                await nursery.start(upstream.serve_again)
                 task_status.started(scope)
 
     async def _beat(self, upstream: Upstream) -> None:
         while self.is_serving(upstream):
-            await self._announce(upstream.heartbeat())
+            if not upstream.is_down:
+                await self._announce(upstream.heartbeat())
             await trio.sleep(BEAT_PERIOD)
 
     async def _announce(self, message: tuple[str, bytes]) -> bool:
--- a/libs/soak/src/verbenamill_soak/pipelining.py
+++ b/libs/soak/src/verbenamill_soak/pipelining.py
@@ -97,7 +97,7 @@
 def _encode(asked: Asked) -> bytes:
     headers = request_headers(asked.id, deadline=DEADLINE)
     lines = [
-        f'GET {asked.path}{asked.id} HTTP/1.1',
+        f'GET {asked.target} HTTP/1.1',
         f'Host: {SITE}',
         *(f'{name}: {told}' for name, told in headers),
     ]
--- a/libs/soak/src/verbenamill_soak/plan.py
+++ b/libs/soak/src/verbenamill_soak/plan.py
@@ -18,6 +18,9 @@
     :cvar DRAIN: the upstream drains, leaves and is replaced.
     :cvar UNTOLD: it leaves without saying before that it drains.
     :cvar REPLACE: the upstream dies and another one takes its address.
+    :cvar CRASH: the upstream crashes of no request's fault, and starts again.
+    :cvar DEADLY: a request that crashes each upstream that runs it comes to
+        the VM's daemon.
     :cvar STORE_LOSES: writes take effect and their answers are lost.
     """
 
@@ -37,6 +40,8 @@
     DRAIN = 'drain'
     UNTOLD = 'untold'
     REPLACE = 'replace'
+    CRASH = 'crash'
+    DEADLY = 'deadly'
     STORE_DOWN = 'store-down'
     STORE_SILENT = 'store-silent'
     STORE_LOSES = 'store-loses'
@@ -59,7 +64,14 @@
 #: Changes come often; the rest is drawn evenly.
 _WEIGHTS = {Kind.CONFIGURE: 4, Kind.STOP: 2, Kind.DRAIN: 2}
 #: Drawn apart, so that the seeds of before draw what they drew.
-_APART = Kind.LATE_PEERS
+_APART = frozenset((Kind.LATE_PEERS, Kind.CRASH, Kind.DEADLY))
+#: Comings of the deadly request, and pause between two, in seconds. They begin
+#: in the first part of a run, so that most come when it has long been known.
+_COMINGS = (10, 30)
+_COMING_GAP = (0.1, 1.0)
+_DEADLY_FROM = 0.3
+#: Seconds of a run for each time that a third of the upstreams crash.
+_CRASH_EVERY = 6.0
 #: How long what is new is held, in seconds: longer than a daemon is trusted
 #: without a sign of life, and shorter than a deadline.
 _LATE = (0.7, 1.5)
@@ -92,7 +104,7 @@
 def draw_plan(seed: int, *, vms: int, seconds: float) -> list[Trouble]:
     """Draw the troubles of a run, in order of time."""
     random = Random(seed)
-    kinds = [kind for kind in Kind if kind is not _APART]
+    kinds = [kind for kind in Kind if kind not in _APART]
     weights = [_WEIGHTS.get(kind, 1) for kind in kinds]
     found: list[Trouble] = []
     wanted = max(4, int(seconds * vms * _RATE))
@@ -111,6 +123,8 @@
             )
             at = min(at + random.uniform(0, _LONGEST_GAP), seconds)
     found.extend(_draw_late(seed, vms, seconds))
+    found.extend(_draw_deadly(seed, vms, seconds))
+    found.extend(_draw_crashes(seed, vms, seconds))
     return sorted(found, key=lambda trouble: trouble.at)
 
 
@@ -121,7 +135,8 @@
         at = random.uniform(0, seconds - _LONGEST_GAP)
         touched = random.sample(range(vms), max(1, vms // 2))
         stopped = random.sample(range(vms), max(1, vms // 3))
-        for kind, places in ((_APART, touched), (Kind.STOP, stopped)):
+        held = (Kind.LATE_PEERS, touched)
+        for kind, places in (held, (Kind.STOP, stopped)):
             for vm in places:
                 yield Trouble(
                     at=round(at + random.uniform(0, _LONGEST_GAP), 2),
@@ -130,3 +145,35 @@
                     lasts=round(random.uniform(*_LATE), 2),
                     draw=random.randrange(1 << 16),
                 )
+
+
+def _draw_deadly(seed: int, vms: int, seconds: float) -> Iterator[Trouble]:
+    """Comings of one deadly request, each at any VM."""
+    random = Random(f'deadly {seed}')
+    at = random.uniform(0, seconds * _DEADLY_FROM)
+    for _ in range(random.randint(*_COMINGS)):
+        if at > seconds:
+            return
+        yield Trouble(
+            at=round(at, 2),
+            kind=Kind.DEADLY,
+            vm=random.randrange(vms),
+            lasts=0,
+            draw=random.randrange(1 << 16),
+        )
+        at += random.uniform(*_COMING_GAP)
+
+
+def _draw_crashes(seed: int, vms: int, seconds: float) -> Iterator[Trouble]:
+    """Upstreams that crash together, for a cause of their own."""
+    random = Random(f'crash {seed}')
+    for _ in range(max(1, int(seconds / _CRASH_EVERY))):
+        at = random.uniform(0, seconds)
+        for vm in random.sample(range(vms), max(1, vms // 3)):
+            yield Trouble(
+                at=round(at, 2),
+                kind=Kind.CRASH,
+                vm=vm,
+                lasts=0,
+                draw=random.randrange(1 << 16),
+            )
--- a/libs/soak/src/verbenamill_soak/promises.py
+++ b/libs/soak/src/verbenamill_soak/promises.py
@@ -13,8 +13,9 @@
 )
 from verbenamill_platform_standins.upstream import Ran
 from verbenamill_soak.callers import Asked, Caller, Ending
+from verbenamill_soak.deadly import MOST_LATE, DeadlyRuns
 from verbenamill_soak.given_up import Work
-from verbenamill_soak.nodes import DRAIN_TIME, Node, Upstream
+from verbenamill_soak.nodes import DEADLY, DRAIN_TIME, Node, Upstream
 from verbenamill_soak.site import KEPT, SERVICE, Site
 
 #: How often new records are looked at, in seconds.
@@ -22,6 +23,8 @@
 #: Answers that promise that a request has not run and never will.
 _NOT_RUN = frozenset((408, 421, 429, 503))
 _NOT_FOUND = 404
+#: In the body of a refusal for crashes under a request.
+_BLOCKED = b'upstreams crashed under this request'
 _OK = 200
 #: Time in which a configuration has to be in force, and time after a trouble
 #: in which that is not asked of a VM, in seconds.
@@ -50,6 +53,7 @@
         self._counted: dict[str, int] = defaultdict(int)
         self._runs: dict[str, list[str]] = defaultdict(list)
         self._work = Work()
+        self._deadly = DeadlyRuns(site)
         self._fees: dict[str, Asked] = {}
         self._refused: dict[str, Asked] = {}
         self._lives: dict[tuple[str, int], _Life] = defaultdict(_Life)
@@ -74,6 +78,7 @@
         for node in self._site.nodes:
             self._look_at_process(node)
         self._look_at_verdicts()
+        self._look_at_deadly()
 
     def _break(self, promise: str, key: str, text: str) -> None:
         if f'{promise}/{key}' not in self._told:
@@ -83,14 +88,16 @@
     def _look_at_runs(self) -> None:
         for node in self._site.nodes:
             for upstream in node.upstreams:
-                first = self._counted[upstream.instance]
+                first = self._counted[upstream.name]
                 for ran in upstream.ran[first:]:
                     self._look_at_run(node, upstream, ran)
-                self._counted[upstream.instance] = len(upstream.ran)
+                self._counted[upstream.name] = len(upstream.ran)
 
     def _look_at_run(self, node: Node, upstream: Upstream, ran: Ran) -> None:
         self._runs[ran.id].append(upstream.instance)
         self._work.note(ran.id, node, upstream, ran.at)
+        if ran.path == DEADLY:
+            self._deadly.note(ran.id, node, ran.at)
         self._look_at_repeats(ran.id)
         left = upstream.acked_at
         if left is not None and ran.at > left + DRAIN_TIME:
@@ -135,6 +142,10 @@
                     self._break('the own whole answer', asked.id, str(asked))
                 if not asked.seal:
                     self._break('the own whole answer', asked.id, str(asked))
+        if _BLOCKED in asked.body and asked.target != DEADLY:
+            self._break(
+                'only a deadly request is blocked', asked.id, str(asked)
+            )
         given_up = self._work.find_given_up(asked, self._node_of(asked))
         if given_up:
             self._break('no work is given up', asked.id, given_up)
@@ -148,6 +159,14 @@
         if asked.id in self._runs and not self._was_harmed(asked):
             self._break('nothing is cut', asked.id, str(asked))
 
+    def _look_at_deadly(self) -> None:
+        """A request that crashes upstreams is stopped after three crashes."""
+        late = self._deadly.find_late()
+        if len(late) > MOST_LATE:
+            self._break(
+                'a deadly request is stopped', 'deadly', ', '.join(late)
+            )
+
     def _was_harmed(self, asked: Asked) -> bool:
         node = self._node_of(asked)
         return node.is_paused or node.harmed_at >= asked.sent_at
--- a/libs/soak/src/verbenamill_soak/troubles.py
+++ b/libs/soak/src/verbenamill_soak/troubles.py
@@ -1,11 +1,13 @@
 """What happens to a site: troubles are played, and lifted."""
 
 import signal
+from random import Random
 
 import trio
 
 from verbenamill_platform_standins.operators import OPERATORS_TOPIC
-from verbenamill_soak.nodes import GRACE, LONG_WORK, WORK, Node
+from verbenamill_soak.callers import Caller
+from verbenamill_soak.nodes import DEADLY, GRACE, LONG_WORK, WORK, Node
 from verbenamill_soak.plan import Kind, Trouble
 from verbenamill_soak.relays import Way
 from verbenamill_soak.site import Site
@@ -36,6 +38,13 @@
         """Have one trouble happen, and lift it."""
         site = self._site
         told = f'{trouble.kind.value} for {trouble.lasts:g} s'
+        # Troubles of upstreams alone: all is asked of their daemons as ever.
+        if trouble.kind is Kind.DEADLY:
+            await self._come(trouble, site.nodes[trouble.vm])
+            return
+        if trouble.kind is Kind.CRASH:
+            self._crash(site.nodes[trouble.vm])
+            return
         if trouble.vm >= 0:
             node = site.nodes[trouble.vm]
             site.timeline.tell(f'{node.name}: {told}')
@@ -116,6 +125,22 @@
         switch.delay = 0
         switch.set(Way.OPEN)
 
+    def _crash(self, node: Node) -> None:
+        if node.is_serving(node.upstream):
+            self._site.timeline.tell(f'{node.name}: its upstream crashes')
+            node.upstream.crash()
+
+    async def _come(self, trouble: Trouble, node: Node) -> None:
+        """The deadly request comes, and once more if it failed."""
+        caller = Caller(node, node.next_place(), Random(trouble.draw))
+        self._site.callers.append(caller)
+        for _ in range(1 + trouble.draw % 2):
+            asked = await caller.call(DEADLY, is_fee=False, is_unique=False)
+            self._site.timeline.tell(
+                f'{node.name}: the deadly request {asked.id} got '
+                f'{asked.ending.value} {asked.status}',
+            )
+
     async def _hold(self, trouble: Trouble, node: Node) -> None:
         """Hold what is new on its link, while its upstream works for long."""
         node.holds += 1
