--- a/libs/soak/tests/test_promises.py
+++ b/libs/soak/tests/test_promises.py
@@ -1,5 +1,7 @@
 """Each promise is found broken when it is, and kept when it is."""
 
+from functools import partial
+
 import pytest
 import trio
 from trio.testing import MockClock
@@ -13,7 +15,7 @@
 )
 from verbenamill_platform_standins.upstream import Ran
 from verbenamill_soak.callers import DEADLINE, Asked, Ending
-from verbenamill_soak.nodes import DRAIN_TIME, Upstream
+from verbenamill_soak.nodes import DEADLY, DRAIN_TIME, Upstream
 from verbenamill_soak.promises import BACK_LIMIT, Promises
 from verbenamill_soak.relays import Switch, Way
 from verbenamill_soak.site import SERVICE, Order
@@ -451,3 +453,44 @@
         given_up(site)
 
     assert broken(act) == ['no work is given up']
+
+
+def run_deadly(site, *times):
+    upstream = site.nodes[0].upstreams[0]
+    upstream.killed_at = [1.0, 1.1, 1.2]
+    for place, at in enumerate(times):
+        ran = Ran(f'vm0-7-{place}', 'GET', DEADLY, b'', {}, at)
+        upstream.ran.append(ran)
+
+
+def test_a_deadly_request_that_goes_on_is_found(broken):
+    assert not broken(
+        lambda site: run_deadly(site, 1, 1.1, 1.2, 4.1, 4.3, 4.4, 4.5),
+    )
+    found = broken(lambda site: run_deadly(site, 1, 1.1, 1.2, 4.3, 4.4, 4.5, 5))
+    assert found == ['a deadly request is stopped']
+
+
+def test_runs_at_daemons_in_trouble_are_not_held_against_them(broken):
+    def act(site):
+        site.calm = False
+        run_deadly(site, 1, 1.1, 1.2, 4.3, 4.4, 4.5, 5, 6, 7)
+
+    assert broken(act) == []
+
+
+def test_a_harmless_request_that_is_blocked_is_found(broken):
+    reason = b'upstreams crashed under this request'
+    for target, found in (
+        (DEADLY, []),
+        ('/lookup/popular', ['only a deadly request is blocked']),
+    ):
+        assert found == broken(
+            partial(
+                FakeSite.asked,
+                id='a',
+                status=503,
+                body=reason,
+                target=target,
+            ),
+        )
