A stop gives up what is left in hand, and tells its callers, before its time is over

A run that must not be repeated was shielded until its own deadline, so the cancellation at the end of a stop did not reach it; the process outlasted its grace time and was killed, and callers saw a closed connection.

At the end of the time for a stop, 0.5 s before the grace time is over, the owner now breaks off all its runs; for 0.2 s their callers get 502, which promises nothing.

--- a/libs/sidecar/src/verbenamill_sidecar/daemon.py
+++ b/libs/sidecar/src/verbenamill_sidecar/daemon.py
@@ -49,6 +49,8 @@
 _LEAVE_TIME = 2.6
 #: Kept of the grace time for the end of the process, in seconds.
 _END_TIME = 0.5
+#: Part of it in which answers go out to callers whose requests are given up.
+_LAST_ANSWERS = 0.2
 #: Time for the store to hear that this daemon leaves, in seconds.
 _FAREWELL = 0.4
 _SWEEP = 1.0
@@ -321,6 +323,9 @@
                 nursery.start_soon(self._finish_callers)
                 # The owner refuses all by now, in words that a daemon knows.
                 await self._daemons.finish(refuses_late=False)
+        if self._own.in_hand:
+            self._own.give_up()
+            await trio.sleep(_LAST_ANSWERS)
 
     async def _finish_callers(self) -> None:
         """Serve to its end what is in hand, with the calls that it makes."""
--- a/libs/sidecar/src/verbenamill_sidecar/owner.py
+++ b/libs/sidecar/src/verbenamill_sidecar/owner.py
@@ -90,6 +90,8 @@
         self._admission = Admission(slots=1)
         self._instance = ('', 0)
         self._calls: dict[bytes, Call] = {}
+        self._runs: set[trio.CancelScope] = set()
+        self._gives_up = False
         self._warm_at = float(0)
         self._pool = Pool(
             context.address,
@@ -151,6 +153,16 @@
         self.is_stopping = True
         self._admission.shed_all()
 
+    def give_up(self) -> None:
+        """Break off all that the upstream runs, at the end of a stop.
+
+        The process is about to be killed. Told now, the callers learn that
+        nobody knows what became of their requests; else they are cut.
+        """
+        self._gives_up = True
+        for scope in self._runs:
+            scope.cancel()
+
     def find_parent(self, id: bytes) -> Call | None:
         """The request that the upstream runs and that makes a call.
 
@@ -338,8 +350,14 @@
         with trio.CancelScope(
             deadline=call.deadline,
             shield=not call.is_idempotent,
-        ):
-            outcome = await self._send(call, upstream)
+        ) as scope:
+            self._runs.add(scope)
+            try:
+                outcome = await self._send(call, upstream)
+            finally:
+                self._runs.discard(scope)
+        if outcome is None and self._gives_up:
+            return unknown('the daemon has stopped')
         return outcome or unknown('no answer by the deadline')
 
     async def _send(self, call: Call, upstream: UpstreamRecord) -> Outcome:
