--- a/libs/cli/src/verbenamill_cli/explain.py
+++ b/libs/cli/src/verbenamill_cli/explain.py
@@ -27,6 +27,8 @@
 }
 #: Codes of lines about another daemon, by the field that names it.
 _ABOUT = {'VM4001': 'peer', 'VM4002': 'peer', 'VM4006': 'vm'}
+#: Codes of events that tell that a request is blocked, or not any more.
+_BLOCKS = frozenset(('VM6014', 'VM6015'))
 STANDARD_INPUT = Path('-')
 
 
@@ -63,12 +65,15 @@
     """Everything that the lines tell of a request.
 
     :param cause: the line that decided it, if one did.
+    :param crashes: lines of upstreams that crashed with the same request in
+        hand, and of its block at the daemon that took it.
     """
 
     request: str
     lines: tuple[Line, ...]
     cause: Line | None
     beliefs: tuple[Belief, ...]
+    crashes: tuple[Line, ...] = ()
     unreadable: int = 0
 
 
@@ -107,12 +112,14 @@
     own.sort(key=lambda line: line.at)
     cause = _find_cause(own, request)
     beliefs = () if cause is None else tuple(_find_beliefs(lines, cause))
+    crashes = () if cause is None else tuple(_find_crashes(lines, cause))
     return Success(
         Story(
             request=request,
             lines=tuple(own),
             cause=cause,
             beliefs=beliefs,
+            crashes=crashes,
             unreadable=unreadable,
         ),
     )
@@ -120,10 +127,7 @@
 
 def report_story(story: Story) -> Report:
     """The story for people."""
-    lines = [f'request {story.request}']
-    for line in story.lines:
-        vm = line.vm or 'unknown daemon'
-        lines.append(f'  {_clock(line.at)}  {vm}  {line.code}  {line.message}')
+    lines = [f'request {story.request}', *map(_show_line, story.lines)]
     cause = story.cause
     if cause is None:
         lines.append('no line says how it ended at the daemon that took it')
@@ -138,6 +142,9 @@
         lines.append(
             f'  {belief.matter}, {belief.age:.3f} s old: {belief.message}',
         )
+    if story.crashes:
+        lines.append('crashes of upstreams that ran the same request:')
+        lines.extend(map(_show_line, story.crashes))
     if story.unreadable:
         lines.append(f'{story.unreadable} lines could not be read')
     return Report(data=story, lines=tuple(lines))
@@ -200,6 +207,24 @@
         yield Belief(matter, age, line.message)
 
 
+def _find_crashes(lines: list[Line], cause: Line) -> list[Line]:
+    """Crashes under requests with the same content, and what they led to."""
+    fingerprint = cause.fields.get('fingerprint')
+    if fingerprint is None:
+        return []
+    found = [
+        line
+        for line in lines
+        if fingerprint in (line.fields.get('fingerprints') or ())
+        or (
+            line.code in _BLOCKS
+            and line.vm == cause.vm
+            and line.fields.get('fingerprint') == fingerprint
+        )
+    ]
+    return sorted(found, key=lambda line: line.at)
+
+
 def _matter_of(line: Line, tried: list[str]) -> str:
     code = line.code or ''
     about = _ABOUT.get(code)
@@ -226,6 +251,11 @@
     return moment.strftime('%H:%M:%S.%f')[:-3]
 
 
+def _show_line(line: Line) -> str:
+    vm = line.vm or 'unknown daemon'
+    return f'  {_clock(line.at)}  {vm}  {line.code}  {line.message}'
+
+
 def _show(found: Any) -> str:
     if isinstance(found, list):
         return '; '.join(map(str, found)) or 'nobody'
--- a/libs/cli/tests/test_explain.py
+++ b/libs/cli/tests/test_explain.py
@@ -89,3 +89,19 @@
     missing = run('explain', 'abc', str(tmp_path / 'none.log'))
     assert missing.exit_code == ExitCode.USAGE
     assert 'cannot be read' in missing.stderr
+
+
+def test_the_crashes_under_a_blocked_request_are_told():
+    lines, _ = read_lines(
+        [
+            line(1, 'vm2', 'VM6013', 'crashed', fingerprints=['ab', 'cd']),
+            line(2, 'vm3', 'VM6013', 'crashed', fingerprints=['cd']),
+            line(3, 'vm1', 'VM6014', 'blocked', fingerprint='cd'),
+            line(3, 'vm9', 'VM6014', 'blocked', fingerprint='cd'),
+            line(3, 'vm1', 'VM6014', 'blocked', fingerprint='ab'),
+            line(4, 'vm1', 'VM6008', 'blocked', request='r', fingerprint='cd'),
+        ],
+    )
+    story = tell_story('r', lines).unwrap()
+    assert [one.vm for one in story.crashes] == ['vm2', 'vm3', 'vm1']
+    assert 'crashes of upstreams' in '\n'.join(report_story(story).lines)
