An upstream that closes new connections is not taken for one that crashed

Found by reading the check behind proxies: an upstream that is full closes new connections as well. An answer that it lost at that moment counted as a crash, so its queue was shed and nothing was sent there until the next heartbeat.

All connections end with a process, so a crash is only believed if none that was open has survived. One of the requests that lost theirs looks for all, in place of a connection each.

The new test failed before (502 for a request that was at work) and passes.

--- a/deploy/tests/test_failures.py
+++ b/deploy/tests/test_failures.py
@@ -558,3 +558,38 @@
         assert answer.status == 502
 
     play(scene)
+
+
+def test_an_upstream_that_is_full_is_not_taken_for_one_that_crashed(play):
+    """Guards against giving up an upstream for an answer that was lost.
+
+    It closes new connections beyond a number, and loses the answer to one of
+    two requests; the other one is still at work.
+    """
+
+    async def scene(site):
+        vm = await site.add('vm1', work=0.3)
+        await site.in_force(1)
+        upstream = vm.upstream
+
+        def lose(asked):
+            return Told(lost=True) if asked.path == '/lookup/lost' else None
+
+        upstream.script = lose
+        answers = {}
+
+        async def call(name):
+            answers[name] = await vm.call(f'/lookup/{name}', id=name)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call, 'lost')
+            await trio.sleep(0.1)
+            nursery.start_soon(call, 'good')
+            await trio.sleep(0.1)
+            upstream.is_down = True
+        upstream.is_down = False
+        assert answers['lost'].status == 502
+        assert answers['good'].status == 200
+        assert (await vm.call('/lookup/next', id='next')).status == 200
+
+    play(scene)
--- a/libs/http/src/verbenamill_http/client.py
+++ b/libs/http/src/verbenamill_http/client.py
@@ -353,6 +353,15 @@
         for connection in idle:
             self.discard(connection)
 
+    def has_live(self) -> bool:
+        """Whether any connection is in use, or idle and open."""
+        idle = self._idle
+        self._idle = [one for one in idle if one.is_quiet()]
+        for connection in idle:
+            if connection not in self._idle:
+                self.discard(connection)
+        return self.open > 0
+
     def sweep(self) -> None:
         """Close connections that were idle for too long."""
         oldest = trio.current_time() - self.max_idle
--- a/libs/sidecar/src/verbenamill_sidecar/crashing.py
+++ b/libs/sidecar/src/verbenamill_sidecar/crashing.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable, Iterable
 
+import trio
+
 from verbenamill_http.client import Pool
 from verbenamill_model.typing import UpstreamState
 from verbenamill_policy.fingerprints import Fingerprint
@@ -38,35 +40,48 @@
         self._lose = lose
         self._in_hand = in_hand
         self._newest: CrashId | None = None
+        self._looking = trio.Lock()
+        self._alive_at = float('-inf')
 
     async def find(self, upstream: UpstreamRecord) -> CrashId | None:
         """The crash that broke a connection, if there was one.
 
         Where an answer is lost, or a link is reset, the upstream still takes
-        connections. After a crash nobody listens, or its successor does.
+        connections, or keeps others. After a crash nobody listens, or its
+        successor does.
 
         :param upstream: as it was when the request was sent to it.
         """
         crash = name_crash(upstream)
-        if crash == self._newest:
-            return crash
-        if self._has_left(upstream):
-            return None
-        if not self._is_replaced(upstream) and await self._listens():
-            return None
-        if crash != self._newest and not self._has_left(upstream):
+        lost_at = trio.current_time()
+        # All requests in hand lose their connections at once; one of them
+        # looks, for all.
+        async with self._looking:
+            if crash == self._newest:
+                return crash
+            if self._alive_at >= lost_at or self._has_left(upstream):
+                return None
+            if not self._is_replaced(upstream) and await self._is_alive():
+                self._alive_at = trio.current_time()
+                return None
+            if self._has_left(upstream):
+                return None
             self._note(crash, upstream)
-        return crash if crash == self._newest else None
+            return crash
 
-    async def _listens(self) -> bool:
+    async def _is_alive(self) -> bool:
+        if self._pool.is_full:
+            return True
         connection = await self._pool.take(max_idle=0)
         if connection is None:
             return False
-        if await connection.is_closed_within(_PROXY_TIME):
-            self._pool.discard(connection)
-            return False
-        self._pool.give_back(connection)
-        return True
+        if not await connection.is_closed_within(_PROXY_TIME):
+            self._pool.give_back(connection)
+            return True
+        # A full upstream may close a new connection as well, but not all
+        # others at the same time.
+        self._pool.discard(connection)
+        return self._pool.has_live()
 
     def _has_left(self, upstream: UpstreamRecord) -> bool:
         """Whether it said that it ends; what it cuts then, no request did."""
