A crash that is found out late still accuses what was lost in it

A proxy in front of a crashed upstream took longer than the 20 ms for which the daemon watches a new connection; the request was called lost, the crash was found out by a later one, and the first was forgotten.

What is lost while its upstream seems to live is now remembered, without its body, until the upstream answers a request that was sent after. If it turns out to have crashed, by a later request or by its successor's heartbeat, the owner accuses what was lost and tells the others.

The new test, with a proxy that closes after 0.3 s, failed before and passes.

--- a/deploy/tests/test_query_of_death.py
+++ b/deploy/tests/test_query_of_death.py
@@ -86,6 +86,20 @@
     play(scene, clock=MockClock(autojump_threshold=0))
 
 
+def test_a_query_of_death_is_stopped_behind_proxies_that_are_slow(play):
+    """Guards against forgetting who was in hand at a crash found out later."""
+
+    async def scene(site):
+        vms = await open_fleet(site, has_proxy=True, proxy_delay=0.3)
+        for coming in range(30):
+            await vms[coming % len(vms)].call(PATH, id=f'd{coming}')
+            await trio.sleep(0.5)
+        assert len(runs_of(vms, PATH)) >= ALLOWED
+        assert count_late(vms) <= ALLOWED
+
+    play(scene, clock=MockClock(autojump_threshold=0))
+
+
 def crashes_of(vms):
     return sum(len(vm.upstream.crashed_at) for vm in vms)
 
--- a/libs/sidecar/src/verbenamill_sidecar/crashing.py
+++ b/libs/sidecar/src/verbenamill_sidecar/crashing.py
@@ -1,6 +1,8 @@
 """Tells a crash of the own upstream from a connection that broke alone."""
 
+from collections import deque
 from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 import trio
 
@@ -10,20 +12,34 @@
 from verbenamill_policy.heartbeats import UpstreamRegister
 from verbenamill_policy.members import UpstreamRecord
 from verbenamill_policy.quarantine import CrashId
+from verbenamill_sidecar.call import Call
+from verbenamill_sidecar.suspects import Identity, identify
 from verbenamill_telemetry import Event, log
 
 #: Time in which a proxy in front of an upstream that is down closes what it
 #: has accepted, in seconds.
 _PROXY_TIME = 0.02
+#: Lost requests that are remembered.
+_MOST_LOST = 32
 #: Fingerprints in one log line.
 _SHOWN = 32
 
 
+class _Lost(NamedTuple):
+    """A request whose answer was lost while its upstream seemed to live."""
+
+    request: Identity
+    upstream: UpstreamRecord
+    at: float
+
+
 class CrashDetector:
     """Finds out why a connection to the own upstream broke.
 
     :param lose: told that nobody listens at the upstream's address.
     :param in_hand: fingerprints of the requests that the upstream runs.
+    :param accuse: told of a request that was lost in a crash which was found
+        out only later.
     """
 
     def __init__(
@@ -33,17 +49,57 @@
         *,
         lose: Callable[[UpstreamRecord], None],
         in_hand: Callable[[], Iterable[Fingerprint]],
+        accuse: Callable[[Identity, CrashId], None],
     ) -> None:
         self.count = 0
         self._register = register
         self._pool = pool
         self._lose = lose
         self._in_hand = in_hand
+        self._accuse = accuse
+        self._lost: deque[_Lost] = deque(maxlen=_MOST_LOST)
         self._newest: CrashId | None = None
         self._looking = trio.Lock()
         self._alive_at = float('-inf')
 
-    async def find(self, upstream: UpstreamRecord) -> CrashId | None:
+    async def explain(
+        self,
+        call: Call,
+        upstream: UpstreamRecord,
+    ) -> CrashId | None:
+        """The crash that broke a request's connection, if there was one.
+
+        If it seems to live, the request is remembered until that is certain.
+        """
+        lost_at = trio.current_time()
+        crash = await self._find(upstream, lost_at)
+        if crash is None:
+            self._lost.append(_Lost(identify(call), upstream, lost_at))
+        return crash
+
+    def see_answer(self, began: float) -> None:
+        """The upstream has answered a request.
+
+        :param began: when that was sent. What was lost before did not end the
+            process.
+        """
+        while self._lost and self._lost[0].at < began:
+            self._lost.popleft()
+
+    def see_start(self) -> None:
+        """Another upstream, or another start of it, is there now."""
+        for lost in list(self._lost):
+            is_crash = self._is_replaced(lost.upstream) and not self._has_left(
+                lost.upstream,
+            )
+            if is_crash and name_crash(lost.upstream) != self._newest:
+                self._note(name_crash(lost.upstream), lost.upstream)
+
+    async def _find(
+        self,
+        upstream: UpstreamRecord,
+        lost_at: float,
+    ) -> CrashId | None:
         """The crash that broke a connection, if there was one.
 
         Where an answer is lost, or a link is reset, the upstream still takes
@@ -53,7 +109,6 @@
         :param upstream: as it was when the request was sent to it.
         """
         crash = name_crash(upstream)
-        lost_at = trio.current_time()
         # All requests in hand lose their connections at once; one of them
         # looks, for all.
         async with self._looking:
@@ -115,6 +170,11 @@
         )
         if not self._is_replaced(upstream):
             self._lose(upstream)
+        lost = list(self._lost)
+        self._lost.clear()
+        for one in lost:
+            if name_crash(one.upstream) == crash:
+                self._accuse(one.request, crash)
 
 
 def name_crash(upstream: UpstreamRecord) -> CrashId:
--- a/libs/sidecar/src/verbenamill_sidecar/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/ingress.py
@@ -19,7 +19,7 @@
 from verbenamill_sidecar.racing import Race
 from verbenamill_sidecar.reading import CallReader
 from verbenamill_sidecar.refusing import come_back, refusal, refuse_blocked
-from verbenamill_sidecar.suspects import BLOCKED_REASON, Entry
+from verbenamill_sidecar.suspects import BLOCKED_REASON, Entry, identify
 from verbenamill_sidecar.tries import Tries
 from verbenamill_telemetry import Event, log
 
@@ -130,7 +130,7 @@
             tries.end(*ended)
             crash = ended[1].crash
             if crash is not None:
-                self._context.gate.accuse(call, crash)
+                self._context.gate.accuse(identify(call), crash)
             # The other try may still make a better answer, and a refusal
             # would say "not run", which nobody knows of it yet.
             decides = not race.under_way or _is_good(ended[1])
--- a/libs/sidecar/src/verbenamill_sidecar/owner.py
+++ b/libs/sidecar/src/verbenamill_sidecar/owner.py
@@ -24,10 +24,15 @@
 from verbenamill_policy.heartbeats import Belief, Heartbeat, UpstreamRegister
 from verbenamill_policy.members import UpstreamRecord
 from verbenamill_policy.nesting import NestedCall, Nesting
+from verbenamill_policy.quarantine import CrashId
 from verbenamill_sidecar.call import Call, Fate, Outcome, not_run, unknown
 from verbenamill_sidecar.crashing import CrashDetector
 from verbenamill_sidecar.protocol import HeaderNames, Left
-from verbenamill_sidecar.suspects import BLOCKED_REASON, SuspectGate
+from verbenamill_sidecar.suspects import (
+    BLOCKED_REASON,
+    Identity,
+    SuspectGate,
+)
 
 #: Idle time after which a connection is not used again, in seconds. Servers
 #: commonly close idle ones after 5 s or more; a request must not race that.
@@ -106,6 +111,7 @@
             self._pool,
             lose=self._lose,
             in_hand=self._fingerprints,
+            accuse=self._accuse,
         )
 
     @property
@@ -225,6 +231,7 @@
         instance = (upstream.instance, upstream.born)
         if instance != self._instance:
             self._instance = instance
+            self.crashes.see_start()
             self._admission.shed_all()
             self._admission = Admission(slots=upstream.slots)
             self._pool.distrust()
@@ -378,6 +385,7 @@
             took = trio.current_time() - began
             was_kept = not connection.is_fresh
             if isinstance(result, Answer):
+                self.crashes.see_answer(began)
                 return self._conclude(call, upstream, result, took)
             # A kept connection may be dead without a sign. Nothing has run
             # on it then; for a request that must not be repeated, only a
@@ -390,13 +398,18 @@
         self._count(call, failed=True, took=None)
         if not was_sent:
             return not_run('the upstream closed the connection')
-        return await self._explain(upstream, fault)
+        return await self._explain(call, upstream, fault)
 
-    async def _explain(self, upstream: UpstreamRecord, fault: Fault) -> Outcome:
+    async def _explain(
+        self,
+        call: Call,
+        upstream: UpstreamRecord,
+        fault: Fault,
+    ) -> Outcome:
         """What became of a request that was sent and not answered."""
         if fault is Fault.GARBLED:
             return unknown('the answer was garbled')
-        crash = await self.crashes.find(upstream)
+        crash = await self.crashes.explain(call, upstream)
         if crash is None:
             return unknown('the answer was lost')
         return unknown('the upstream crashed', crash=crash)
@@ -511,6 +524,12 @@
         self._lose(upstream)
         return not_run('the upstream takes no connection')
 
+    def _accuse(self, request: Identity, crash: CrashId) -> None:
+        """Tell others of a crash that the request's ingress did not hear of."""
+        gate = self._context.gate
+        gate.accuse(request, crash)
+        gate.share(request.fingerprint)
+
     def _fingerprints(self) -> list[Fingerprint]:
         """Of the requests at the upstream."""
         return [call.find_fingerprint() for call in self._calls.values()]
--- a/libs/sidecar/src/verbenamill_sidecar/suspects.py
+++ b/libs/sidecar/src/verbenamill_sidecar/suspects.py
@@ -23,6 +23,24 @@
 _ANSWER_TIME = 0.02
 
 
+class Identity(NamedTuple):
+    """What is remembered of a request.
+
+    :param about: method, host and path; its query may be private.
+    """
+
+    fingerprint: Fingerprint
+    about: str
+
+
+def identify(call: Call) -> Identity:
+    """What a request is remembered by."""
+    host = header(call.headers, b'host') or b''
+    path = call.target.partition(b'?')[0]
+    about = b'%b %b%b' % (call.method, host, path)
+    return Identity(call.find_fingerprint(), about.decode('latin-1'))
+
+
 class Entry(NamedTuple):
     """Whether a request may run.
 
@@ -100,14 +118,14 @@
         self._running.discard(fingerprint)
         self._wake(fingerprint)
 
-    def accuse(self, call: Call, crash: CrashId) -> None:
+    def accuse(self, request: Identity, crash: CrashId) -> None:
         """An upstream crashed while it ran a request."""
-        fingerprint = call.find_fingerprint()
+        fingerprint = request.fingerprint
         was_blocked = self._is_blocked(fingerprint)
         self.quarantine.accuse(
             fingerprint,
             crash,
-            about=_describe(call),
+            about=request.about,
             now=self._now(),
             wall=self._wall(),
         )
@@ -130,9 +148,14 @@
                 wall=self._wall(),
             )
             self._wake(fingerprint)
+            if is_news:
+                self.publish(fingerprint)
         else:
-            is_news = self.quarantine.share(fingerprint)
-        if is_news:
+            self.share(fingerprint)
+
+    def share(self, fingerprint: Fingerprint) -> None:
+        """Tell the other daemons of a suspicion, if there is a new one."""
+        if self.quarantine.share(fingerprint):
             self.publish(fingerprint)
 
     def may_repeat(self, call: Call) -> bool:
@@ -212,12 +235,5 @@
         )
 
 
-def _describe(call: Call) -> str:
-    """Method, host and path of a request; its query may be private."""
-    host = header(call.headers, b'host') or b''
-    path = call.target.partition(b'?')[0]
-    return (b'%b %b%b' % (call.method, host, path)).decode('latin-1')
-
-
 def _tell_nobody(_: Fingerprint) -> None:
     """Before the daemon's parts are joined, nobody can hear."""
--- a/libs/sidecar/tests/test_dissemination.py
+++ b/libs/sidecar/tests/test_dissemination.py
@@ -43,7 +43,7 @@
     FAR_COMPARISONS,
     Reconciliation,
 )
-from verbenamill_sidecar.suspects import SuspectGate
+from verbenamill_sidecar.suspects import SuspectGate, identify
 
 #: Rounds of rumors between two comparisons.
 COMPARED = 10
@@ -436,7 +436,7 @@
     """Upstreams crash under a request that comes to a daemon."""
     call = call or make_call()
     for crash in crashes:
-        daemon.gate.accuse(call, CrashId(crash))
+        daemon.gate.accuse(identify(call), CrashId(crash))
     daemon.gate.conclude(call, has_completed=False)
 
 
