What was only in hand at a deadly request's crashes is not blocked

A block now needs a crash in a run that was begun for the suspicion, one at a time; one that flew along runs alone next, completes and is cleared. And such a crash does not count if a request of more crashes was in hand as well. The mark travels with a request to its owner, for crashes that are found out later.

--- a/deploy/tests/test_query_of_death.py
+++ b/deploy/tests/test_query_of_death.py
@@ -218,6 +218,35 @@
     play(scene, clock=MockClock(autojump_threshold=0))
 
 
+def test_a_popular_request_beside_a_deadly_one_is_not_blocked(play):
+    """Guards against blocking what was in hand at crashes of another request.
+
+    Few copies of it run, so no completion clears it in time.
+    """
+
+    async def scene(site):
+        vms = await open_fleet(site, vms=3)
+
+        async def fly_along(coming):
+            await vms[coming % 3].call('/lookup/popular', id=f'p{coming}')
+
+        for coming in range(8):
+            async with trio.open_nursery() as nursery:
+                for copy in range(3):
+                    nursery.start_soon(fly_along, 3 * coming + copy)
+                await vms[0].call(PATH, id=f'd{coming}')
+                await vms[1].call(PATH, id=f'e{coming}')
+            await trio.sleep(0.3)
+        assert blocked_by(vms[0])
+        await trio.sleep(2)
+        for vm in vms:
+            answer = await vm.call('/lookup/popular', id=f'last-{vm.name}')
+            assert answer.status == 200
+        assert count_late(vms) <= ALLOWED
+
+    play(scene, clock=MockClock(autojump_threshold=0))
+
+
 def test_a_daemon_that_started_since_refuses_a_blocked_request(play):
     """Guards against a start that forgets what the others know."""
 
--- a/libs/policy/src/verbenamill_policy/quarantine.py
+++ b/libs/policy/src/verbenamill_policy/quarantine.py
@@ -3,8 +3,9 @@
 A query of death crashes each upstream that runs it, and its caller sends it
 again. A crash alone tells little: all requests in hand beside it are lost as
 well. But a harmless one completes elsewhere, soon after, and a deadly one
-never does. So each crash accuses what was in hand and did not complete, a
-completion clears, and what was in hand at several crashes is blocked.
+never does. So each crash accuses what was in hand and did not complete, and a
+completion clears. What was in hand at several crashes runs alone from then on,
+and if upstreams still crash under it, it is blocked.
 
 All daemons merge what they know. Records of one round are joined, and a later
 round replaces an earlier one, so the order in which records come is of no
@@ -25,7 +26,7 @@
 CrashId = NewType('CrashId', str)
 
 #: Crashes from which on a request runs once at a time at each daemon, and
-#: from which on it is blocked.
+#: from which on it is blocked, if one of them was in such a run.
 ISOLATE_AFTER = 2
 BLOCK_AFTER = 3
 #: Time from the crash that blocks to the first refusal, in seconds. Requests
@@ -51,6 +52,8 @@
     :param round: grows when the request is cleared.
     :param crashes: under it in this round, in alphabetical order; none once
         it is cleared.
+    :param alone: those of them in runs that were begun for a suspicion, one
+        at a time.
     :param changed_at: newest crash, or when it was cleared; Unix time in s.
     :param about: method, host and path, for operators.
     """
@@ -60,11 +63,12 @@
     crashes: tuple[CrashId, ...] = ()
     changed_at: int = 0
     about: str = ''
+    alone: tuple[CrashId, ...] = ()
 
     @property
     def is_blocked(self) -> bool:
         """Whether it was in hand at enough crashes to be refused."""
-        return len(self.crashes) >= BLOCK_AFTER
+        return len(self.crashes) >= BLOCK_AFTER and bool(self.alone)
 
     @property
     def block_time(self) -> int:
@@ -172,12 +176,14 @@
             return Standing.ISOLATED if is_alone else Standing.WATCHED
         if now < self._held_until.get(fingerprint, 0):
             return Standing.HELD
-        if self.blocked_for(record, wall=wall) > 0:
-            return Standing.BLOCKED
-        return Standing.ISOLATED
+        is_over = not self.blocked_for(record, wall=wall)
+        return Standing.ISOLATED if is_over else Standing.BLOCKED
 
     def blocked_for(self, record: Suspect, *, wall: float) -> float:
         """How much longer a request is refused here, in seconds."""
+        # Beside a request of more crashes it may have been a passenger.
+        if all(self._is_explained(one, record) for one in record.alone):
+            return 0
         if not record.is_blocked:
             return 0
         span = record.block_time * (1 + self._patience)
@@ -198,10 +204,15 @@
         crash: CrashId,
         *,
         about: str,
+        alone: bool,
         now: float,
         wall: float,
     ) -> None:
-        """Note that an upstream crashed while it ran a request."""
+        """Note that an upstream crashed while it ran a request.
+
+        :param alone: whether the run was begun with the request suspected, so
+            that no other copy ran from the same daemon.
+        """
         known = self._records.get(fingerprint) or Suspect(
             fingerprint=fingerprint,
             about=about[:MAX_ABOUT],
@@ -213,6 +224,7 @@
             msgspec.structs.replace(
                 known,
                 crashes=_join(known.crashes, (name,)),
+                alone=_join(known.alone, (name,) if alone else ()),
                 changed_at=int(wall),
             ),
             now=now,
@@ -241,6 +253,7 @@
                 known,
                 round=known.round + 1,
                 crashes=(),
+                alone=(),
                 changed_at=int(wall),
             ),
             now=now,
@@ -269,6 +282,7 @@
         joined = msgspec.structs.replace(
             known,
             crashes=_join(known.crashes, record.crashes),
+            alone=_join(known.alone, record.alone),
             changed_at=max(known.changed_at, record.changed_at),
             about=max(known.about, record.about),
         )
@@ -283,6 +297,13 @@
             if wall > one.changed_at + _life_of(one):
                 self._drop(one.fingerprint)
 
+    def _is_explained(self, crash: CrashId, record: Suspect) -> bool:
+        """Whether a request of more crashes was in hand at a crash as well."""
+        return any(
+            crash in other.crashes and len(other.crashes) > len(record.crashes)
+            for other in self
+        )
+
     def _put(self, record: Suspect, *, now: float) -> None:
         fingerprint = record.fingerprint
         before = self._records.get(fingerprint)
@@ -327,9 +348,10 @@
 
 def _is_sound(record: Suspect) -> bool:
     """Whether a record is one that a daemon of ours could have made."""
-    names = record.crashes
-    if names != _join(names, ()) or any(len(one) > MAX_NAME for one in names):
-        return False
+    for names in (record.crashes, record.alone):
+        is_long = any(len(one) > MAX_NAME for one in names)
+        if is_long or names != _join(names, ()):
+            return False
     return (
         len(record.fingerprint) == SIZE
         and record.round >= 0
--- a/libs/sidecar/src/verbenamill_sidecar/call.py
+++ b/libs/sidecar/src/verbenamill_sidecar/call.py
@@ -27,6 +27,8 @@
     :param is_nested: whether an upstream makes it while it runs another one.
     :param nested_status: of the last call that failed which its upstream made
         while it ran this; 0 if none failed.
+    :param is_alone: whether it is suspected of crashes, so that no other copy
+        of it runs from the same daemon.
     """
 
     id: bytes
@@ -42,6 +44,7 @@
     deadline: float
     is_nested: bool = False
     nested_status: int = 0
+    is_alone: bool = False
 
     @property
     def is_idempotent(self) -> bool:
--- a/libs/sidecar/src/verbenamill_sidecar/crashing.py
+++ b/libs/sidecar/src/verbenamill_sidecar/crashing.py
@@ -77,6 +77,17 @@
             self._lost.append(_Lost(identify(call), upstream, lost_at))
         return crash
 
+    def see_refused(self, upstream: UpstreamRecord) -> None:
+        """Nobody listens at its address.
+
+        Each further request would find out anew; told to the others, they go
+        elsewhere until the next heartbeat brings the upstream back.
+        """
+        if self._has_left(upstream) or self._is_replaced(upstream):
+            self._lose(upstream)
+        else:
+            self._note(name_crash(upstream), upstream)
+
     def see_answer(self, began: float) -> None:
         """The upstream has answered a request.
 
@@ -112,17 +123,20 @@
         # All requests in hand lose their connections at once; one of them
         # looks, for all.
         async with self._looking:
-            if crash == self._newest:
-                return crash
-            if self._alive_at >= lost_at or self._has_left(upstream):
-                return None
-            if not self._is_replaced(upstream) and await self._is_alive():
-                self._alive_at = trio.current_time()
-                return None
-            if self._has_left(upstream):
-                return None
+            if crash != self._newest and self._alive_at < lost_at:
+                await self._look(crash, upstream)
+        return crash if crash == self._newest else None
+
+    async def _look(self, crash: CrashId, upstream: UpstreamRecord) -> None:
+        if self._has_left(upstream):
+            return
+        if not self._is_replaced(upstream) and await self._is_alive():
+            self._alive_at = trio.current_time()
+            return
+        # A request that found nobody, or a word of the upstream, may have
+        # come meanwhile.
+        if crash != self._newest and not self._has_left(upstream):
             self._note(crash, upstream)
-            return crash
 
     async def _is_alive(self) -> bool:
         if self._pool.is_full:
--- a/libs/sidecar/src/verbenamill_sidecar/hop.py
+++ b/libs/sidecar/src/verbenamill_sidecar/hop.py
@@ -36,6 +36,7 @@
     :param instance: the upstream that it is meant for.
     :param sender: the daemon that sends it, with its incarnation.
     :param sent: when it leaves, on the sender's monotonic clock.
+    :param is_alone: whether it is suspected of crashes, and runs alone.
     """
 
     id: str
@@ -51,6 +52,7 @@
     is_nested: bool = False
     sender: str = ''
     sent: int = 0
+    is_alone: bool = False
 
 
 class OwnerReport(Struct, kw_only=True, array_like=True):
--- a/libs/sidecar/src/verbenamill_sidecar/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/ingress.py
@@ -90,6 +90,7 @@
         if not entry.is_admitted:
             tries.refuse(BLOCKED_REASON, blocked_for=entry.blocked_for)
             return self._conclude(call, tries)
+        call.is_alone = entry.is_alone
         try:
             return await self._answer(call, tries)
         finally:
--- a/libs/sidecar/src/verbenamill_sidecar/owner.py
+++ b/libs/sidecar/src/verbenamill_sidecar/owner.py
@@ -516,12 +516,8 @@
         )
 
     def _unreachable(self, upstream: UpstreamRecord) -> Outcome:
-        """Nobody listens at the address.
-
-        Each further request would find out anew; told to the others, they
-        go elsewhere until the next heartbeat brings the upstream back.
-        """
-        self._lose(upstream)
+        """Nobody listens at the address."""
+        self.crashes.see_refused(upstream)
         return not_run('the upstream takes no connection')
 
     def _accuse(self, request: Identity, crash: CrashId) -> None:
--- a/libs/sidecar/src/verbenamill_sidecar/passed_on.py
+++ b/libs/sidecar/src/verbenamill_sidecar/passed_on.py
@@ -100,6 +100,7 @@
             objective=arrived + route.objective,
             deadline=arrived + route.timeout,
             is_nested=hop.is_nested,
+            is_alone=hop.is_alone,
         )
 
     def _find_delay(self, request: Request, hop: HopCall) -> float:
--- a/libs/sidecar/src/verbenamill_sidecar/passing_on.py
+++ b/libs/sidecar/src/verbenamill_sidecar/passing_on.py
@@ -95,6 +95,7 @@
         is_nested=call.is_nested,
         sender=sender,
         sent=int(now * 1000),
+        is_alone=call.is_alone,
     )
     head = encode_request(
         call.method,
--- a/libs/sidecar/src/verbenamill_sidecar/suspects.py
+++ b/libs/sidecar/src/verbenamill_sidecar/suspects.py
@@ -27,10 +27,12 @@
     """What is remembered of a request.
 
     :param about: method, host and path; its query may be private.
+    :param alone: whether this run was begun with the request suspected.
     """
 
     fingerprint: Fingerprint
     about: str
+    alone: bool
 
 
 def identify(call: Call) -> Identity:
@@ -38,7 +40,11 @@
     host = header(call.headers, b'host') or b''
     path = call.target.partition(b'?')[0]
     about = b'%b %b%b' % (call.method, host, path)
-    return Identity(call.find_fingerprint(), about.decode('latin-1'))
+    return Identity(
+        call.find_fingerprint(),
+        about.decode('latin-1'),
+        call.is_alone,
+    )
 
 
 class Entry(NamedTuple):
@@ -126,6 +132,7 @@
             fingerprint,
             crash,
             about=request.about,
+            alone=request.alone,
             now=self._now(),
             wall=self._wall(),
         )
