--- a/deploy/tests/test_failures.py
+++ b/deploy/tests/test_failures.py
@@ -593,3 +593,24 @@
         assert (await vm.call('/lookup/next', id='next')).status == 200
 
     play(scene)
+
+
+def test_a_leave_told_to_a_daemon_that_stops_binds_its_next_start(play):
+    """Guards against new work for an upstream that said that it ends."""
+
+    async def scene(site):
+        vm = await site.add('vm1')
+        other = await site.add('vm2')
+        await site.settled()
+        await site.saved()
+        vm.stopping.set()
+        await trio.sleep(0.5)
+        assert await vm.tell(vm.upstream.leave()) == 200
+        await vm.ended.wait()
+        await vm.start()
+        await trio.sleep(3)
+        for number in range(20):
+            await other.call(f'/lookup/{number}', id=f'l{number}')
+        assert not vm.upstream.ran
+
+    play(scene, clock=MockClock(autojump_threshold=0))
