A limit, or a leave, that an upstream names in its answers is logged

The owner reads both headers now and writes one line a change (VM6016 to VM6018). An answer ends a limit only if its request was sent after the limit was last named, since answers overtake each other. No request goes elsewhere for it yet.

--- a/libs/http/src/verbenamill_http/messages.py
+++ b/libs/http/src/verbenamill_http/messages.py
@@ -94,6 +94,11 @@
     return None
 
 
+def all_values(headers: list[Header], name: bytes) -> list[bytes]:
+    """All values of a header, by its name in lower case."""
+    return [value for known, value in headers if known == name]
+
+
 def read_framing(headers: list[Header]) -> Framing:
     """How a message ends, by its headers."""
     for name, value in headers:
--- a/libs/sidecar/src/verbenamill_sidecar/owner.py
+++ b/libs/sidecar/src/verbenamill_sidecar/owner.py
@@ -27,12 +27,15 @@
 from verbenamill_policy.quarantine import CrashId
 from verbenamill_sidecar.call import Call, Fate, Outcome, not_run, unknown
 from verbenamill_sidecar.crashing import CrashDetector
+from verbenamill_sidecar.in_band import read_in_band
+from verbenamill_sidecar.limiting import LimitKeeper
 from verbenamill_sidecar.protocol import HeaderNames, Left
 from verbenamill_sidecar.suspects import (
     BLOCKED_REASON,
     Identity,
     SuspectGate,
 )
+from verbenamill_telemetry import Event, log
 
 #: Idle time after which a connection is not used again, in seconds. Servers
 #: commonly close idle ones after 5 s or more; a request must not race that.
@@ -98,6 +101,8 @@
         self._runs: set[trio.CancelScope] = set()
         self._gives_up = False
         self._warm_at = float(0)
+        self._limits = LimitKeeper()
+        self._is_leaving = False
         self._pool = Pool(
             context.address,
             limit=MAX_CONNECTIONS,
@@ -231,6 +236,8 @@
         instance = (upstream.instance, upstream.born)
         if instance != self._instance:
             self._instance = instance
+            self._limits.begin()
+            self._is_leaving = False
             self.crashes.see_start()
             self._admission.shed_all()
             self._admission = Admission(slots=upstream.slots)
@@ -386,6 +393,7 @@
             was_kept = not connection.is_fresh
             if isinstance(result, Answer):
                 self.crashes.see_answer(began)
+                self._hear(upstream, result, began)
                 return self._conclude(call, upstream, result, took)
             # A kept connection may be dead without a sign. Nothing has run
             # on it then; for a request that must not be repeated, only a
@@ -400,6 +408,21 @@
             return not_run('the upstream closed the connection')
         return await self._explain(call, upstream, fault)
 
+    def _hear(
+        self,
+        upstream: UpstreamRecord,
+        answer: Answer,
+        asked_at: float,
+    ) -> None:
+        """Take in what an answer says of the upstream itself."""
+        if (upstream.instance, upstream.born) != self._instance:
+            return
+        said = read_in_band(answer, self._context.names)
+        self._limits.hear(upstream, said, asked_at=asked_at)
+        if said.is_leaving and not self._is_leaving:
+            self._is_leaving = True
+            log(Event.UPSTREAM_LEAVING, instance=upstream.instance)
+
     async def _explain(
         self,
         call: Call,
--- a/libs/sidecar/src/verbenamill_sidecar/protocol.py
+++ b/libs/sidecar/src/verbenamill_sidecar/protocol.py
@@ -31,6 +31,8 @@
     :param load: on an answer, what the upstream says of its load.
     :param not_run: on an answer, that the request did not run.
     :param caller: service of the VM that a request began on.
+    :param limit: on an answer, requests a second that the upstream takes.
+    :param leaving: on an answer, that the upstream ends.
     """
 
     request_id: bytes
@@ -40,6 +42,8 @@
     load: bytes
     not_run: bytes
     caller: bytes
+    limit: bytes
+    leaving: bytes
 
 
 @unique
--- a/libs/telemetry/src/verbenamill_telemetry/events.py
+++ b/libs/telemetry/src/verbenamill_telemetry/events.py
@@ -443,6 +443,34 @@
         _NOTHING,
         rate=20,
     )
+    UPSTREAM_LIMITED = EventKind(
+        'VM6016',
+        logging.WARNING,
+        'upstream {instance} takes {rate} requests a second',
+        'It names this limit in its answers. `before` is the limit of the line '
+        'before, if any; smaller changes have no line. `source` tells whether '
+        'an answer said so or another daemon remembered it.',
+        'Look why the upstream is in need. Its requests beyond the limit wait '
+        'or go to others; `verbenamill fleet status` shows all limits.',
+        rate=5,
+    )
+    UPSTREAM_UNLIMITED = EventKind(
+        'VM6017',
+        logging.INFO,
+        'upstream {instance} names no limit any more',
+        'An answer that was asked for after the limit of `before` requests a '
+        'second was last named does not name one.',
+        _NOTHING,
+        rate=5,
+    )
+    UPSTREAM_LEAVING = EventKind(
+        'VM6018',
+        logging.INFO,
+        'upstream {instance} says in an answer that it leaves',
+        'It gets no new work, whatever its heartbeats say.',
+        _NOTHING,
+        rate=5,
+    )
     INVARIANT_BROKEN = EventKind(
         'VM9001',
         logging.CRITICAL,
