Requests for an upstream keep to the limit that it names

What was seen: an upstream in need named the rate that it takes, and went on getting what its slots take: 177 requests in 4 s where 28.3 a second were named, 583 where 54 were.

Cause: nobody read it. The class: what an upstream says in band was passed to callers as bytes, and decisions rested on heartbeats and slots alone.

Replies tell ingresses when there is room; they go elsewhere until then, and refuse where no limit has room in time. The limit belongs to one start of the upstream. It is part of the daemon's record, so neighbours and the store remind a daemon that starts again; ingresses also tell it with each request what they know. A limit below one request in 5 s is asked about that often.

Found on the way: a request whose caller gives up before the route's objective was held in the queue until then; it failed two of the new tests and is judged by the earlier of both now.

--- a/deploy/tests/test_named_limits.py
+++ b/deploy/tests/test_named_limits.py
@@ -1,6 +1,7 @@
 """Upstreams that name a limit, or a leave, in their answers."""
 
 from itertools import count
+from typing import NamedTuple
 
 import trio
 from trio.testing import MockClock
@@ -19,10 +20,19 @@
 USED = 0.8
 
 
+class Answered(NamedTuple):
+    """A request and what its caller got."""
+
+    id: str
+    began: float
+    took: float
+    answer: object
+
+
 class Load:
     """Callers at some daemons, each with one request at a time."""
 
-    def __init__(self, vms, *, pause=0.02, path='/lookup/'):
+    def __init__(self, vms, *, pause, path='/lookup/'):
         self.vms = vms
         self.answers = []
         self._pause = pause
@@ -38,25 +48,21 @@
 
     async def _call(self, vm):
         while True:
-            number = next(self._ids)
+            id = f'{vm.name}-{next(self._ids)}'
             began = trio.current_time()
             try:
-                answer = await vm.call(
-                    f'{self._path}{number}',
-                    id=f'{vm.name}-{number}',
-                    deadline=800,
-                )
+                answer = await vm.call(self._path + id, id=id, deadline=800)
             except (OSError, trio.BrokenResourceError):
                 await trio.sleep(0.1)
                 continue
             took = trio.current_time() - began
-            self.answers.append((began, took, answer))
+            self.answers.append(Answered(id, began, took, answer))
             await trio.sleep(self._pause)
 
     def served(self, since=0):
         """Share of the requests since a moment that got their answer."""
         statuses = [
-            answer.status for began, _, answer in self.answers if began >= since
+            one.answer.status for one in self.answers if one.began >= since
         ]
         return statuses.count(200) / max(len(statuses), 1)
 
@@ -93,14 +99,14 @@
     return sum(one.at >= since for one in upstream.arrivals)
 
 
-def play_fleet(play, scene, **more):
+def play_fleet(play, scene, *, callers=2, pause=0.05, **more):
     """Play a scene on a fleet that has much work."""
 
     async def main(site):
         vms = await open_fleet(site, **more)
-        load = Load(vms)
+        load = Load(vms, pause=pause)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(load.run)
+            nursery.start_soon(load.run, callers)
             await trio.sleep(1)
             await scene(site, vms, load)
             nursery.cancel_scope.cancel()
@@ -162,6 +168,125 @@
     play_fleet(play, scene)
 
 
+def test_where_all_are_at_their_limits_the_rest_is_refused_at_once(play):
+    """Guards against callers that wait for upstreams that take no more."""
+
+    async def scene(site, vms, load):
+        named_at = trio.current_time()
+        for vm in vms:
+            vm.upstream.limit = 4
+        await trio.sleep(GRACE + SPAN)
+        since = named_at + GRACE
+        for vm in vms:
+            assert most_in_span(vm.upstream, since) <= allowed(4)
+            assert count_since(vm.upstream, since) >= USED * 4 * SPAN
+        refused = [
+            one
+            for one in load.answers
+            if one.began >= since and one.answer.status == 503
+        ]
+        arrived = {one.id for vm in vms for one in vm.upstream.arrivals}
+        assert refused
+        assert not arrived & {one.id for one in refused}
+        assert max(one.took for one in refused) < 0.1
+        for one in refused:
+            assert float(one.answer.headers['retry-after']) > 0
+
+    play_fleet(play, scene, callers=10, pause=0.4)
+
+
+def test_a_new_start_of_an_upstream_has_no_limit(play):
+    """Guards against the limit of a start that has ended."""
+
+    async def scene(site, vms, load):
+        limited = vms[0].upstream
+        limited.limit = 1
+        await trio.sleep(GRACE)
+        limited.limit = None
+        limited.born += 1
+        limited.sequence = 0
+        await vms[0].beat()
+        assert vms[0].daemon._own.limits.limit is None
+        began = trio.current_time()
+        await trio.sleep(1)
+        assert count_since(limited, began) > 10
+
+    play_fleet(play, scene)
+
+
+def test_an_upstream_that_takes_nothing_is_asked_now_and_then(play):
+    """Guards against a limit of 0 that never ends, or is not kept."""
+
+    async def scene(site, vms, load):
+        limited = vms[0].upstream
+        limited.limit = 0
+        named_at = trio.current_time()
+        await trio.sleep(GRACE + 5 * SPAN)
+        assert most_in_span(limited, named_at + GRACE) <= SLACK
+        limited.limit = None
+        await trio.sleep(10)
+        ended_at = trio.current_time()
+        await trio.sleep(1)
+        assert count_since(limited, ended_at) > 10
+
+    play_fleet(play, scene)
+
+
+def test_what_a_caller_says_of_limits_means_nothing(play):
+    """Guards against callers that throttle an upstream, or have it leave."""
+
+    async def scene(site):
+        vm = await site.add('vm1')
+        await site.in_force(1)
+        extra = ['Server-Limit: 0', 'Server-Leaving: 1']
+        for number in range(20):
+            answer = await vm.call('/lookup/1', id=f'r{number}', extra=extra)
+            assert answer.status == 200
+
+    play(scene, clock=MockClock(autojump_threshold=0))
+
+
+def test_a_daemon_that_forgot_a_limit_hears_of_it_with_a_request(play):
+    """Guards against a start of the owner that nobody could remind.
+
+    Neither the store nor datagrams bring it what it forgot.
+    """
+
+    async def scene(site, vms, load):
+        limited = vms[0].upstream
+        limited.limit = 2.3
+        limited.work = 0.2
+        named_at = trio.current_time()
+        await trio.sleep(GRACE)
+        site.store.is_down = True
+        await vms[0].kill()
+        for vm in vms[1:]:
+            vm.daemon._gossip._send = lambda *_: None
+        await vms[0].start()
+        await vms[0].beat()
+        await trio.sleep(2 * SPAN)
+        assert most_in_span(limited, named_at + GRACE) <= allowed(2.3)
+
+    play_fleet(play, scene)
+
+
+def test_a_limit_that_falls_is_kept(play):
+    """Guards against a burst of what an upstream took a moment ago."""
+
+    async def scene(site, vms, load):
+        limited = vms[0].upstream
+        for rate in (30, 20, 10, 3):
+            limited.limit = rate
+            await trio.sleep(2)
+        fell_at = trio.current_time()
+        await trio.sleep(2 * SPAN)
+        assert most_in_span(limited, fell_at) <= allowed(3)
+        spent = trio.current_time() - fell_at
+        assert count_since(limited, fell_at) >= USED * 3 * spent
+
+    play_fleet(play, scene)
+
+
 def test_an_upstream_that_says_in_band_that_it_leaves_gets_no_new_work(play):
     """Guards against work for an upstream whose answers say that it leaves."""
 
--- a/libs/policy/src/verbenamill_policy/admission.py
+++ b/libs/policy/src/verbenamill_policy/admission.py
@@ -4,6 +4,7 @@
 from enum import Enum, unique
 
 from verbenamill_model.typing import RouteName
+from verbenamill_policy.pacing import TokenBucket
 from verbenamill_policy.service_times import ServiceTimes
 
 #: Share of the time left that a wait and the work behind it may take. The
@@ -106,6 +107,7 @@
     def __init__(self, *, slots: int) -> None:
         self.slots = slots
         self.times = ServiceTimes()
+        self._pace: TokenBucket | None = None
         self._running: set[Ticket] = set()
         self._waiting: list[Ticket] = []
 
@@ -124,15 +126,56 @@
         """Requests at the upstream and in the queue."""
         return len(self._running) + len(self._waiting)
 
+    @property
+    def is_paced(self) -> bool:
+        """Whether requests begin at a limited rate."""
+        return self._pace is not None
+
+    def set_rate(self, rate: float | None, now: float) -> None:
+        """Let requests begin at a rate, in requests a second.
+
+        :param rate: ``None`` lets them begin as slots come free.
+        """
+        if rate is None:
+            self._pace = None
+        elif self._pace is None:
+            self._pace = TokenBucket(rate, now)
+        else:
+            self._pace.set_rate(rate, now)
+        self._shed_overtaken(0, now)
+        self.admit(now)
+
+    def count_extra(self, now: float) -> None:
+        """A request is sent once more."""
+        if self._pace is not None:
+            self._pace.take(now)
+
+    def count_unsent(self, now: float) -> None:
+        """A request that was admitted has not been sent."""
+        if self._pace is not None:
+            self._pace.give_back(now)
+
+    def next_start(self, now: float) -> float:
+        """When the next request may begin whose slot is free already."""
+        pace = self._pace
+        if pace is None or len(self._running) >= self.slots:
+            return float('inf')
+        return now + pace.wait(0, now)
+
+    def pause(self, priority: int, now: float) -> float:
+        """Time until a request of a priority may begin for the rate, in s."""
+        ahead = sum(one.priority <= priority for one in self._waiting)
+        return self._paced_wait(ahead, now)
+
     def enter(self, ticket: Ticket, now: float) -> Entry | None:
         """Ask for a slot; ``None`` when the request waits for one."""
         ticket.expected = self.times.expect(ticket.route, objective=ticket.span)
-        if len(self._running) < self.slots and not self._waiting:
+        if not self._waiting and self._may_start(now):
             self._start(ticket, now)
             return Entry.ADMITTED
         ticket.is_late = now + SPREAD * ticket.expected > ticket.objective
         ahead = self._count_ahead(ticket)
-        if not self._fits(ticket, self.wait_behind(ahead), now):
+        if not self._fits(ticket, self.wait_behind(ahead, now), now):
             return Entry.SHED
         if len(self._waiting) >= QUEUE_FACTOR * max(self.slots, 1):
             if ahead == len(self._waiting):
@@ -158,7 +201,7 @@
 
     def admit(self, now: float) -> None:
         """Give free slots to those who wait."""
-        while self._waiting and len(self._running) < self.slots:
+        while self._waiting and self._may_start(now):
             ticket = self._waiting.pop(0)
             if self._is_hopeless(ticket, now):
                 ticket.settle(Entry.SHED)
@@ -173,17 +216,26 @@
         for ticket in waiting:
             ticket.settle(Entry.SHED)
 
-    def wait_behind(self, ahead: int) -> float:
-        """Expected wait for a slot behind some others, in seconds.
+    def wait_behind(self, ahead: int, now: float) -> float:
+        """Expected wait behind some others, in seconds.
 
         It is reckoned by the work of those who run and wait. The mean of
         those who ended is another one: short requests end more often than
         they hold a slot, and after a start only they have ended at all.
         """
+        paced = self._paced_wait(ahead, now)
         if ahead < self.slots - len(self._running):
-            return 0
+            return paced
         work = sum(ticket.expected for ticket in self._waiting[:ahead])
-        return self._next_free() + work / max(self.slots, 1)
+        return max(self._next_free() + work / max(self.slots, 1), paced)
+
+    def _may_start(self, now: float) -> bool:
+        if len(self._running) >= self.slots:
+            return False
+        return self._paced_wait(0, now) <= 0
+
+    def _paced_wait(self, ahead: int, now: float) -> float:
+        return 0 if self._pace is None else self._pace.wait(ahead, now)
 
     def _next_free(self) -> float:
         """Expected time until the next slot comes free, in seconds.
@@ -196,6 +248,8 @@
     def _start(self, ticket: Ticket, now: float) -> None:
         ticket.started = now
         self._running.add(ticket)
+        if self._pace is not None:
+            self._pace.take(now)
 
     def _count_ahead(self, ticket: Ticket) -> int:
         ahead = len(self._waiting)
@@ -223,12 +277,13 @@
         Held on, they would be refused only when it is too late to go to
         another upstream.
         """
-        wait = self.wait_behind(first)
+        wait = self.wait_behind(first, now)
         kept = self._waiting[:first]
         for ticket in self._waiting[first:]:
             if self._fits(ticket, wait, now):
                 kept.append(ticket)
                 wait += ticket.expected / max(self.slots, 1)
+                wait = max(wait, self._paced_wait(len(kept), now))
             else:
                 ticket.settle(Entry.SHED)
         self._waiting = kept
--- a/libs/policy/src/verbenamill_policy/heartbeats.py
+++ b/libs/policy/src/verbenamill_policy/heartbeats.py
@@ -10,6 +10,7 @@
     UpstreamState,
     VersionName,
 )
+from verbenamill_policy.limits import NamedLimit
 from verbenamill_policy.members import UpstreamRecord
 
 #: Instances whose leaving is remembered; a VM has one upstream at a time.
@@ -84,6 +85,7 @@
             version=beat.version,
             state=beat.state,
             slots=beat.slots,
+            limit=_keep_limit(current, beat),
         )
         self._current = record
         if current is not None and _same_facts(current, record):
@@ -122,6 +124,11 @@
         if self._current is not None and self._current.instance == instance:
             self._set_state(UpstreamState.GONE)
 
+    def set_limit(self, limit: NamedLimit | None) -> None:
+        """The current upstream names a limit, or none any more."""
+        if self._current is not None:
+            self._current = replace(self._current, limit=limit)
+
     def recall(self, record: UpstreamRecord) -> bool:
         """Heed what other daemons remember; tells whether it was news.
 
@@ -178,5 +185,16 @@
     )
 
 
+def _keep_limit(
+    current: UpstreamRecord | None,
+    beat: Heartbeat,
+) -> NamedLimit | None:
+    """The limit that the same start of an upstream has named."""
+    if current is None:
+        return None
+    is_same = (current.instance, current.born) == (beat.instance, beat.born)
+    return current.limit if is_same else None
+
+
 def _same_facts(one: UpstreamRecord, other: UpstreamRecord) -> bool:
     return replace(one, heartbeat=other.heartbeat) == other
--- a/libs/policy/src/verbenamill_policy/limits.py
+++ b/libs/policy/src/verbenamill_policy/limits.py
@@ -3,6 +3,8 @@
 import re
 from collections.abc import Iterable
 
+from msgspec import Struct
+
 #: Longest number that is read. Longer ones are no rate of requests.
 _MAX_LENGTH = 20
 _DECIMAL = re.compile(rb'(?:\d+(?:\.\d*)?|\.\d+)\Z')
@@ -27,6 +29,18 @@
     return min(rates, default=None)
 
 
+class NamedLimit(Struct, frozen=True, array_like=True):
+    """A limit as daemons tell it to each other.
+
+    :param rate: in requests a second.
+    :param since: when this start of the upstream first named one, Unix time in
+        milliseconds.
+    """
+
+    rate: float
+    since: int
+
+
 class LimitBelief:
     """What the answers of one start of an upstream say of its limit.
 
--- a/libs/policy/src/verbenamill_policy/members.py
+++ b/libs/policy/src/verbenamill_policy/members.py
@@ -13,6 +13,7 @@
     VersionName,
     VmId,
 )
+from verbenamill_policy.limits import NamedLimit
 
 #: Parts of a zone's records that two daemons compare: a zone of a thousand
 #: daemons has some thirty in each, whose ages fit into one datagram.
@@ -26,6 +27,7 @@
     :param born: start of the upstream, Unix time in milliseconds.
     :param heartbeat: number of the heartbeat that told this.
     :param slots: requests it works on at a time.
+    :param limit: on the rate of requests, if it names one.
     """
 
     instance: str
@@ -35,6 +37,7 @@
     version: VersionName
     state: UpstreamState
     slots: int
+    limit: NamedLimit | None = None
 
 
 class MemberRecord(Struct, frozen=True, array_like=True):
--- a/libs/policy/src/verbenamill_policy/placement.py
+++ b/libs/policy/src/verbenamill_policy/placement.py
@@ -1,7 +1,7 @@
 """Which daemon's upstream a request goes to."""
 
 import math
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Iterator, Sequence
 from random import Random
 
 from msgspec import Struct
@@ -76,6 +76,7 @@
         'down_until',
         'pause',
         'samples',
+        '_room_at',
     )
 
     def __init__(
@@ -95,6 +96,7 @@
         self.down_until = float(0)
         self.pause = FIRST_PAUSE
         self.samples = 0
+        self._room_at: dict[int, float] = {}
 
     def sent(self) -> None:
         """Count a request that goes there now."""
@@ -119,6 +121,24 @@
         self.samples += 1
         self.pace += weight * (pace - self.pace)
 
+    def tell_pause(self, priority: int, until: float) -> None:
+        """Take in when its limit has room for a request of a priority."""
+        self._room_at[priority] = until
+
+    def forget_pauses(self) -> None:
+        """It has no limit any more."""
+        self._room_at.clear()
+
+    def room_at(self, priority: int) -> float:
+        """When its limit has room for a request, as far as it was told.
+
+        What is more urgent has room no later.
+        """
+        known = [
+            until for told, until in self._room_at.items() if told <= priority
+        ]
+        return max(known, default=float('-inf'))
+
     def tell_outcome(self, *, failed: bool) -> None:
         """Take in whether an answer was a failure."""
         self.failing += _FAILURE_WEIGHT * (float(failed) - self.failing)
@@ -147,6 +167,7 @@
     :param left: time to its latency objective, in seconds.
     :param patience: time until its caller gives up, in seconds.
     :param size: bytes of its body and of the answer that is expected.
+    :param priority: of its route; 0 is served first.
     """
 
     usual: float
@@ -154,6 +175,7 @@
     spread: float = FIRST_SPREAD
     patience: float = 0
     size: float = 0
+    priority: int = 0
 
     @property
     def crossing(self) -> float:
@@ -190,8 +212,9 @@
     slots = owner.slots
     trust = _halved(max(now - owner.told_at, 0), _BELIEF_HALVES)
     service = wish.usual * (1 + (owner.pace - 1) * trust)
+    queued = max(load + 1 - slots, 0) * service / slots
     return Forecast(
-        wait=max(load + 1 - slots, 0) * service / slots,
+        wait=max(queued, owner.room_at(wish.priority) - now),
         service=service,
         failing=owner.failing * trust,
     )
@@ -229,8 +252,8 @@
     """
     usable = [
         owner
-        for owner in owners
-        if owner.down_until <= now and owner.vm not in excluded
+        for owner in _reachable(owners, excluded, now)
+        if _has_room(owner, wish, now)
     ]
     near = [owner for owner in usable if owner.availability_zone == zone]
     far = [owner for owner in usable if owner.availability_zone != zone]
@@ -241,6 +264,37 @@
     return best
 
 
+def find_room(
+    owners: Sequence[Owner],
+    wish: Wish,
+    *,
+    excluded: Collection[VmId],
+    now: float,
+) -> float:
+    """Time until some limit has room, in seconds; 0 if that is not known."""
+    rooms = [
+        owner.room_at(wish.priority) - now
+        for owner in _reachable(owners, excluded, now)
+    ]
+    return max(min(rooms, default=0), 0)
+
+
+def _reachable(
+    owners: Sequence[Owner],
+    excluded: Collection[VmId],
+    now: float,
+) -> Iterator[Owner]:
+    for owner in owners:
+        if owner.down_until <= now and owner.vm not in excluded:
+            yield owner
+
+
+def _has_room(owner: Owner, wish: Wish, now: float) -> bool:
+    """Whether its limit lets it answer before the caller gives up."""
+    wait = owner.room_at(wish.priority) - now
+    return wait <= 0 or wait + wish.usual < max(wish.patience, wish.left)
+
+
 def _best(
     owners: list[Owner],
     wish: Wish,
--- a/libs/policy/tests/test_admission.py
+++ b/libs/policy/tests/test_admission.py
@@ -162,3 +162,83 @@
     assert drawing.entry is None
     admission.leave(running.ticket, 0.4, took=0.3)
     assert pack.entry is Entry.ADMITTED
+
+
+def test_requests_beyond_a_limit_wait_for_it():
+    # Four slots are free, but the upstream takes two requests a second.
+    admission = make_admission(4, 0.05)
+    admission.set_rate(2, 0)
+    first = enter(admission, now=1)
+    second = enter(admission, now=1)
+    third = enter(admission, now=1)
+    assert (first.entry, second.entry) == (Entry.ADMITTED, Entry.ADMITTED)
+    assert third.entry is None
+    assert admission.next_start(1) == 1.5
+    admission.admit(1.5)
+    assert third.entry is Entry.ADMITTED
+
+
+def test_a_request_that_a_limit_would_make_late_is_refused_at_once():
+    """Guards against requests that wait for a limit until their deadline."""
+    admission = make_admission(4, 0.05)
+    admission.set_rate(0.5, 0)
+    assert enter(admission, now=1, objective=0.3).entry is Entry.SHED
+    assert admission.wait_behind(0, 1) == 1
+
+
+def test_those_who_wait_are_refused_when_a_limit_falls():
+    admission = make_admission(4, 0.05)
+    admission.set_rate(4, 0)
+    waiting = [enter(admission, now=0) for _ in range(3)]
+    assert [one.entry for one in waiting] == [None, None, None]
+    admission.set_rate(0.2, 0)
+    assert {one.entry for one in waiting} == {Entry.SHED}
+
+
+def test_those_who_wait_go_on_when_a_limit_ends():
+    admission = make_admission(4, 0.05)
+    admission.set_rate(4, 0)
+    waiting = [enter(admission, now=0) for _ in range(3)]
+    admission.set_rate(None, 0)
+    assert {one.entry for one in waiting} == {Entry.ADMITTED}
+
+
+def test_urgent_requests_get_the_next_token():
+    admission = make_admission(4, 0.05)
+    admission.set_rate(4, 0)
+    lookup = enter(admission, 2, now=0)
+    fee = enter(admission, 1, now=0)
+    assert admission.pause(1, 0) == 0.5
+    assert admission.pause(2, 0) == 0.75
+    admission.admit(0.25)
+    assert (fee.entry, lookup.entry) == (Entry.ADMITTED, None)
+
+
+@given(
+    st.lists(
+        st.tuples(st.floats(0, 0.3), st.sampled_from([None, 0, 1, 10])),
+        max_size=80,
+    ),
+)
+@settings(max_examples=100)
+def test_every_request_is_settled_under_any_limits(moves):
+    """Guards against a request that a limit forgets in the queue."""
+    admission = make_admission(2, 0.05)
+    admission.set_rate(5, 0)
+    now = 0.0
+    waiting = []
+    for pause, rate in moves:
+        now += pause
+        if rate is not None:
+            admission.set_rate(rate, now)
+        waiting.append(enter(admission, now=now))
+    for _ in range(10_000):
+        if not admission.load:
+            break
+        running = [one for one in waiting if one.entry is Entry.ADMITTED]
+        waiting = [one for one in waiting if one.entry is None]
+        for one in running:
+            admission.leave(one.ticket, now, took=0.05)
+        now = max(now, min(admission.next_start(now), now + 10))
+        admission.admit(now)
+    assert not admission.load
--- a/libs/policy/tests/test_heartbeats.py
+++ b/libs/policy/tests/test_heartbeats.py
@@ -4,6 +4,7 @@
 from hypothesis import strategies as st
 
 from verbenamill_model.typing import UpstreamState
+from verbenamill_policy.limits import NamedLimit
 from verbenamill_policy.heartbeats import (
     Belief,
     Heartbeat,
@@ -183,3 +184,17 @@
         newest = order
     if beats:
         assert newest == max((one.born, one.sequence) for one in beats)
+
+
+LIMIT = NamedLimit(2.3, 1000)
+
+
+def test_a_limit_holds_for_one_start_of_an_upstream():
+    """Guards against the limit of a start that has ended."""
+    register = UpstreamRegister(ADDRESS)
+    register.take(beat(1))
+    register.set_limit(LIMIT)
+    assert register.take(beat(2)) is Belief.KNOWN
+    assert register.current.limit == LIMIT
+    register.take(beat(1, born=200))
+    assert register.current.limit is None
--- a/libs/policy/tests/test_placement.py
+++ b/libs/policy/tests/test_placement.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from verbenamill_policy.placement import Owner, Wish, choose
+from verbenamill_policy.placement import Owner, Wish, choose, find_room
 
 
 def make_owner(vm, zone='a', slots=10):
@@ -126,3 +126,32 @@
         near.tell_outcome(failed=place % 2 == 0)
     near.tell_load(3, 0)
     assert pick([near, make_owner('far', 'b')], left=0.5).vm == 'far'
+
+
+def test_an_owner_at_its_limit_is_left_alone_until_it_has_room():
+    """Guards against hops to an upstream that cannot take a request."""
+    limited = make_owner('limited')
+    limited.tell_pause(0, 5.0)
+    far = make_owner('far', 'b')
+    assert pick([limited, far], now=4).vm == 'far'
+    assert pick([limited, far], now=5).vm == 'limited'
+
+
+def test_no_owner_is_chosen_where_limits_have_no_room_in_time():
+    """Guards against callers that wait for what cannot come."""
+    owners = [make_owner('one'), make_owner('other', 'b')]
+    owners[0].tell_pause(0, 2.0)
+    owners[1].tell_pause(0, 3.0)
+    assert pick(owners, now=1) is None
+    wish = Wish(usual=0.1, left=0.3)
+    assert find_room(owners, wish, excluded=(), now=1) == 1
+    assert find_room(owners, wish, excluded={'one'}, now=1) == 2
+    assert find_room(owners, wish, excluded=(), now=4) == 0
+
+
+def test_what_is_more_urgent_is_not_held_up_by_what_was_told_to_others():
+    limited = make_owner('limited')
+    limited.tell_pause(2, 5.0)
+    assert limited.room_at(2) == 5
+    assert limited.room_at(3) == 5
+    assert limited.room_at(1) < 0
--- a/libs/sidecar/src/verbenamill_sidecar/call.py
+++ b/libs/sidecar/src/verbenamill_sidecar/call.py
@@ -8,6 +8,7 @@
 from verbenamill_http.messages import Header, header
 from verbenamill_model.typing import ServiceName
 from verbenamill_policy.fingerprints import Fingerprint, take_fingerprint
+from verbenamill_policy.limits import NamedLimit
 from verbenamill_policy.quarantine import CrashId
 from verbenamill_policy.routes import Route
 
@@ -89,6 +90,8 @@
     :param load: requests running and queued at the owner.
     :param crash: of the upstream while it ran the request, if it crashed.
     :param blocked: whether the request is refused for crashes under it.
+    :param limit: that the upstream names, if it names one.
+    :param pause: until the limit has room for such a request, in seconds.
     """
 
     fate: Fate
@@ -103,6 +106,8 @@
     load: int = -1
     crash: CrashId | None = None
     blocked: bool = False
+    limit: NamedLimit | None = None
+    pause: float = 0
 
 
 def not_run(
--- a/libs/sidecar/src/verbenamill_sidecar/hop.py
+++ b/libs/sidecar/src/verbenamill_sidecar/hop.py
@@ -4,6 +4,8 @@
 headers runs it on the own upstream or refuses it, so loops cannot arise.
 """
 
+import math
+
 import msgspec
 from msgspec import Struct
 
@@ -15,6 +17,7 @@
     ServiceName,
     VersionName,
 )
+from verbenamill_policy.limits import NamedLimit
 from verbenamill_policy.quarantine import CrashId
 from verbenamill_policy.routes import RouteKind
 from verbenamill_sidecar.call import Fate, Outcome
@@ -37,6 +40,9 @@
     :param sender: the daemon that sends it, with its incarnation.
     :param sent: when it leaves, on the sender's monotonic clock.
     :param is_alone: whether it is suspected of crashes, and runs alone.
+    :param born: start of that upstream, Unix time in milliseconds.
+    :param limit: that it has named, as the sender knows. A daemon that has
+        started since may have forgotten it.
     """
 
     id: str
@@ -53,6 +59,8 @@
     sender: str = ''
     sent: int = 0
     is_alone: bool = False
+    born: int = 0
+    limit: NamedLimit | None = None
 
 
 class OwnerReport(Struct, kw_only=True, array_like=True):
@@ -63,6 +71,8 @@
     :param wait: when there may be room, in milliseconds.
     :param crash: of the upstream while it ran the request; empty if none.
     :param blocked: whether the request is refused for crashes under it.
+    :param limit: that the upstream names, if it names one.
+    :param pause: until that has room for such a request, in milliseconds.
     """
 
     load: int
@@ -75,6 +85,8 @@
     usual: int = -1
     crash: str = ''
     blocked: bool = False
+    limit: NamedLimit | None = None
+    pause: int = 0
 
 
 _calls = msgspec.json.Decoder(HopCall)
@@ -98,15 +110,12 @@
         return None
 
 
-def encode_outcome(
-    outcome: Outcome,
-    load: int,
-) -> Response:
+def encode_outcome(outcome: Outcome) -> Response:
     """Reply of an owner."""
     took = outcome.took
     usual = outcome.usual
     report = OwnerReport(
-        load=load,
+        load=outcome.load,
         fate=outcome.fate,
         took=-1 if took is None else int(took * 1000),
         usual=-1 if usual is None else int(usual * 1000),
@@ -116,6 +125,8 @@
         everywhere=outcome.everywhere,
         crash=outcome.crash or '',
         blocked=outcome.blocked,
+        limit=outcome.limit,
+        pause=math.ceil(outcome.pause * 1000),
     )
     told = (OWNER_HEADER, _encoder.encode(report))
     answer = outcome.answer
@@ -150,6 +161,8 @@
         load=report.load,
         crash=CrashId(report.crash) if report.crash else None,
         blocked=report.blocked,
+        limit=report.limit,
+        pause=report.pause / 1000,
     )
     if report.fate is Fate.ANSWERED:
         answer.headers = end_to_end(answer.headers)
--- a/libs/sidecar/src/verbenamill_sidecar/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/ingress.py
@@ -9,7 +9,7 @@
 from verbenamill_http.server import Request, Response
 from verbenamill_model.typing import ServiceName
 from verbenamill_policy.budget import RetryBudget
-from verbenamill_policy.placement import Owner, choose
+from verbenamill_policy.placement import Owner, choose, find_room
 from verbenamill_policy.rollouts import Shares, VersionCounter
 from verbenamill_sidecar.call import RETRIED, Call, Fate, Outcome, not_run
 from verbenamill_sidecar.ingress_context import IngressContext
@@ -171,15 +171,21 @@
         if shares.target is not None:
             peers = self._of_version(call, peers, shares, tries)
         by_owner: dict[Owner, Peer] = {peer.owner: peer for peer in peers}
+        wish = self._learned.wish(call, now)
         owner = choose(
             list(by_owner),
-            self._learned.wish(call, now),
+            wish,
             zone=context.availability_zone,
             excluded=tries.vms,
             now=now,
             random=context.random,
         )
-        return None if owner is None else by_owner[owner]
+        if owner is not None:
+            return by_owner[owner]
+        tries.see_limits(
+            find_room(list(by_owner), wish, excluded=tries.vms, now=now),
+        )
+        return None
 
     def _of_version(
         self,
@@ -217,7 +223,6 @@
                 instance=upstream.instance,
                 version=upstream.version,
             )
-            outcome.load = self._context.own.load
         else:
             outcome = await pass_on(
                 call,
@@ -226,6 +231,8 @@
                 sender=self._context.sender,
                 doubt=doubt,
             )
+        if outcome.load >= 0:
+            peer.tell_limit(upstream, outcome.limit)
         self._learned.learn(call, peer.owner, outcome)
         return outcome
 
--- a/libs/sidecar/src/verbenamill_sidecar/learned.py
+++ b/libs/sidecar/src/verbenamill_sidecar/learned.py
@@ -7,7 +7,7 @@
 from verbenamill_policy.returning import Returning
 from verbenamill_policy.routes import Route
 from verbenamill_policy.service_times import ServiceTimes
-from verbenamill_sidecar.call import RETRIED, Call, Outcome
+from verbenamill_sidecar.call import RETRIED, Call, Fate, Outcome
 
 #: After this long, half of a route's mean over all owners is forgotten, in s.
 #: It is the measure that owners are compared by and need not follow one of
@@ -46,6 +46,7 @@
             left=max(call.objective - now, patience / 2),
             patience=patience,
             size=len(call.body) + self._sizes.get(route.name, 0),
+            priority=route.priority,
         )
 
     def learn(self, call: Call, owner: Owner, outcome: Outcome) -> None:
@@ -53,6 +54,7 @@
         now = trio.current_time()
         if outcome.load >= 0:
             owner.tell_load(outcome.load, now)
+            owner.tell_pause(call.route.priority, now + outcome.pause)
         if outcome.took is not None:
             told = outcome.usual or outcome.took
             owner.tell_time(told, self.usual(call.route))
@@ -60,7 +62,8 @@
         answer = outcome.answer
         if answer is not None:
             self._learn_size(call.route.name, len(answer.body))
-        if outcome.reached:
+        is_at_limit = outcome.fate is Fate.NOT_RUN and outcome.limit is not None
+        if outcome.reached and not is_at_limit:
             failed = answer is None or answer.status in RETRIED
             owner.tell_outcome(failed=failed and not outcome.everywhere)
 
--- a/libs/sidecar/src/verbenamill_sidecar/owner.py
+++ b/libs/sidecar/src/verbenamill_sidecar/owner.py
@@ -22,6 +22,7 @@
 from verbenamill_policy.evidence import OwnCounts
 from verbenamill_policy.fingerprints import Fingerprint
 from verbenamill_policy.heartbeats import Belief, Heartbeat, UpstreamRegister
+from verbenamill_policy.limits import NamedLimit
 from verbenamill_policy.members import UpstreamRecord
 from verbenamill_policy.nesting import NestedCall, Nesting
 from verbenamill_policy.quarantine import CrashId
@@ -35,6 +36,7 @@
     Identity,
     SuspectGate,
 )
+from verbenamill_sidecar.tries import AT_LIMIT
 from verbenamill_telemetry import Event, log
 
 #: Idle time after which a connection is not used again, in seconds. Servers
@@ -101,7 +103,11 @@
         self._runs: set[trio.CancelScope] = set()
         self._gives_up = False
         self._warm_at = float(0)
-        self._limits = LimitKeeper()
+        self.limits = LimitKeeper(
+            self.register,
+            changed=context.changed,
+            wall_ms=context.wall_ms,
+        )
         self._is_leaving = False
         self._pool = Pool(
             context.address,
@@ -158,6 +164,18 @@
         """Heed what the other daemons remember."""
         if self.register.recall(record):
             self._adopt()
+        if record.limit is not None:
+            self.recall_limit(record.instance, record.born, record.limit)
+
+    def recall_limit(
+        self,
+        instance: str,
+        born: int,
+        limit: NamedLimit,
+    ) -> None:
+        """Heed a limit that others remember of one start of an upstream."""
+        if (instance, born) == self._instance:
+            self.limits.recall(limit)
 
     def stop(self) -> None:
         """Take no further work."""
@@ -185,6 +203,7 @@
     def sweep(self) -> None:
         """Close connections that were idle for long."""
         self._pool.sweep()
+        self.limits.share()
 
     async def run(
         self,
@@ -200,6 +219,22 @@
 
         :param instance: the upstream that it is meant for.
         """
+        outcome = await self._admit(call, instance=instance, version=version)
+        outcome.load = self.load
+        outcome.limit = self.limits.limit
+        outcome.pause = self._admission.pause(
+            call.route.priority,
+            trio.current_time(),
+        )
+        return outcome
+
+    async def _admit(
+        self,
+        call: Call,
+        *,
+        instance: str,
+        version: VersionName,
+    ) -> Outcome:
         upstream = self.register.current
         if upstream is None:
             return not_run('no upstream is known')
@@ -236,11 +271,11 @@
         instance = (upstream.instance, upstream.born)
         if instance != self._instance:
             self._instance = instance
-            self._limits.begin()
             self._is_leaving = False
             self.crashes.see_start()
             self._admission.shed_all()
             self._admission = Admission(slots=upstream.slots)
+            self.limits.begin(self._admission)
             self._pool.distrust()
             self.counts.begin(f'{upstream.instance}/{upstream.born}')
         self._admission.slots = upstream.slots
@@ -276,7 +311,11 @@
             due=call.objective,
             # A nested call that is refused fails the request that makes it,
             # after that has held a slot; its own objective matters less.
-            objective=call.deadline if call.is_nested else call.objective,
+            objective=(
+                call.deadline
+                if call.is_nested
+                else min(call.objective, call.deadline)
+            ),
             deadline=call.deadline,
             settle=partial(_settle, settled, event),
         )
@@ -285,12 +324,13 @@
         took: float | None = None
         try:
             if entry is None:
-                await event.wait()
+                await _wait_settled(admission, event)
                 entry = settled[0]
             if entry is Entry.SHED or self._is_withdrawn(upstream):
                 return self._no_room(admission)
             blocked_for = self._context.gate.blocked_for(call)
             if blocked_for:
+                admission.count_unsent(trio.current_time())
                 return _refuse_blocked(blocked_for)
             started = trio.current_time()
             outcome = await self._send_known(call, upstream)
@@ -323,8 +363,14 @@
         )
 
     def _no_room(self, admission: Admission) -> Outcome:
-        wait = admission.wait_behind(admission.waiting)
-        return not_run('no slot in time', wait=wait)
+        wait = admission.wait_behind(admission.waiting, trio.current_time())
+        rate = self.limits.rate
+        if rate is None:
+            return not_run('no slot in time', wait=wait)
+        self.limits.counts.refused += 1
+        refused = not_run(AT_LIMIT, wait=wait)
+        refused.detail = f'{rate:g} requests a second'
+        return refused
 
     def _slow_time(
         self,
@@ -377,6 +423,7 @@
     async def _send(self, call: Call, upstream: UpstreamRecord) -> Outcome:
         left = call.deadline - trio.current_time()
         if left < _LEAST_TIME:
+            self._admission.count_unsent(trio.current_time())
             return not_run('the deadline has passed')
         max_idle = MAX_IDLE if call.is_idempotent else MAX_IDLE_UNSAFE
         fault = Fault.LOST
@@ -384,10 +431,14 @@
         for _ in range(2):
             connection = await self._pool.take(max_idle=max_idle)
             if connection is None and not was_sent:
+                self._admission.count_unsent(trio.current_time())
                 return self._unreachable(upstream)
             if connection is None:
                 break
             began = trio.current_time()
+            if was_sent:
+                self._admission.count_extra(began)
+            self.limits.counts.sent += self._admission.is_paced
             result = await self._exchange(call, upstream, connection)
             took = trio.current_time() - began
             was_kept = not connection.is_fresh
@@ -418,7 +469,7 @@
         if (upstream.instance, upstream.born) != self._instance:
             return
         said = read_in_band(answer, self._context.names)
-        self._limits.hear(upstream, said, asked_at=asked_at)
+        self.limits.hear(said, asked_at=asked_at)
         if said.is_leaving and not self._is_leaving:
             self._is_leaving = True
             log(Event.UPSTREAM_LEAVING, instance=upstream.instance)
@@ -565,6 +616,19 @@
     return outcome
 
 
+async def _wait_settled(admission: Admission, event: trio.Event) -> None:
+    """Wait until a request is admitted or refused.
+
+    Slots that come free admit the next one; where a rate holds it up, those
+    who wait look themselves when it is time.
+    """
+    while not event.is_set():
+        now = trio.current_time()
+        with trio.move_on_at(admission.next_start(now)):
+            await event.wait()
+        admission.admit(trio.current_time())
+
+
 def _settle(settled: list[Entry], event: trio.Event, entry: Entry) -> None:
     settled.append(entry)
     event.set()
--- a/libs/sidecar/src/verbenamill_sidecar/passed_on.py
+++ b/libs/sidecar/src/verbenamill_sidecar/passed_on.py
@@ -47,6 +47,8 @@
         if hop is None:
             return self._other(request)
         call = self._make_call(request, hop)
+        if hop.limit is not None:
+            self._own.recall_limit(hop.instance, hop.born, hop.limit)
         outcome = None
         try:
             outcome = await self._own.run(
@@ -59,7 +61,7 @@
                 self._tell_broken_off(hop, call)
         if outcome.fate is not Fate.ANSWERED:
             self._tell(hop, outcome)
-        return encode_outcome(outcome, self._own.load)
+        return encode_outcome(outcome)
 
     def _other(self, request: Request) -> Response:
         headers = request.head.headers
@@ -71,7 +73,8 @@
         if header(headers, CALL_HEADER) is not None:
             # A daemon of another version of the program.
             outcome = not_run('the headers between daemons cannot be read')
-            return encode_outcome(outcome, self._own.load)
+            outcome.load = self._own.load
+            return encode_outcome(outcome)
         return refusal(HTTPStatus.BAD_REQUEST, 'this port is for daemons')
 
     def _make_call(self, request: Request, hop: HopCall) -> Call:
--- a/libs/sidecar/src/verbenamill_sidecar/passing_on.py
+++ b/libs/sidecar/src/verbenamill_sidecar/passing_on.py
@@ -38,7 +38,7 @@
         peer.avoid('it takes no connection')
         return not_run('the owner cannot be reached')
     with peer.await_answer(doubt):
-        data = _encode_call(call, upstream, sender)
+        data = _encode_call(call, peer, upstream, sender)
         return await _exchange(call, peer, connection, data)
 
 
@@ -79,7 +79,12 @@
     return True
 
 
-def _encode_call(call: Call, upstream: UpstreamRecord, sender: str) -> bytes:
+def _encode_call(
+    call: Call,
+    peer: Peer,
+    upstream: UpstreamRecord,
+    sender: str,
+) -> bytes:
     now = trio.current_time()
     hop = HopCall(
         id=call.id.decode('latin-1'),
@@ -96,6 +101,8 @@
         sender=sender,
         sent=int(now * 1000),
         is_alone=call.is_alone,
+        born=upstream.born,
+        limit=peer.limit_of(upstream),
     )
     head = encode_request(
         call.method,
--- a/libs/sidecar/src/verbenamill_sidecar/peers.py
+++ b/libs/sidecar/src/verbenamill_sidecar/peers.py
@@ -8,6 +8,7 @@
 from verbenamill_http.addresses import parse_address
 from verbenamill_http.client import Pool
 from verbenamill_model.typing import ServiceName, UpstreamState, VmId
+from verbenamill_policy.limits import NamedLimit
 from verbenamill_policy.members import (
     MemberRecord,
     MemberTable,
@@ -37,6 +38,15 @@
 Doubt = Callable[[float], None]
 
 
+#: One start of an upstream: its instance and when that was.
+Start = tuple[str, int]
+
+
+def start_of(upstream: UpstreamRecord) -> Start:
+    """Which start of an upstream a record is about."""
+    return upstream.instance, upstream.born
+
+
 class _Waiter:
     """A request that waits for a daemon's answer."""
 
@@ -64,6 +74,7 @@
         self._watched = set() if watched is None else watched
         self._waiting: set[_Waiter] = set()
         self.heard_at = float('-inf')
+        self._limit: tuple[Start, NamedLimit | None] | None = None
         self._doubted_at = float('-inf')
         self.owner = Owner(
             vm=record.vm,
@@ -87,6 +98,24 @@
             return None
         return upstream
 
+    def tell_limit(
+        self,
+        upstream: UpstreamRecord,
+        limit: NamedLimit | None,
+    ) -> None:
+        """Take in the limit of its upstream, as a reply tells it."""
+        self._limit = (start_of(upstream), limit)
+
+    def limit_of(self, upstream: UpstreamRecord) -> NamedLimit | None:
+        """The limit of its upstream.
+
+        What a reply told outlives a restart of the daemon, whose own record
+        may not have it.
+        """
+        if self._limit is not None and self._limit[0] == start_of(upstream):
+            return self._limit[1]
+        return upstream.limit
+
     @property
     def needs_watch(self) -> bool:
         """Whether it owes an answer or is avoided."""
@@ -287,12 +316,14 @@
     if upstream is None:
         return
     old = before.upstream
-    if old is None or old.instance != upstream.instance:
+    if old is None or start_of(old) != start_of(upstream):
         peer.owner = Owner(
             vm=record.vm,
             availability_zone=record.availability_zone,
             slots=upstream.slots,
         )
+    elif old.limit is not None and upstream.limit is None:
+        peer.owner.forget_pauses()
     peer.owner.slots = max(upstream.slots, 1)
 
 
--- a/libs/sidecar/src/verbenamill_sidecar/tries.py
+++ b/libs/sidecar/src/verbenamill_sidecar/tries.py
@@ -5,6 +5,8 @@
 from verbenamill_sidecar.call import Fate, Outcome
 from verbenamill_sidecar.peers import Peer
 
+#: Told of a request that no upstream may get for the limits that they name.
+AT_LIMIT = 'the upstream is at its limit'
 _FIRST_FAILURE = 500
 
 
@@ -64,6 +66,16 @@
         self.reason = reason
         self.wait = blocked_for
 
+    def see_limits(self, wait: float) -> None:
+        """Note that nobody else has room for it in time.
+
+        :param wait: until the first limit has room, in seconds; 0 if it is not
+            for limits.
+        """
+        if wait and not self.reason:
+            self.reason = AT_LIMIT
+            self.wait = wait
+
     def end(self, peer: Peer, outcome: Outcome) -> None:
         """Note what became of a try."""
         vm = peer.record.vm
--- a/libs/sidecar/tests/test_hop.py
+++ b/libs/sidecar/tests/test_hop.py
@@ -1,6 +1,7 @@
 """What daemons tell each other beside a request and its answer."""
 
 from verbenamill_http.client import Answer
+from verbenamill_policy.limits import NamedLimit
 from verbenamill_sidecar.call import Fate, Outcome, not_run
 from verbenamill_sidecar.hop import encode_outcome, read_outcome
 
@@ -24,13 +25,23 @@
         took=0.9,
         usual=0.15,
         reached=True,
+        load=7,
     )
-    told = read_outcome(answer_of(encode_outcome(outcome, 7)))
+    told = read_outcome(answer_of(encode_outcome(outcome)))
     assert (told.took, told.usual, told.load) == (0.9, 0.15, 7)
 
 
 def test_a_refusal_tells_no_times():
-    response = encode_outcome(not_run('no slot in time', wait=0.25), 40)
+    response = encode_outcome(not_run('no slot in time', wait=0.25))
     told = read_outcome(answer_of(response))
     assert told.fate is Fate.NOT_RUN
     assert (told.took, told.usual, told.wait) == (None, None, 0.25)
+
+
+def test_a_reply_tells_the_limit_and_when_it_has_room():
+    limit = NamedLimit(2.5, 1000)
+    refused = not_run('the upstream is at its limit', wait=0.4)
+    refused.limit = limit
+    refused.pause = 0.4
+    told = read_outcome(answer_of(encode_outcome(refused)))
+    assert (told.limit, told.pause) == (limit, 0.4)
