A leave told to a daemon that stops is kept in the store

Cause: at its end the daemon took its own record back from the store, and the record of the zone, some seconds older, has the upstream as ready.

Change: the daemon leaves its record there, or writes it if the store lacks it. The first daemon of the zone drops it with the save after the next one, so a start that comes soon still reads it.

--- a/deploy/tests/test_adapter.py
+++ b/deploy/tests/test_adapter.py
@@ -28,6 +28,7 @@
 NAMES = re.compile(
     r'X-(Attempt-Id|Deadline-Ms|Expect-Instance|Response-Seal|'
     r'Caller-Service|Not-Executed|Instance-Id|Server-Load)|'
+    r'Server-(Limit|Leaving)|'
     r'keyed\.(op|status|servers)|log-(append|read|newest|join|commit|trim)|'
     r'routeType|pathPrefix|trafficSplit|heartbeatAddr|coldRemainingMs|'
     r'targetLatencyMs',
--- a/deploy/tests/test_failures.py
+++ b/deploy/tests/test_failures.py
@@ -614,3 +614,24 @@
         assert not vm.upstream.ran
 
     play(scene, clock=MockClock(autojump_threshold=0))
+
+
+def test_a_leave_told_to_the_only_daemon_binds_its_next_start(play):
+    """Guards against a leave that only neighbours remember."""
+
+    async def scene(site):
+        vm = await site.add('vm1')
+        await site.settled()
+        await site.saved()
+        vm.stopping.set()
+        await trio.sleep(0.5)
+        assert await vm.tell(vm.upstream.leave()) == 200
+        await vm.ended.wait()
+        await vm.start()
+        await trio.sleep(3)
+        await vm.beat()
+        for number in range(20):
+            await vm.call(f'/lookup/{number}', id=f'l{number}')
+        assert not vm.upstream.ran
+
+    play(scene, clock=MockClock(autojump_threshold=0))
--- a/libs/sidecar/src/verbenamill_sidecar/protocol.py
+++ b/libs/sidecar/src/verbenamill_sidecar/protocol.py
@@ -72,7 +72,6 @@
     SAVE_ZONE = 'save-zone'
     SAVE_SUSPECTS = 'save-suspects'
     JOIN = 'join'
-    LEAVE = 'leave'
 
 
 class Published(Struct, frozen=True, kw_only=True):
@@ -153,10 +152,12 @@
         members: Collection[MemberRecord],
         *,
         announced: Collection[VmId],
+        gone: Collection[VmId],
     ) -> Result[None, StoreFault]:
         """Replace what is kept of a zone's daemons.
 
         :param announced: daemons that need no announcement any more.
+        :param gone: daemons whose own records are dropped.
         """
 
     async def save_suspects(
@@ -173,9 +174,6 @@
     async def join(self, member: MemberRecord) -> Result[None, StoreFault]:
         """Keep the record of one daemon, beside that of its zone."""
 
-    async def leave(self, member: MemberRecord) -> Result[None, StoreFault]:
-        """Take back what was told of this daemon."""
-
     async def close(self) -> None:
         """Close all connections."""
 
--- a/libs/sidecar/src/verbenamill_sidecar/registering.py
+++ b/libs/sidecar/src/verbenamill_sidecar/registering.py
@@ -72,6 +72,7 @@
         self._has_read = False
         self._saved_digest: int | None = None
         self._announced: set[VmId] = set()
+        self._gone: set[VmId] = set()
 
     async def flush(self, timeout: float) -> bool:
         """Wait until the store has that the upstream leaves.
@@ -117,14 +118,15 @@
 
         A daemon that is only started again finds its upstream by what others
         remember, or by the store. Alone in its zone, it saves that now. If
-        the upstream goes as well, its record is taken back.
+        the upstream goes as well, the record says so: the one of the zone is
+        older, and names an upstream that is ready.
         """
         with trio.move_on_after(timeout):
             if not _has_gone(self._gossip.own):
                 if self._is_alone():
                     await self._save_zone()
-            elif self._written is not None:
-                await self._store.leave(self._gossip.own)
+            elif not self._is_written():
+                await self._write()
 
     async def _look(self, is_first_start: bool) -> None:
         if not is_first_start:
@@ -208,14 +210,18 @@
         digest = self._zone_digest()
         members = self._table.in_zone(zone)
         known = {member.vm for member in members}
+        gone = {member.vm for member in members if _has_gone(member)}
         saved = await self._store.save_zone(
             zone,
-            [member for member in members if not _has_gone(member)],
+            [member for member in members if member.vm not in gone],
             announced=known - self._announced,
+            # A start that comes soon still needs what these have written.
+            gone=gone & self._gone,
         )
         if isinstance(saved, Success):
             self._saved_digest = digest
             self._announced |= known
+            self._gone = gone
 
     def _zone_digest(self) -> int | None:
         return self._table.digests.get(self._gossip.own.availability_zone)
