An ingress sends a limited upstream little more than it takes

Cause, found in a model of 13 ingresses and 9 owners without network (scratch, by the policy's own classes): limits were used up, but where all upstreams had one, nearly all refused requests had asked three owners. Each ingress that heard of room tried to use it, and all but one were refused.

Change: an ingress judges the wait that it was told as the owner does (admission.fits_behind, one copy now), and counts by priority what a limited upstream took of its requests (policy/throttling.py, client-side throttling). Refusals tell the wait that upstreams told.

--- a/libs/policy/src/verbenamill_policy/admission.py
+++ b/libs/policy/src/verbenamill_policy/admission.py
@@ -27,6 +27,24 @@
     SHED = 'shed'
 
 
+def fits_behind(
+    wait: float,
+    expected: float,
+    *,
+    left: float | None,
+    patience: float,
+) -> bool:
+    """Whether an answer after some wait is worth the wait.
+
+    :param expected: service time, in seconds.
+    :param left: time to the objective; ``None`` if that is missed in any case.
+    :param patience: time until the caller gives up, in seconds.
+    """
+    if left is None:
+        return wait + expected <= patience * HEADROOM
+    return wait + SPREAD * expected <= left * HEADROOM
+
+
 class Ticket:
     """A request that runs or waits.
 
@@ -263,10 +281,12 @@
         A request that will miss its objective in any case is measured by its
         caller's deadline: late answers are worth less, not nothing.
         """
-        expected = ticket.expected
-        if ticket.is_late:
-            return wait + expected <= (ticket.deadline - now) * HEADROOM
-        return wait + SPREAD * expected <= (ticket.objective - now) * HEADROOM
+        return fits_behind(
+            wait,
+            ticket.expected,
+            left=None if ticket.is_late else ticket.objective - now,
+            patience=ticket.deadline - now,
+        )
 
     def _is_hopeless(self, ticket: Ticket, now: float) -> bool:
         return now + ticket.expected / 2 > ticket.deadline
--- a/libs/policy/src/verbenamill_policy/placement.py
+++ b/libs/policy/src/verbenamill_policy/placement.py
@@ -3,11 +3,14 @@
 import math
 from collections.abc import Collection, Iterator, Sequence
 from random import Random
+from typing import NamedTuple
 
 from msgspec import Struct
 
 from verbenamill_model.typing import AvailabilityZone, VmId
+from verbenamill_policy.admission import SPREAD, fits_behind
 from verbenamill_policy.service_times import FIRST_SPREAD, chance
+from verbenamill_policy.throttling import Throttle
 
 #: Weight of the newest answer in what is believed of an owner.
 _WEIGHT = 0.15
@@ -58,6 +61,13 @@
 LONGEST_PAUSE = 4.0
 
 
+class _Pause(NamedTuple):
+    """Time until a limit has room, as told, and when that is."""
+
+    told: float
+    until: float
+
+
 class Owner:
     """What an ingress believes of one daemon and its upstream.
 
@@ -76,7 +86,8 @@
         'down_until',
         'pause',
         'samples',
-        '_room_at',
+        '_pauses',
+        '_throttles',
     )
 
     def __init__(
@@ -96,7 +107,8 @@
         self.down_until = float(0)
         self.pause = FIRST_PAUSE
         self.samples = 0
-        self._room_at: dict[int, float] = {}
+        self._pauses: dict[int, _Pause] = {}
+        self._throttles: dict[int, Throttle] = {}
 
     def sent(self) -> None:
         """Count a request that goes there now."""
@@ -121,13 +133,33 @@
         self.samples += 1
         self.pace += weight * (pace - self.pace)
 
-    def tell_pause(self, priority: int, until: float) -> None:
-        """Take in when its limit has room for a request of a priority."""
-        self._room_at[priority] = until
+    @property
+    def is_limited(self) -> bool:
+        """Whether its upstream names a limit."""
+        return bool(self._pauses)
 
-    def forget_pauses(self) -> None:
-        """It has no limit any more."""
-        self._room_at.clear()
+    def tell_limited(
+        self,
+        priority: int,
+        pause: float,
+        now: float,
+        *,
+        taken: bool,
+    ) -> None:
+        """Take in what its limit did to a request.
+
+        :param pause: until there is room for another one of this priority, in
+            seconds.
+        :param taken: whether it got the request.
+        """
+        throttle = self._throttles.setdefault(priority, Throttle())
+        throttle.tell(now, taken=taken)
+        self._pauses[priority] = _Pause(pause, now + pause)
+
+    def forget_limit(self) -> None:
+        """Its upstream names no limit any more."""
+        self._throttles.clear()
+        self._pauses.clear()
 
     def room_at(self, priority: int) -> float:
         """When its limit has room for a request, as far as it was told.
@@ -135,10 +167,26 @@
         What is more urgent has room no later.
         """
         known = [
-            until for told, until in self._room_at.items() if told <= priority
+            pause.until
+            for told, pause in self._pauses.items()
+            if told <= priority
         ]
         return max(known, default=float('-inf'))
 
+    def usual_pause(self, priority: int) -> float:
+        """How long requests of a priority wait for its limit, in seconds."""
+        known = [
+            pause.told
+            for told, pause in self._pauses.items()
+            if told <= priority
+        ]
+        return max(known, default=0)
+
+    def holds_back(self, priority: int, now: float, random: Random) -> bool:
+        """Whether a request is not sent, since such ones were refused."""
+        throttle = self._throttles.get(priority)
+        return throttle is not None and throttle.holds_back(now, random)
+
     def tell_outcome(self, *, failed: bool) -> None:
         """Take in whether an answer was a failure."""
         self.failing += _FAILURE_WEIGHT * (float(failed) - self.failing)
@@ -254,6 +302,7 @@
         owner
         for owner in _reachable(owners, excluded, now)
         if _has_room(owner, wish, now)
+        and not owner.holds_back(wish.priority, now, random)
     ]
     near = [owner for owner in usable if owner.availability_zone == zone]
     far = [owner for owner in usable if owner.availability_zone != zone]
@@ -271,12 +320,13 @@
     excluded: Collection[VmId],
     now: float,
 ) -> float:
-    """Time until some limit has room, in seconds; 0 if that is not known."""
-    rooms = [
-        owner.room_at(wish.priority) - now
+    """Time until some limit has room, in seconds; 0 if there is no limit."""
+    pauses = [
+        owner.usual_pause(wish.priority)
         for owner in _reachable(owners, excluded, now)
+        if owner.is_limited
     ]
-    return max(min(rooms, default=0), 0)
+    return min(pauses, default=0)
 
 
 def _reachable(
@@ -290,9 +340,17 @@
 
 
 def _has_room(owner: Owner, wish: Wish, now: float) -> bool:
-    """Whether its limit lets it answer before the caller gives up."""
+    """Whether its limit has room so soon that it takes the request."""
     wait = owner.room_at(wish.priority) - now
-    return wait <= 0 or wait + wish.usual < max(wish.patience, wish.left)
+    if wait <= 0:
+        return True
+    is_late = SPREAD * wish.usual > wish.left
+    return fits_behind(
+        wait,
+        wish.usual,
+        left=None if is_late else wish.left,
+        patience=wish.patience,
+    )
 
 
 def _best(
--- a/libs/sidecar/src/verbenamill_sidecar/learned.py
+++ b/libs/sidecar/src/verbenamill_sidecar/learned.py
@@ -54,7 +54,7 @@
         now = trio.current_time()
         if outcome.load >= 0:
             owner.tell_load(outcome.load, now)
-            owner.tell_pause(call.route.priority, now + outcome.pause)
+            _learn_limit(call, owner, outcome, now)
         if outcome.took is not None:
             told = outcome.usual or outcome.took
             owner.tell_time(told, self.usual(call.route))
@@ -70,3 +70,20 @@
     def _learn_size(self, route: RouteName, size: int) -> None:
         known = self._sizes.get(route, size)
         self._sizes[route] = known + _WEIGHT * (size - known)
+
+
+def _learn_limit(
+    call: Call,
+    owner: Owner,
+    outcome: Outcome,
+    now: float,
+) -> None:
+    if outcome.limit is None:
+        owner.forget_limit()
+        return
+    owner.tell_limited(
+        call.route.priority,
+        outcome.pause,
+        now,
+        taken=outcome.fate is not Fate.NOT_RUN,
+    )
--- a/libs/sidecar/src/verbenamill_sidecar/peers.py
+++ b/libs/sidecar/src/verbenamill_sidecar/peers.py
@@ -344,7 +344,7 @@
             slots=upstream.slots,
         )
     elif old.limit is not None and upstream.limit is None:
-        peer.owner.forget_pauses()
+        peer.owner.forget_limit()
     peer.owner.slots = max(upstream.slots, 1)
 
 
