Operators see which upstream is limited, to what and since when

'fleet status' has a column for it, 'explain' tells what the owner believed of its upstream's limit, VM4006 has the limit of others, and metrics count what was sent and refused under it. Since when is told by the owner's clock, in the record that all daemons have. The table's test expects the new column.

--- a/deploy/tests/test_fleet.py
+++ b/deploy/tests/test_fleet.py
@@ -1,5 +1,11 @@
 """What operators are shown of a site: daemons in step, behind, cut off."""
 
+import re
+from functools import partial
+
+import trio
+from trio.testing import MockClock
+
 from verbenamill_cli.errors import ExitCode
 from verbenamill_cli.fleet import find_fleet, find_moves
 from verbenamill_http.addresses import parse_address
@@ -25,8 +31,8 @@
         )
         rows = [line.split() for line in report.lines[3:]]
         assert rows == [
-            ['vm1', 'z1', 'entries', 'v1', 'ready', 'in', 'step'],
-            ['vm2', 'z2', 'entries', 'v2', 'ready', 'in', 'step'],
+            ['vm1', 'z1', 'entries', 'v1', 'ready', '-', 'in', 'step'],
+            ['vm2', 'z2', 'entries', 'v2', 'ready', '-', 'in', 'step'],
         ]
 
     play(scene)
@@ -92,3 +98,30 @@
         assert error.code is ExitCode.UNAVAILABLE
 
     play(scene)
+
+
+def test_an_operator_sees_which_upstream_is_limited_and_since_when(play):
+    """Guards against a limit that only the owner's log tells of."""
+
+    async def scene(site):
+        vm = await site.add('vm1')
+        await site.in_force(1)
+        vm.upstream.limit = 2.5
+        await vm.call('/lookup/0', id='r0')
+        async with trio.open_nursery() as nursery:
+            for number in range(1, 12):
+                nursery.start_soon(
+                    partial(vm.call, '/lookup/1', id=f'r{number}')
+                )
+        await site.saved()
+        report = (await find_fleet(open_store(site))).unwrap()
+        row = next(line for line in report.lines if line.startswith('vm1'))
+        assert re.search(r'2\.5/s since \d{4}-\d\d-\d\dT', row)
+        told = await vm.connect(4)
+        await told.send(b'GET /metrics HTTP/1.1\r\nHost: vm1\r\n\r\n')
+        text = (await told.answer()).body.decode()
+        assert 'verbenamill_upstream_limit 2.5' in text
+        assert re.search(r'verbenamill_upstream_limit_sent [1-9]', text)
+        assert re.search(r'verbenamill_upstream_limit_refused [1-9]', text)
+
+    play(scene, clock=MockClock(autojump_threshold=0))
--- a/libs/cli/src/verbenamill_cli/explain.py
+++ b/libs/cli/src/verbenamill_cli/explain.py
@@ -24,6 +24,9 @@
     'VM5001': 'move',
     'VM6005': 'own upstream',
     'VM6006': 'own upstream',
+    'VM6016': 'limit of the own upstream',
+    'VM6017': 'limit of the own upstream',
+    'VM6018': 'own upstream',
 }
 #: Codes of lines about another daemon, by the field that names it.
 _ABOUT = {'VM4001': 'peer', 'VM4002': 'peer', 'VM4006': 'vm'}
--- a/libs/cli/src/verbenamill_cli/fleet.py
+++ b/libs/cli/src/verbenamill_cli/fleet.py
@@ -1,6 +1,7 @@
 """What runs on a platform: daemons, upstreams, configuration, moves."""
 
 from collections.abc import Iterable
+from datetime import UTC, datetime
 
 import trio
 from msgspec import Struct
@@ -11,6 +12,7 @@
 from verbenamill_http.addresses import parse_address
 from verbenamill_http.client import Pool
 from verbenamill_model.typing import ServiceName
+from verbenamill_policy.limits import NamedLimit
 from verbenamill_policy.members import MemberRecord
 from verbenamill_policy.rollouts import Order, Settled
 from verbenamill_sidecar.fetching import fetch_knowledge
@@ -23,6 +25,15 @@
 #: Daemons asked at a time.
 _AT_ONCE = 50
 _NO_VERDICT = 'no verdict yet'
+_HEADINGS = (
+    'DAEMON',
+    'ZONE',
+    'SERVICE',
+    'VERSION',
+    'UPSTREAM',
+    'LIMIT',
+    'RUNS',
+)
 
 
 class Seen(Struct, frozen=True, kw_only=True):
@@ -109,7 +120,7 @@
             f'configuration published: {published}',
             f'daemons: {len(fleet)}, in step: {len(fleet) - len(late)}',
             *table(
-                ('DAEMON', 'ZONE', 'SERVICE', 'VERSION', 'UPSTREAM', 'RUNS'),
+                _HEADINGS,
                 [_row(seen, newest) for seen in fleet],
             ),
         ),
@@ -132,12 +143,24 @@
     record = seen.record
     upstream = record.upstream
     if upstream is None:
-        about: tuple[object, ...] = ('-', '-', 'none heard of')
+        about: tuple[object, ...] = ('-', '-', 'none heard of', '-')
     else:
-        about = (upstream.service, upstream.version, upstream.state.value)
+        about = (
+            upstream.service,
+            upstream.version,
+            upstream.state.value,
+            _show_limit(upstream.limit),
+        )
     return record.vm, record.availability_zone, *about, _judge(seen, newest)
 
 
+def _show_limit(limit: NamedLimit | None) -> str:
+    if limit is None:
+        return '-'
+    since = datetime.fromtimestamp(limit.since / 1000, UTC)
+    return f'{limit.rate:g}/s since {since:%Y-%m-%dT%H:%M:%SZ}'
+
+
 def _plain(seen: Seen, newest: int) -> dict[str, object]:
     return {
         'record': seen.record,
--- a/libs/sidecar/src/verbenamill_sidecar/daemon.py
+++ b/libs/sidecar/src/verbenamill_sidecar/daemon.py
@@ -406,6 +406,18 @@
                 'Whether this daemon reads the store for its zone.',
                 self._tree.must_read(),
             ),
+            'upstream_limit': (
+                'Requests a second that the upstream takes; -1 without limit.',
+                -1 if self._own.limits.rate is None else self._own.limits.rate,
+            ),
+            'upstream_limit_sent': (
+                'Requests sent to it while it named a limit.',
+                self._own.limits.counts.sent,
+            ),
+            'upstream_limit_refused': (
+                'Requests refused for its limit.',
+                self._own.limits.counts.refused,
+            ),
             'upstream_crashes': (
                 'Crashes of the upstream since the start.',
                 self._own.crashes.count,
--- a/libs/sidecar/src/verbenamill_sidecar/dissemination.py
+++ b/libs/sidecar/src/verbenamill_sidecar/dissemination.py
@@ -322,6 +322,12 @@
     return NewsKey(NewsKind.MEMBER, vm)
 
 
+def _rate_of(upstream: UpstreamRecord | None) -> float | None:
+    if upstream is None or upstream.limit is None:
+        return None
+    return upstream.limit.rate
+
+
 def _log_change(record: MemberRecord) -> None:
     upstream = record.upstream
     log(
@@ -332,4 +338,5 @@
         instance=None if upstream is None else upstream.instance,
         version=None if upstream is None else upstream.version,
         state=None if upstream is None else upstream.state.value,
+        limit=_rate_of(upstream),
     )
