Soak: limits and leaves that upstreams name in their answers are troubles

A limit begins early, falls to a third and ends; the daemon beside it is stopped or killed meanwhile. Another upstream says in its answers that it leaves while its heartbeats go on, and its daemon is killed. Promises count what reaches an upstream from daemons that have passed such an answer on and were not harmed since.

--- a/libs/soak/src/verbenamill_soak/nodes.py
+++ b/libs/soak/src/verbenamill_soak/nodes.py
@@ -74,6 +74,7 @@
     :ivar fails: whether it answers half of its requests with 500.
     :ivar name: that of its first start; it has another one after a crash.
     :ivar killed_at: when the deadly request crashed it.
+    :ivar limits: limits that it has named, and since when.
     """
 
     acked_at: float | None = None
@@ -82,11 +83,28 @@
     fails: bool = False
     name: str = ''
     killed_at: list[float] = field(default_factory=list)
+    limits: list[tuple[float, float | None]] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         """Remember its first name."""
         self.name = self.instance
 
+    def name_limit(self, rate: float | None) -> None:
+        """Name another limit from now on, or none."""
+        self.limit = rate
+        self.limits.append((trio.current_time(), rate))
+
+    def most_allowed(self, since: float, until: float) -> float | None:
+        """The largest limit of a time; ``None`` if it named none in it."""
+        found: list[float | None] = [None]
+        for at, rate in self.limits:
+            if at <= since:
+                found = [rate]
+            elif at <= until:
+                found.append(rate)
+        named = [one for one in found if one is not None]
+        return max(named) if len(named) == len(found) else None
+
     def dies_of(self, asked: Asked) -> bool:
         """Whether a request crashes it."""
         if asked.path != DEADLY:
--- a/libs/soak/src/verbenamill_soak/plan.py
+++ b/libs/soak/src/verbenamill_soak/plan.py
@@ -21,6 +21,10 @@
     :cvar CRASH: the upstream crashes of no request's fault, and starts again.
     :cvar DEADLY: a request that crashes each upstream that runs it comes to
         the VM's daemon.
+    :cvar LIMIT: the upstream names a limit in its answers, a smaller one later,
+        and then none.
+    :cvar LEAVES_IN_BAND: its answers say that it leaves, its heartbeats that
+        it is ready; then it ends and is replaced.
     :cvar STORE_LOSES: writes take effect and their answers are lost.
     """
 
@@ -42,6 +46,8 @@
     REPLACE = 'replace'
     CRASH = 'crash'
     DEADLY = 'deadly'
+    LIMIT = 'limit'
+    LEAVES_IN_BAND = 'leaves-in-band'
     STORE_DOWN = 'store-down'
     STORE_SILENT = 'store-silent'
     STORE_LOSES = 'store-loses'
@@ -64,7 +70,19 @@
 #: Changes come often; the rest is drawn evenly.
 _WEIGHTS = {Kind.CONFIGURE: 4, Kind.STOP: 2, Kind.DRAIN: 2}
 #: Drawn apart, so that the seeds of before draw what they drew.
-_APART = frozenset((Kind.LATE_PEERS, Kind.CRASH, Kind.DEADLY))
+_APART = frozenset(
+    (
+        Kind.LATE_PEERS,
+        Kind.CRASH,
+        Kind.DEADLY,
+        Kind.LIMIT,
+        Kind.LEAVES_IN_BAND,
+    ),
+)
+#: How long a limit holds, in seconds: until it has to be kept, and some spans
+#: in which it is counted. It begins in the first part of a run.
+_LIMITED = (8.0, 12.0)
+_LIMITED_FROM = 0.25
 #: Comings of the deadly request, and pause between two, in seconds. They begin
 #: in the first part of a run, so that most come when it has long been known.
 _COMINGS = (10, 30)
@@ -125,6 +143,7 @@
     found.extend(_draw_late(seed, vms, seconds))
     found.extend(_draw_deadly(seed, vms, seconds))
     found.extend(_draw_crashes(seed, vms, seconds))
+    found.extend(_draw_in_band(seed, vms, seconds))
     return sorted(found, key=lambda trouble: trouble.at)
 
 
@@ -177,3 +196,41 @@
                 lasts=0,
                 draw=random.randrange(1 << 16),
             )
+
+
+def _draw_in_band(seed: int, vms: int, seconds: float) -> Iterator[Trouble]:
+    """Limits and leaves that upstreams name in their answers.
+
+    The daemon of a limited upstream is stopped or killed meanwhile.
+    """
+    random = Random(f'in band {seed}')
+    places = random.sample(range(vms), max(2, vms // 2))
+    leaving = places.pop()
+    for vm in places:
+        at = random.uniform(0, seconds * _LIMITED_FROM)
+        lasts = random.uniform(*_LIMITED)
+        yield _at(at, Kind.LIMIT, vm, lasts, random)
+        for _ in range(random.randint(0, 2)):
+            kind = random.choice((Kind.STOP, Kind.KILL))
+            later = min(at + random.uniform(1, lasts), seconds)
+            yield _at(later, kind, vm, random.uniform(0.2, 1), random)
+    at = random.uniform(0, seconds * (1 - _LIMITED_FROM))
+    yield _at(at, Kind.LEAVES_IN_BAND, leaving, 0, random)
+    later = min(at + random.uniform(0.1, 2), seconds)
+    yield _at(later, Kind.KILL, leaving, random.uniform(0.2, 1), random)
+
+
+def _at(
+    at: float,
+    kind: Kind,
+    vm: int,
+    lasts: float,
+    random: Random,
+) -> Trouble:
+    return Trouble(
+        at=round(at, 2),
+        kind=kind,
+        vm=vm,
+        lasts=round(lasts, 2),
+        draw=random.randrange(1 << 16),
+    )
--- a/libs/soak/src/verbenamill_soak/promises.py
+++ b/libs/soak/src/verbenamill_soak/promises.py
@@ -15,6 +15,7 @@
 from verbenamill_soak.callers import Asked, Caller, Ending
 from verbenamill_soak.deadly import MOST_LATE, DeadlyRuns
 from verbenamill_soak.given_up import Work
+from verbenamill_soak.in_band import InBandPromises
 from verbenamill_soak.nodes import DEADLY, DRAIN_TIME, Node, Upstream
 from verbenamill_soak.site import KEPT, SERVICE, Site
 
@@ -54,6 +55,7 @@
         self._runs: dict[str, list[str]] = defaultdict(list)
         self._work = Work()
         self._deadly = DeadlyRuns(site)
+        self._in_band = InBandPromises(site)
         self._fees: dict[str, Asked] = {}
         self._refused: dict[str, Asked] = {}
         self._lives: dict[tuple[str, int], _Life] = defaultdict(_Life)
@@ -70,6 +72,7 @@
     def look(self) -> None:
         """Look at what is new."""
         self._look_at_runs()
+        self._in_band.look()
         for caller in self._site.callers:
             ended = [one for one in caller.asked if one.ended_at]
             for asked in ended[self._looked_at[caller] :]:
@@ -79,6 +82,8 @@
             self._look_at_process(node)
         self._look_at_verdicts()
         self._look_at_deadly()
+        for name, text in self._in_band.find_excess():
+            self._break('a named limit is kept', name, text)
 
     def _break(self, promise: str, key: str, text: str) -> None:
         if f'{promise}/{key}' not in self._told:
@@ -150,6 +155,8 @@
         if given_up:
             self._break('no work is given up', asked.id, given_up)
         self._look_at_version(asked)
+        for text in self._in_band.take(asked, self._node_of(asked)):
+            self._break('who leaves in band gets no work', asked.id, text)
 
     def _look_at_cut(self, asked: Asked) -> None:
         """A request that was read is answered, also around planned stops.
--- a/libs/soak/src/verbenamill_soak/troubles.py
+++ b/libs/soak/src/verbenamill_soak/troubles.py
@@ -7,13 +7,26 @@
 
 from verbenamill_platform_standins.operators import OPERATORS_TOPIC
 from verbenamill_soak.callers import Caller
-from verbenamill_soak.nodes import DEADLY, GRACE, LONG_WORK, WORK, Node
+from verbenamill_soak.nodes import (
+    DEADLY,
+    DRAIN_TIME,
+    GRACE,
+    LONG_WORK,
+    WORK,
+    Node,
+)
 from verbenamill_soak.plan import Kind, Trouble
 from verbenamill_soak.relays import Way
 from verbenamill_soak.site import Site
 
 #: Moves of one run; more would leave no version that was not touched.
 _MOST_ORDERS = 3
+#: Limits that upstreams name, in requests a second, and by what they fall.
+_LIMITS = (10, 5, 2.3, 0)
+_FALL = 3.0
+#: How long an upstream whose answers say that it leaves listens beyond the time
+#: in which it may get work, in seconds.
+_STAYS_ON = 2.0
 #: Kinds after which the store needs time to be taken as sound again.
 _STORE_KINDS = frozenset(
     (
@@ -45,6 +58,12 @@
         if trouble.kind is Kind.CRASH:
             self._crash(site.nodes[trouble.vm])
             return
+        if trouble.kind is Kind.LIMIT:
+            await self._limit(trouble, site.nodes[trouble.vm])
+            return
+        if trouble.kind is Kind.LEAVES_IN_BAND:
+            await self._leave_in_band(site.nodes[trouble.vm])
+            return
         if trouble.vm >= 0:
             node = site.nodes[trouble.vm]
             site.timeline.tell(f'{node.name}: {told}')
@@ -141,6 +160,29 @@
                 f'{asked.ending.value} {asked.status}',
             )
 
+    async def _limit(self, trouble: Trouble, node: Node) -> None:
+        """Have an upstream name a limit, a smaller one, and none."""
+        upstream = node.upstream
+        first = _LIMITS[trouble.draw % len(_LIMITS)]
+        for rate in (first, first / _FALL):
+            upstream.name_limit(rate)
+            self._site.timeline.tell(
+                f'{node.name}: {upstream.name} takes {rate:.2g} a second',
+            )
+            await trio.sleep(trouble.lasts / 2)
+        upstream.name_limit(None)
+        self._site.timeline.tell(f'{node.name}: {upstream.name} has no limit')
+
+    async def _leave_in_band(self, node: Node) -> None:
+        """Have an upstream say in its answers that it leaves, and end."""
+        upstream = node.upstream
+        upstream.says_leaving = True
+        self._site.timeline.tell(f'{node.name}: {upstream.name} says it leaves')
+        await trio.sleep(DRAIN_TIME + _STAYS_ON)
+        if node.is_serving(upstream):
+            node.end_upstream(upstream)
+            await node.add_upstream(upstream.version, fails=upstream.fails)
+
     async def _hold(self, trouble: Trouble, node: Node) -> None:
         """Hold what is new on its link, while its upstream works for long."""
         node.holds += 1
--- a/libs/soak/tests/test_promises.py
+++ b/libs/soak/tests/test_promises.py
@@ -13,7 +13,7 @@
     Told,
     tell,
 )
-from verbenamill_platform_standins.upstream import Ran
+from verbenamill_platform_standins.upstream import Arrival, Ran
 from verbenamill_soak.callers import DEADLINE, Asked, Ending
 from verbenamill_soak.nodes import DEADLY, DRAIN_TIME, Upstream
 from verbenamill_soak.promises import BACK_LIMIT, Promises
@@ -494,3 +494,76 @@
                 target=target,
             ),
         )
+
+
+def reached(site, count, *, vm=0, every=0.1, since=20.0, born=100, **said):
+    """Requests of one caller that reach an upstream and are answered."""
+    upstream = site.nodes[vm].upstreams[0]
+    for number in range(count):
+        at = since + number * every
+        id = f'vm1-{born}-{since}-{number}'
+        upstream.arrivals.append(Arrival(id, at, born, **said))
+        site.asked(id, vm='vm1', sent_at=at, ended_at=at + 0.01)
+
+
+def name_limit(site, rate, *, until=None):
+    """Have an upstream name a limit since the begin."""
+    limits = site.nodes[0].upstreams[0].limits
+    limits.append((0.0, rate))
+    if until is not None:
+        limits.append((until, None))
+
+
+def test_a_limit_that_is_exceeded(broken):
+    def act(site):
+        name_limit(site, 2)
+        reached(site, 1, since=1.0, limit=2)
+        reached(site, 100, limit=2)
+
+    assert broken(act) == ['a named limit is kept']
+
+
+def test_a_limit_that_is_kept(broken):
+    def act(site):
+        name_limit(site, 2)
+        reached(site, 1, since=1.0, limit=2)
+        reached(site, 100, every=0.3, limit=2)
+
+    assert not broken(act)
+
+
+@pytest.mark.parametrize('excuse', ['ended', 'untold', 'harmed', 'cut'])
+def test_a_limit_that_does_not_bind(broken, excuse):
+    def act(site):
+        name_limit(site, 2, until=15.0 if excuse == 'ended' else None)
+        if excuse != 'untold':
+            reached(site, 1, since=1.0, limit=2)
+        if excuse == 'harmed':
+            site.nodes[1].harmed_at = 100.0
+        if excuse == 'cut':
+            site.nodes[1].peers.set(Way.REFUSED)
+        reached(site, 100, limit=None if excuse == 'untold' else 2)
+
+    assert not broken(act)
+
+
+def test_work_for_an_upstream_that_said_in_band_that_it_leaves(broken):
+    def act(site):
+        reached(site, 1, since=1.0, says_leaving=True)
+        reached(site, 1, since=1.0 + DRAIN_TIME + 0.1, says_leaving=True)
+
+    assert broken(act) == ['who leaves in band gets no work']
+
+
+@pytest.mark.parametrize('excuse', ['early', 'untold', 'harmed', 'started'])
+def test_a_leave_in_band_that_does_not_bind(broken, excuse):
+    def act(site):
+        if excuse != 'untold':
+            reached(site, 1, since=1.0, says_leaving=True)
+        if excuse == 'harmed':
+            site.nodes[1].harmed_at = 2.0
+        since = 1.5 if excuse == 'early' else 10.0
+        born = 200 if excuse == 'started' else 100
+        reached(site, 1, since=since, born=born, says_leaving=True)
+
+    assert not broken(act)
