A version on trial whose upstreams are limited leaves its requests to the old one

Cause: since ingresses heed limits, a request drawn for the version on trial found no owner with room, and was refused although the old version had room. Change: it goes to the old version then, as it does after a refusal of an owner. The new test fails on the code before. Looked for as the same class: who takes a limit for a failure; outcomes, times and tallies leave refusals for limits out.

--- a/deploy/tests/test_named_limits.py
+++ b/deploy/tests/test_named_limits.py
@@ -345,3 +345,29 @@
         assert load.served(said_at - 0.5) == 1
 
     play_fleet(play, scene)
+
+
+def test_a_limited_version_on_trial_leaves_its_requests_to_the_old_one(play):
+    """Guards against refusals for a version that gets few requests anyway."""
+
+    async def scene(site):
+        old = [
+            await site.add(f'old{place}', work=WORK, slots=30)
+            for place in range(2)
+        ]
+        new = await site.add('new', version='v2', work=WORK)
+        new.upstream.limit = 0.5
+        await site.settled()
+        await site.in_force(1)
+        site.store.operate(
+            'rollout/entries',
+            {'service': 'entries', 'targetVersion': 'v2', 'durationS': 60},
+        )
+        load = Load(old, pause=0.02)
+        with trio.move_on_after(20):
+            await load.run(4)
+        assert new.upstream.arrivals
+        refused = [one for one in load.answers if one.answer.status != 200]
+        assert not refused
+
+    play(scene, clock=MockClock(autojump_threshold=0))
--- a/libs/sidecar/src/verbenamill_sidecar/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/ingress.py
@@ -167,9 +167,26 @@
         context = self._context
         peers = context.peers.of_service(call.service)
         shares = context.shares(call.service)
+        if shares.target is None:
+            return self._pick(call, peers, tries)
+        chosen = self._of_version(call, peers, shares, tries)
+        peer = self._pick(call, chosen, tries)
+        if peer is None and tries.wants_target and 0 < shares.share < 1:
+            # The version on trial has no room; the other one serves on.
+            tries.wants_target = False
+            others = with_version(peers, shares, target=False)
+            peer = self._pick(call, others, tries)
+        return peer
+
+    def _pick(
+        self,
+        call: Call,
+        peers: list[Peer],
+        tries: Tries,
+    ) -> Peer | None:
+        """The best owner of some; ``None`` if none can serve in time."""
+        context = self._context
         now = trio.current_time()
-        if shares.target is not None:
-            peers = self._of_version(call, peers, shares, tries)
         by_owner: dict[Owner, Peer] = {peer.owner: peer for peer in peers}
         wish = self._learned.wish(call, now)
         owner = choose(
