--- a/libs/policy/src/verbenamill_policy/admission.py
+++ b/libs/policy/src/verbenamill_policy/admission.py
@@ -182,8 +182,10 @@
 
     def pause(self, priority: int, now: float) -> float:
         """Time until a request of a priority may begin for the rate, in s."""
+        if self._pace is None:
+            return 0
         ahead = sum(one.priority <= priority for one in self._waiting)
-        return self._paced_wait(ahead, now)
+        return self._pace.wait(ahead, now)
 
     def enter(self, ticket: Ticket, now: float) -> Entry | None:
         """Ask for a slot; ``None`` when the request waits for one."""
--- a/libs/sidecar/src/verbenamill_sidecar/owner.py
+++ b/libs/sidecar/src/verbenamill_sidecar/owner.py
@@ -7,13 +7,8 @@
 from msgspec import Struct
 
 from verbenamill_http.addresses import Address
-from verbenamill_http.client import Answer, Connection, Fault, Pool
-from verbenamill_http.messages import (
-    Framing,
-    ResponseHead,
-    encode_request,
-    header,
-)
+from verbenamill_http.client import Answer, Fault
+from verbenamill_http.messages import header
 from verbenamill_model.typing import (
     UpstreamState,
     VersionName,
@@ -30,6 +25,7 @@
 from verbenamill_sidecar.crashing import CrashDetector
 from verbenamill_sidecar.in_band import read_in_band
 from verbenamill_sidecar.limiting import LimitKeeper
+from verbenamill_sidecar.linking import UpstreamLink, max_idle_of
 from verbenamill_sidecar.protocol import HeaderNames, Left
 from verbenamill_sidecar.suspects import (
     BLOCKED_REASON,
@@ -39,16 +35,6 @@
 from verbenamill_sidecar.tries import AT_LIMIT
 from verbenamill_telemetry import Event, log
 
-#: Idle time after which a connection is not used again, in seconds. Servers
-#: commonly close idle ones after 5 s or more; a request must not race that.
-MAX_IDLE = 4.0
-#: The same for requests that must not be repeated.
-MAX_IDLE_UNSAFE = 1.0
-CONNECT_TIMEOUT = 0.25
-#: Open connections; the slots bound those in use.
-MAX_CONNECTIONS = 100
-#: Longest answer that is kept, in bytes.
-MAX_ANSWER = 32 * 1024 * 1024
 #: A kept connection that breaks this soon was dead before, in seconds.
 _WAS_DEAD = 0.02
 #: Work that cannot end in this time is not begun, in seconds.
@@ -108,14 +94,8 @@
             changed=context.changed,
             wall_ms=context.wall_ms,
         )
-        self._pool = Pool(
-            context.address,
-            limit=MAX_CONNECTIONS,
-            max_idle=MAX_IDLE,
-            connect_timeout=CONNECT_TIMEOUT,
-            # An upstream may answer before it reads a long body.
-            unacknowledged=0,
-        )
+        self._link = UpstreamLink(context.address, context.names)
+        self._pool = self._link.pool
         self.crashes = CrashDetector(
             self.register,
             self._pool,
@@ -427,7 +407,7 @@
         if left < _LEAST_TIME:
             self._admission.count_unsent(trio.current_time())
             return not_run('the deadline has passed')
-        max_idle = MAX_IDLE if call.is_idempotent else MAX_IDLE_UNSAFE
+        max_idle = max_idle_of(call)
         fault = Fault.LOST
         was_sent = False
         for _ in range(2):
@@ -441,7 +421,7 @@
             if was_sent:
                 self._admission.count_extra(began)
             self.limits.counts.sent += self._admission.is_paced
-            result = await self._exchange(call, upstream, connection)
+            result = await self._link.exchange(call, upstream, connection)
             took = trio.current_time() - began
             was_kept = not connection.is_fresh
             if isinstance(result, Answer):
@@ -490,53 +470,6 @@
             return unknown('the answer was lost')
         return unknown('the upstream crashed', crash=crash)
 
-    async def _exchange(
-        self,
-        call: Call,
-        upstream: UpstreamRecord,
-        connection: Connection,
-    ) -> Answer | Fault:
-        result: Answer | Fault = Fault.LOST
-        try:
-            result = await connection.exchange(
-                self._encode(call, upstream),
-                is_ours=partial(self._is_ours, call.id),
-                is_bodiless=call.method == b'HEAD',
-                max_body=MAX_ANSWER,
-            )
-        finally:
-            if isinstance(result, Answer) and result.is_reusable:
-                self._pool.give_back(connection)
-            else:
-                self._pool.discard(connection)
-        return result
-
-    def _encode(self, call: Call, upstream: UpstreamRecord) -> bytes:
-        names = self._context.names
-        left = max(call.deadline - trio.current_time(), 0)
-        headers = [
-            *call.headers,
-            (names.deadline, b'%d' % max(int(left * 1000), 1)),
-            (names.instance, upstream.instance.encode()),
-            (names.caller, call.origin),
-        ]
-        head = encode_request(
-            call.method,
-            call.target,
-            headers,
-            Framing(len(call.body)),
-        )
-        return head + call.body
-
-    def _is_ours(self, id: bytes, head: ResponseHead) -> bool:
-        """Whether an answer belongs to a request.
-
-        One to an earlier request on the connection may come late. Passed
-        on, a caller would get what somebody else asked for.
-        """
-        told = header(head.headers, self._context.names.request_id)
-        return told is None or not id or told == id
-
     def _conclude(
         self,
         call: Call,
