A hangup does not end a daemon that starts

On a platform that changes settings as it starts daemons, the start is lost.

Change: the process ignores the signal before it imports the daemon; it reads its settings afterwards anyway. The time until Python runs the first line is left.

--- /dev/null
+++ b/deploy/node/src/verbenamill_node/early.py
@@ -0,0 +1,12 @@
+"""What a process does before it imports the daemon, which takes a while."""
+
+import signal
+
+
+def ignore_hangups() -> None:
+    """Outlive SIGHUP until the daemon handles it.
+
+    It tells that the settings have changed; a process that starts reads them
+    anyway, and would end by the signal.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
--- a/libs/soak/src/verbenamill_soak/launch.py
+++ b/libs/soak/src/verbenamill_soak/launch.py
@@ -3,7 +3,7 @@
 import sys
 from datetime import UTC, datetime, timedelta
 
-from verbenamill_node import starting
+from verbenamill_node.early import ignore_hangups
 
 
 def main() -> int:
@@ -12,6 +12,9 @@
     Setting back the clock of the machine needs rights that a soak lacks;
     the daemon takes its wall clock from one function.
     """
+    ignore_hangups()
+    from verbenamill_node import starting  # noqa: PLC0415
+
     behind = timedelta(seconds=float(sys.argv.pop(1)))
     starting._now = lambda: datetime.now(UTC) - behind  # noqa: SLF001
     return starting.main()
