A limit that only a record told outlives the restart of its owner's daemon

Cause: that daemon had never got a reply from the owner; it knew the limit by the owner's record, which the next start replaced. It depended on the placement of the first seconds which daemons had got a reply.

Change: a daemon keeps what the record said as the owner starts again, and tells it with its requests, until a reply says more.

--- a/libs/sidecar/src/verbenamill_sidecar/peers.py
+++ b/libs/sidecar/src/verbenamill_sidecar/peers.py
@@ -121,6 +121,17 @@
         """Take in the limit of its upstream, as a reply tells it."""
         self._limit = (start_of(upstream), limit)
 
+    def keep_limit(self, upstream: UpstreamRecord | None) -> None:
+        """Keep what its record said of a limit, as it has started again.
+
+        Its next record may not have it, and no reply may have told it here.
+        """
+        if upstream is None or upstream.limit is None:
+            return
+        start = start_of(upstream)
+        if self._limit is None or self._limit[0] != start:
+            self._limit = (start, upstream.limit)
+
     def limit_of(self, upstream: UpstreamRecord) -> NamedLimit | None:
         """The limit of its upstream.
 
@@ -332,6 +343,7 @@
     peer.record = record
     if before.incarnation != record.incarnation:
         peer.restarted()
+        peer.keep_limit(before.upstream)
     upstream = record.upstream
     peer.tell_left(upstream)
     if upstream is None:
--- a/libs/sidecar/tests/test_peers.py
+++ b/libs/sidecar/tests/test_peers.py
@@ -101,6 +101,18 @@
     assert peer.limit_of(upstream(born=200)) is None
 
 
+@in_trio
+def test_a_limit_that_a_record_told_outlives_starts_of_its_daemon(table, peers):
+    """Guards against a limit that only those who got a reply remember."""
+    told = ((2, upstream(limit=LIMIT)), (3, None), (4, upstream(heartbeat=9)))
+    for incarnation, one in told:
+        table.merge(record(incarnation, one))
+        peers.all()
+    peer = peers.get('vm1')
+    assert peer.limit_of(upstream(heartbeat=9)) == LIMIT
+    assert peer.limit_of(upstream(born=200)) is None
+
+
 @in_trio
 def test_a_limit_that_a_reply_ended_is_not_told_again(table, peers):
     """Guards against an old record that brings an ended limit back."""
