A limit that a record tells after a reply replaces what the reply told

First cause: a daemon that got a reply before the limit was first named noted "no limit", and that note hid the limit that the owner's record told later. So it reminded the owner's next start of nothing.

Change: a record that tells another limit than the one before is news, as a reply is. Only a record of a new start of the daemon that names none is not.

--- a/libs/sidecar/src/verbenamill_sidecar/peers.py
+++ b/libs/sidecar/src/verbenamill_sidecar/peers.py
@@ -79,6 +79,8 @@
         self._limit: tuple[Start, NamedLimit | None] | None = None
         self._left: Start | None = None
         self.tell_left(upstream)
+        if upstream is not None:
+            self.tell_limit(upstream, upstream.limit)
         self._doubted_at = float('-inf')
         self.owner = Owner(
             vm=record.vm,
@@ -118,29 +120,17 @@
         upstream: UpstreamRecord,
         limit: NamedLimit | None,
     ) -> None:
-        """Take in the limit of its upstream, as a reply tells it."""
-        self._limit = (start_of(upstream), limit)
-
-    def keep_limit(self, upstream: UpstreamRecord | None) -> None:
-        """Keep what its record said of a limit, as it has started again.
+        """Take in the limit of its upstream, as a reply or a record tells it.
 
-        Its next record may not have it, and no reply may have told it here.
+        It outlives a restart of the daemon, whose own record may not have it.
         """
-        if upstream is None or upstream.limit is None:
-            return
-        start = start_of(upstream)
-        if self._limit is None or self._limit[0] != start:
-            self._limit = (start, upstream.limit)
+        self._limit = (start_of(upstream), limit)
 
     def limit_of(self, upstream: UpstreamRecord) -> NamedLimit | None:
-        """The limit of its upstream.
-
-        What a reply told outlives a restart of the daemon, whose own record
-        may not have it.
-        """
-        if self._limit is not None and self._limit[0] == start_of(upstream):
-            return self._limit[1]
-        return upstream.limit
+        """The limit of its upstream, as it was told last."""
+        if self._limit is None or self._limit[0] != start_of(upstream):
+            return None
+        return self._limit[1]
 
     @property
     def needs_watch(self) -> bool:
@@ -341,14 +331,16 @@
     """Take in what a daemon tells anew of itself."""
     before = peer.record
     peer.record = record
-    if before.incarnation != record.incarnation:
+    has_restarted = before.incarnation != record.incarnation
+    if has_restarted:
         peer.restarted()
-        peer.keep_limit(before.upstream)
     upstream = record.upstream
     peer.tell_left(upstream)
     if upstream is None:
         return
     old = before.upstream
+    if upstream.limit != _told_limit(old, upstream, has_restarted):
+        peer.tell_limit(upstream, upstream.limit)
     if old is None or start_of(old) != start_of(upstream):
         peer.owner = Owner(
             vm=record.vm,
@@ -360,6 +352,20 @@
     peer.owner.slots = max(upstream.slots, 1)
 
 
+def _told_limit(
+    old: UpstreamRecord | None,
+    upstream: UpstreamRecord,
+    has_restarted: bool,
+) -> NamedLimit | None:
+    """The limit that the record before told of the same start.
+
+    A daemon that has started again tells none until it knows of one.
+    """
+    if old is None or has_restarted or start_of(old) != start_of(upstream):
+        return None
+    return old.limit
+
+
 def with_version(
     peers: list[Peer],
     shares: Shares,
--- a/libs/sidecar/tests/test_peers.py
+++ b/libs/sidecar/tests/test_peers.py
@@ -4,6 +4,7 @@
 
 import pytest
 import trio
+from msgspec.structs import replace
 
 from verbenamill_model.typing import UpstreamState
 from verbenamill_policy.limits import NamedLimit
@@ -113,6 +114,17 @@
     assert peer.limit_of(upstream(born=200)) is None
 
 
+@in_trio
+def test_a_limit_that_a_record_told_after_a_reply_outlives_starts(table, peers):
+    """Guards against a reply from before the limit that hides it."""
+    peer = peers.get('vm1')
+    peer.tell_limit(upstream(), None)
+    for incarnation, one in ((2, upstream(limit=LIMIT)), (3, None)):
+        table.merge(record(incarnation, one))
+        peers.all()
+    assert peer.limit_of(upstream(heartbeat=9)) == LIMIT
+
+
 @in_trio
 def test_a_limit_that_a_reply_ended_is_not_told_again(table, peers):
     """Guards against an old record that brings an ended limit back."""
@@ -121,6 +133,16 @@
     assert peer.limit_of(upstream(limit=LIMIT)) is None
 
 
+@in_trio
+def test_a_limit_that_a_record_ended_is_not_told_again(table, peers):
+    """Guards against a note that outlives what its owner says."""
+    told = (upstream(limit=LIMIT), upstream(heartbeat=2))
+    for sequence, one in enumerate(told, 1):
+        table.merge(replace(record(1, one), sequence=sequence))
+        peers.all()
+    assert peers.get('vm1').limit_of(upstream(heartbeat=2)) is None
+
+
 @in_trio
 def test_a_new_start_of_an_upstream_is_not_held_up_by_an_old_limit(
     table, peers
