A reply tells 'no limit' only where its owner knows of none

Second cause: a reply whose owner had just started, such as 'no upstream is known', told no limit, and whoever got it noted that the upstream names none. Nobody was left to remind the new start, and 6 requests of one daemon arrived before the first answer.

Change: a reply says whether its limit, or that there is none, comes from an answer of this start of the upstream or from a reminder. Others change nothing at whoever gets them.

--- a/deploy/tests/test_named_limits.py
+++ b/deploy/tests/test_named_limits.py
@@ -277,6 +277,29 @@
     play_fleet(play, scene, slots=30, callers=6)
 
 
+def test_an_owner_that_knows_of_no_limit_does_not_end_one(play):
+    """Guards against refusals of a new start that pass for 'no limit'."""
+
+    async def scene(site):
+        limited = await site.add('vm0')
+        caller = await site.add('vm1', service='catalog')
+        await site.settled()
+        await site.in_force(1)
+        limited.upstream.limit = 5
+        assert (await caller.call('/lookup/1')).status == 200
+        peer = caller.daemon._peers.get('vm0')
+        upstream = peer.upstream
+        assert peer.limit_of(upstream).rate == 5
+        site.store.is_down = True
+        caller.daemon._gossip._send = lambda *_: None
+        await limited.kill()
+        await limited.start()
+        assert (await caller.call('/lookup/2')).status == 503
+        assert peer.limit_of(upstream).rate == 5
+
+    play(scene, clock=MockClock(autojump_threshold=0))
+
+
 def test_a_limit_that_falls_is_kept(play):
     """Guards against a burst of what an upstream took a moment ago."""
 
--- a/libs/policy/src/verbenamill_policy/limits.py
+++ b/libs/policy/src/verbenamill_policy/limits.py
@@ -55,6 +55,11 @@
         self._told_at = float('-inf')
         self._has_heard = False
 
+    @property
+    def is_known(self) -> bool:
+        """Whether there is an answer or a memory to go by."""
+        return self._has_heard or self.rate is not None
+
     def name(self, rate: float, now: float) -> None:
         """An answer names a limit."""
         self._has_heard = True
--- a/libs/policy/tests/test_limits.py
+++ b/libs/policy/tests/test_limits.py
@@ -92,3 +92,14 @@
     assert not belief.take_news(5)
     belief.name(0, 6)
     assert belief.take_news(6)
+
+
+def test_a_belief_is_known_once_there_is_something_to_go_by():
+    """Guards against 'no limit' from a daemon that has heard nothing."""
+    belief = LimitBelief()
+    assert not belief.is_known
+    assert belief.recall(3)
+    assert belief.is_known
+    heard = LimitBelief()
+    heard.name_none(asked_at=1)
+    assert heard.is_known
--- a/libs/sidecar/src/verbenamill_sidecar/call.py
+++ b/libs/sidecar/src/verbenamill_sidecar/call.py
@@ -91,6 +91,8 @@
     :param crash: of the upstream while it ran the request, if it crashed.
     :param blocked: whether the request is refused for crashes under it.
     :param limit: that the upstream names, if it names one.
+    :param knows_limit: whether that comes from an answer of this start of the
+        upstream. An owner that has just started knows of none.
     :param pause: until the limit has room for such a request, in seconds.
     :param has_left: whether the upstream has said that it ends.
     """
@@ -108,6 +110,7 @@
     crash: CrashId | None = None
     blocked: bool = False
     limit: NamedLimit | None = None
+    knows_limit: bool = False
     pause: float = 0
     has_left: bool = False
 
--- a/libs/sidecar/src/verbenamill_sidecar/hop.py
+++ b/libs/sidecar/src/verbenamill_sidecar/hop.py
@@ -72,6 +72,7 @@
     :param crash: of the upstream while it ran the request; empty if none.
     :param blocked: whether the request is refused for crashes under it.
     :param limit: that the upstream names, if it names one.
+    :param knows_limit: whether the owner has heard whether it does.
     :param pause: until that has room for such a request, in milliseconds.
     :param has_left: whether the upstream has said that it ends.
     """
@@ -89,6 +90,7 @@
     limit: NamedLimit | None = None
     pause: int = 0
     has_left: bool = False
+    knows_limit: bool = False
 
 
 _calls = msgspec.json.Decoder(HopCall)
@@ -130,6 +132,7 @@
         limit=outcome.limit,
         pause=math.ceil(outcome.pause * 1000),
         has_left=outcome.has_left,
+        knows_limit=outcome.knows_limit,
     )
     told = (OWNER_HEADER, _encoder.encode(report))
     answer = outcome.answer
@@ -167,6 +170,7 @@
         limit=report.limit,
         pause=report.pause / 1000,
         has_left=report.has_left,
+        knows_limit=report.knows_limit,
     )
     if report.fate is Fate.ANSWERED:
         answer.headers = end_to_end(answer.headers)
--- a/libs/sidecar/src/verbenamill_sidecar/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/ingress.py
@@ -248,7 +248,7 @@
                 sender=self._context.sender,
                 doubt=doubt,
             )
-        if outcome.load >= 0:
+        if outcome.knows_limit:
             peer.tell_limit(upstream, outcome.limit)
         if outcome.has_left:
             self._context.peers.tell_left(peer, upstream)
--- a/libs/sidecar/src/verbenamill_sidecar/learned.py
+++ b/libs/sidecar/src/verbenamill_sidecar/learned.py
@@ -54,6 +54,7 @@
         now = trio.current_time()
         if outcome.load >= 0:
             owner.tell_load(outcome.load, now)
+        if outcome.knows_limit:
             _learn_limit(call, owner, outcome, now)
         if outcome.took is not None:
             told = outcome.usual or outcome.took
--- a/libs/sidecar/src/verbenamill_sidecar/limiting.py
+++ b/libs/sidecar/src/verbenamill_sidecar/limiting.py
@@ -66,6 +66,11 @@
         """The limit in force, in requests a second; ``None`` without one."""
         return self._belief.rate
 
+    @property
+    def is_known(self) -> bool:
+        """Whether it is known that this start names a limit, or names none."""
+        return self._belief.is_known
+
     def begin(self, admission: Admission) -> None:
         """Another start of an upstream is there; an old limit is void."""
         self._belief = LimitBelief()
--- a/libs/sidecar/src/verbenamill_sidecar/owner.py
+++ b/libs/sidecar/src/verbenamill_sidecar/owner.py
@@ -205,6 +205,7 @@
         )
         outcome.load = self.load
         outcome.limit = self.limits.limit
+        outcome.knows_limit = self.limits.is_known
         outcome.pause = self._admission.pause(
             call.route.priority,
             trio.current_time(),
--- a/libs/sidecar/tests/test_hop.py
+++ b/libs/sidecar/tests/test_hop.py
@@ -42,6 +42,16 @@
     limit = NamedLimit(2.5, 1000)
     refused = not_run('the upstream is at its limit', wait=0.4)
     refused.limit = limit
+    refused.knows_limit = True
     refused.pause = 0.4
     told = read_outcome(answer_of(encode_outcome(refused)))
     assert (told.limit, told.pause) == (limit, 0.4)
+    assert told.knows_limit
+
+
+def test_a_reply_tells_apart_no_limit_and_none_known():
+    """Guards against a daemon that has just started and ends a limit."""
+    refused = not_run('no upstream is known')
+    told = read_outcome(answer_of(encode_outcome(refused)))
+    assert told.limit is None
+    assert not told.knows_limit
