Tests of ended limits measure use where the fleet has more work than room

Traced: its scene made all upstreams eight times slower at a moment, and two requests that waited 0.4 s by the old mean had 0.399 s left for a run of 0.4 s; none was cut or lost by the leave.

While it was traced, three scenes of limits that end failed now and then: they counted what one upstream got in a second, or compared it with the others, on a fleet with little to do, where the shares are uneven by chance (5 to 38 a second, without any limit).

--- a/deploy/tests/test_named_limits.py
+++ b/deploy/tests/test_named_limits.py
@@ -99,6 +99,17 @@
     return sum(one.at >= since for one in upstream.arrivals)
 
 
+async def check_use(vm):
+    """Check that a limit of the past holds nothing up in the time to come.
+
+    There must be more work than the fleet takes.
+    """
+    began = trio.current_time()
+    await trio.sleep(SPAN)
+    takes = vm.upstream.slots / vm.upstream.work * SPAN
+    assert count_since(vm.upstream, began) > 0.5 * takes
+
+
 def play_fleet(play, scene, *, callers=2, pause=0.05, **more):
     """Play a scene on a fleet that has much work."""
 
@@ -160,12 +171,9 @@
         await trio.sleep(GRACE + SPAN)
         limited.limit = None
         await trio.sleep(2)
-        ended_at = trio.current_time()
-        await trio.sleep(SPAN)
-        others = [count_since(vm.upstream, ended_at) for vm in vms[1:]]
-        assert count_since(limited, ended_at) > 0.5 * min(others)
+        await check_use(vms[0])
 
-    play_fleet(play, scene)
+    play_fleet(play, scene, callers=6, work=0.2)
 
 
 def test_where_all_are_at_their_limits_the_rest_is_refused_at_once(play):
@@ -207,11 +215,9 @@
         limited.sequence = 0
         await vms[0].beat()
         assert vms[0].daemon._own.limits.limit is None
-        began = trio.current_time()
-        await trio.sleep(1)
-        assert count_since(limited, began) > 10
+        await check_use(vms[0])
 
-    play_fleet(play, scene)
+    play_fleet(play, scene, callers=6, work=0.2)
 
 
 def test_an_upstream_that_takes_nothing_is_asked_now_and_then(play):
@@ -225,11 +231,9 @@
         assert most_in_span(limited, named_at + GRACE) <= SLACK
         limited.limit = None
         await trio.sleep(10)
-        ended_at = trio.current_time()
-        await trio.sleep(1)
-        assert count_since(limited, ended_at) > 10
+        await check_use(vms[0])
 
-    play_fleet(play, scene)
+    play_fleet(play, scene, callers=6, work=0.2)
 
 
 def test_what_a_caller_says_of_limits_means_nothing(play):
@@ -357,17 +361,15 @@
 
     async def scene(site, vms, load):
         leaving = vms[0].upstream
-        for vm in vms:
-            vm.upstream.work = 0.4
-        await trio.sleep(1)
-        assert leaving.running
+        while not leaving.running:
+            await trio.sleep(WORK)
         said_at = trio.current_time()
         leaving.says_leaving = True
         await trio.sleep(DRAIN)
         assert not leaving.running
         assert load.served(said_at - 0.5) == 1
 
-    play_fleet(play, scene)
+    play_fleet(play, scene, work=0.3, slots=3)
 
 
 def test_a_limited_version_on_trial_leaves_its_requests_to_the_old_one(play):
