A version's failures are compared apart from requests that got no answer

Cause: requests that a crash took counted as failures of the old version.

Change: an owner counts requests that got no answer apart, and evidence weighs failures and losses each against the old version's own share.

--- a/libs/policy/src/verbenamill_policy/evidence.py
+++ b/libs/policy/src/verbenamill_policy/evidence.py
@@ -62,14 +62,21 @@
     """Counts of one route at one upstream since its daemon's start.
 
     :param calls: requests that were answered or failed.
-    :param failed: of those, failures.
+    :param failed: of those, answers that tell of a failure.
     :param times: histogram of service times, by `time_bucket`.
+    :param lost: of the calls, those that got no answer, as in a crash.
     """
 
     route: RouteName
     calls: int = 0
     failed: int = 0
     times: dict[int, int] = {}
+    lost: int = 0
+
+    @property
+    def answered(self) -> int:
+        """Calls that got an answer."""
+        return self.calls - self.lost
 
 
 def time_bucket(took: float) -> int:
@@ -113,19 +120,28 @@
         failed: bool,
         took: float | None,
     ) -> None:
-        """Count a request.
+        """Count a request that was answered.
 
         :param took: service time in seconds; ``None`` if it says nothing.
         """
-        if route not in self._routes and len(self._routes) >= MAX_ROUTES:
-            route = OTHER_ROUTES
-        counts = self._routes.setdefault(route, RouteCounts(route))
+        counts = self._find(route)
         counts.calls += 1
         counts.failed += failed
         if took is not None:
             bucket = time_bucket(took)
             counts.times[bucket] = counts.times.get(bucket, 0) + 1
 
+    def add_lost(self, route: RouteName) -> None:
+        """Count a request that got no answer."""
+        counts = self._find(route)
+        counts.calls += 1
+        counts.lost += 1
+
+    def _find(self, route: RouteName) -> RouteCounts:
+        if route not in self._routes and len(self._routes) >= MAX_ROUTES:
+            route = OTHER_ROUTES
+        return self._routes.setdefault(route, RouteCounts(route))
+
     def tally(
         self,
         vm: VmId,
@@ -162,24 +178,34 @@
 
     def __init__(self) -> None:
         self.calls = float(0)
+        self.lost = float(0)
         self.failed = float(0)
         self.times: dict[int, float] = {}
 
     def fade(self) -> None:
         self.calls *= _FADE
+        self.lost *= _FADE
         self.failed *= _FADE
         for bucket in self.times:
             self.times[bucket] *= _FADE
 
     def add(self, change: RouteCounts) -> None:
         self.calls += change.calls
+        self.lost += change.lost
         self.failed += change.failed
         for bucket, count in change.times.items():
             self.times[bucket] = self.times.get(bucket, 0) + count
 
     @property
     def failure_rate(self) -> float:
-        return (self.failed + _USUAL_FAILURES) / (self.calls + 1)
+        """Part of its answers that tell of a failure."""
+        answered = self.calls - self.lost
+        return (self.failed + _USUAL_FAILURES) / (answered + 1)
+
+    @property
+    def loss_rate(self) -> float:
+        """Part of its requests that got no answer."""
+        return (self.lost + _USUAL_FAILURES) / (self.calls + 1)
 
     @property
     def mean_log(self) -> float | None:
@@ -205,10 +231,14 @@
 class Evidence:
     """Compares the new version of one move with the old ones.
 
-    Three running sums (CUSUM) for each route and owner of the new version: of
-    failures, of times above the mean, of long times. Each begins anew at
-    zero, so that a version that turns bad late costs no walk back from all
-    the good seen before.
+    Four running sums (CUSUM) for each route and owner of the new version: of
+    failures, of lost requests, of times above the mean, of long times. Each
+    begins anew at zero, so that a version that turns bad late costs no walk
+    back from all the good seen before.
+
+    Failures and losses each have a baseline of their own. Upstreams that
+    crash for any other reason take many requests with them; counted together,
+    a version that answers with failures would pass for a usual one.
     """
 
     def __init__(self, target: VersionName) -> None:
@@ -216,6 +246,7 @@
         self._seen: dict[tuple[VmId, str, RouteName], RouteCounts] = {}
         self._old: dict[RouteName, _Sums] = {}
         self._failing: dict[RouteName, dict[VmId, float]] = {}
+        self._losing: dict[RouteName, dict[VmId, float]] = {}
         self._slow: dict[RouteName, dict[VmId, float]] = {}
         self._long: dict[RouteName, dict[VmId, float]] = {}
         self._calls: dict[VmId, int] = {}
@@ -244,6 +275,7 @@
         worst = Finding(0, 'nothing')
         for kind, by_route in (
             ('fails', self._failing),
+            ('gives no answer', self._losing),
             ('is slow', self._slow),
             ('is slow at times', self._long),
         ):
@@ -274,10 +306,11 @@
         self._calls[vm] = self._calls.get(vm, 0) + change.calls
         old = self._old.setdefault(route, _Sums())
         failing = self._failing.setdefault(route, {})
-        failing[vm] = max(
-            failing.get(vm, 0) + _weigh_failures(change, old.failure_rate),
-            0,
-        )
+        added = _weigh_share(change.failed, change.answered, old.failure_rate)
+        failing[vm] = max(failing.get(vm, 0) + added, 0)
+        losing = self._losing.setdefault(route, {})
+        added = _weigh_share(change.lost, change.calls, old.loss_rate)
+        losing[vm] = max(losing.get(vm, 0) + added, 0)
         if not change.times:
             return
         usual = old.mean_log
@@ -301,6 +334,7 @@
         counts.calls - before.calls,
         max(counts.failed - before.failed, 0),
         {bucket: count for bucket, count in times.items() if count > 0},
+        max(counts.lost - before.lost, 0),
     )
 
 
@@ -310,12 +344,11 @@
     return total / sum(times.values()) * log(2) / _PER_DOUBLING
 
 
-def _weigh_failures(change: RouteCounts, usual: float) -> float:
+def _weigh_share(failed: int, calls: int, usual: float) -> float:
     """Logarithm of the likelihood ratio of bad against good."""
     good = min(max(_USUAL_FAILURES, usual * 1.5), 0.8)
     bad = min(good + _BAD_FAILURES, 0.95)
-    passed = change.calls - change.failed
-    return change.failed * log(bad / good) + passed * log(
+    return failed * log(bad / good) + (calls - failed) * log(
         (1 - bad) / (1 - good),
     )
 
--- a/libs/policy/tests/test_rollouts.py
+++ b/libs/policy/tests/test_rollouts.py
@@ -99,6 +99,7 @@
         slower=1,
         share=1,
         route='r',
+        lost=0,
     ):
         places = [key for key in self.owners if key[0] == version]
         for _ in range(requests):
@@ -106,6 +107,9 @@
             took = self.random.lognormvariate(0, 0.5) * 0.1 / speed
             if self.random.random() < share:
                 took *= slower
+            if self.random.random() < lost:
+                counts.add_lost(route)
+                continue
             failed = self.random.random() < failing
             counts.add(route, failed=failed, took=None if failed else took)
 
@@ -116,12 +120,15 @@
         ]
 
 
-def play(world, *, per_step, at):
-    """Steps of 0.1 s; returns the moment of the veto, or ``None``."""
+def play(world, *, per_step, at, lost=0):
+    """Steps of 0.1 s; returns the moment of the veto, or ``None``.
+
+    :param lost: share of the old version's requests that crashes take.
+    """
     evidence = Evidence('v2')
     for step in range(100):
         moment = step / 10
-        world.serve('v1', per_step * 9, failing=0.01)
+        world.serve('v1', per_step * 9, failing=0.01, lost=lost)
         world.serve('v2', per_step, **at(moment))
         evidence.update(world.tallies())
         if evidence.finding().is_conclusive:
@@ -140,12 +147,41 @@
 @pytest.mark.parametrize('seed', range(10))
 @pytest.mark.parametrize(
     'bad',
-    [{'failing': 0.5}, {'failing': 0.25}, {'failing': 0, 'slower': 6}],
+    [
+        {'failing': 0.5},
+        {'failing': 0.25},
+        {'failing': 0, 'slower': 6},
+        {'failing': 0, 'lost': 0.5},
+    ],
 )
 def test_a_bad_version_is_found_within_seconds(bad, seed):
     assert play(World(seed=seed), per_step=2, at=lambda _: bad) < 3
 
 
+@pytest.mark.parametrize('seed', range(10))
+def test_a_bad_version_is_found_while_upstreams_crash(seed):
+    """Guards against crashes that pass for usual failures of a version."""
+    found = play(
+        World(seed=seed),
+        per_step=2,
+        at=lambda _: {'failing': 0.5},
+        lost=0.3,
+    )
+    assert found < 3
+
+
+@pytest.mark.parametrize('seed', range(10))
+def test_a_good_version_among_crashes_is_left_alone(seed):
+    """Guards against a version that is condemned for the crashes of all."""
+    found = play(
+        World(seed=seed),
+        per_step=3,
+        at=lambda _: {'failing': 0.01, 'lost': 0.3},
+        lost=0.3,
+    )
+    assert found is None
+
+
 @pytest.mark.parametrize('seed', range(10))
 def test_a_version_that_turns_bad_late_is_found_as_soon(seed):
     found = play(
--- a/libs/sidecar/src/verbenamill_sidecar/owner.py
+++ b/libs/sidecar/src/verbenamill_sidecar/owner.py
@@ -437,7 +437,10 @@
             is_safe = fault is Fault.UNSENT or call.is_idempotent
             if not (was_kept and is_safe and took < _WAS_DEAD):
                 break
-        self._count(call, failed=True, took=None)
+        if fault is Fault.GARBLED:
+            self._count(call, failed=True, took=None)
+        else:
+            self.counts.add_lost(call.route.name)
         if not was_sent:
             return not_run('the upstream closed the connection')
         return await self._explain(call, upstream, fault)
