A leave that is known already is no news

Each late reply of an upstream that leaves had the daemon go through its table of all members again. It now does so for the first one only. The new test fails on the code before.

--- a/libs/sidecar/src/verbenamill_sidecar/peers.py
+++ b/libs/sidecar/src/verbenamill_sidecar/peers.py
@@ -102,7 +102,7 @@
             return None
         if upstream.state is not UpstreamState.READY:
             return None
-        if start_of(upstream) == self._left:
+        if self.knows_left(upstream):
             return None
         return upstream
 
@@ -115,6 +115,10 @@
         if upstream is not None and upstream.has_left:
             self._left = start_of(upstream)
 
+    def knows_left(self, upstream: UpstreamRecord) -> bool:
+        """Whether this start of its upstream is known to have ended."""
+        return start_of(upstream) == self._left
+
     def tell_limit(
         self,
         upstream: UpstreamRecord,
@@ -275,6 +279,8 @@
 
     def tell_left(self, peer: Peer, upstream: UpstreamRecord) -> None:
         """A reply says that an upstream has said that it ends."""
+        if peer.knows_left(upstream):
+            return
         peer.tell_left(replace(upstream, heartbeat=LAST_HEARTBEAT))
         self._seen = -1
 
--- a/libs/sidecar/tests/test_peers.py
+++ b/libs/sidecar/tests/test_peers.py
@@ -1,6 +1,7 @@
 """What an ingress remembers of another daemon's upstream."""
 
 from functools import wraps
+from unittest import mock
 
 import pytest
 import trio
@@ -80,6 +81,21 @@
     assert peers.of_service('entries') == [peers.get('vm1')]
 
 
+@in_trio
+def test_a_leave_that_is_told_again_is_no_news(table, peers):
+    """Guards against a look at all daemons with each late reply."""
+    peer = peers.get('vm1')
+    peers.tell_left(peer, upstream())
+    assert not peers.of_service('entries')
+    nobody = iter(())
+    with mock.patch.object(
+        MemberTable, '__iter__', return_value=nobody
+    ) as look:
+        peers.tell_left(peer, upstream())
+        assert not peers.of_service('entries')
+    assert not look.called
+
+
 @in_trio
 def test_a_leave_that_a_record_told_binds_through_starts_of_its_daemon(
     table, peers
