Soak: a delay of datagrams does not hold up those behind; its own lag is told

Cause, in the soak: its relay of datagrams slept for each delayed datagram before it looked at the next one, and took one or two turns of a busy loop for each. The log shows states of other daemons that arrived 10 s late. What the daemons tell each other, configurations too, waited in that queue.

Change: a relay takes all that has come in one go, and a delay holds up nothing but its own datagram.

--- a/libs/soak/src/verbenamill_soak/main.py
+++ b/libs/soak/src/verbenamill_soak/main.py
@@ -57,7 +57,9 @@
     wanted = found.wanted
     print(
         f'seed {wanted.seed}, {wanted.vms} daemons, {wanted.seconds:g} s: '
-        f'{found.verdict}; {found.requests}',
+        f'{found.verdict}; {found.requests}; '
+        f'the soak itself was up to {found.worst_lag:.2f} s late, '
+        f'{found.lag:.2f} s in all',
         flush=True,
     )
     if not found.broken:
--- a/libs/soak/src/verbenamill_soak/nodes.py
+++ b/libs/soak/src/verbenamill_soak/nodes.py
@@ -222,7 +222,7 @@
     async def open(self, store: str) -> None:
         """Start the relays, the first upstream and the daemon."""
         self._store.target = store
-        await self._datagrams.bind()
+        self._datagrams.bind()
         self._nursery.start_soon(self._datagrams.serve)
         for relay in (self._calls, self._store, self._upstream):
             await self._nursery.start(relay.serve)
--- a/libs/soak/src/verbenamill_soak/relays.py
+++ b/libs/soak/src/verbenamill_soak/relays.py
@@ -14,6 +14,7 @@
 _HOST = '127.0.0.1'
 _CHUNK = 65_536
 _BACKLOG = 128
+_MOST_AT_ONCE = 256
 #: With this a close sends a reset in place of an end.
 _RESET = struct.pack('ii', 1, 0)
 
@@ -210,64 +211,89 @@
 
 
 class UdpRelay:
-    """Relays datagrams to a target, and the replies back."""
+    """Relays datagrams to a target, and the replies back.
+
+    All that has come is passed on in one go, and a delay holds up nothing but
+    its own datagram; else a busy fleet would make a backlog of seconds.
+    """
 
     def __init__(self, switch: Switch, target: str) -> None:
         self._switch = switch
         host, port = target.rsplit(':', 1)
         self._target = (host, int(port))
-        self._front = trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._back: dict[Source, trio.socket.SocketType] = {}
+        self._front = _open_datagrams()
+        self._back: dict[Source, socket.socket] = {}
         self.address = ''
 
-    async def bind(self) -> None:
+    def bind(self) -> None:
         """Open the socket that others send to."""
-        await self._front.bind((_HOST, 0))
+        self._front.bind((_HOST, 0))
         self.address = f'{_HOST}:{self._front.getsockname()[1]}'
 
     async def serve(self) -> None:
         """Relay until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
-                data, source = await self._front.recvfrom(_CHUNK)
+                await trio.lowlevel.wait_readable(self._front)
                 await self._switch.admit()
-                if self._switch.drops(is_answer=False):
-                    continue
-                back = self._back.get(source)
-                if back is None:
-                    back = trio.socket.socket(
-                        socket.AF_INET,
-                        socket.SOCK_DGRAM,
-                    )
-                    await back.bind((_HOST, 0))
-                    self._back[source] = back
-                    nursery.start_soon(self._reply, back, source)
-                if self._switch.delay:
-                    await trio.sleep(self._switch.delay)
-                await _send(back, data, self._target)
-
-    async def _reply(
+                for data, source in _receive_all(self._front):
+                    self._pass_on(data, source, nursery)
+
+    def _pass_on(
         self,
-        back: trio.socket.SocketType,
+        data: bytes,
         source: Source,
+        nursery: trio.Nursery,
     ) -> None:
+        if self._switch.drops(is_answer=False):
+            return
+        back = self._back.get(source)
+        if back is None:
+            back = _open_datagrams()
+            back.bind((_HOST, 0))
+            self._back[source] = back
+            nursery.start_soon(self._reply, back, source)
+        if self._switch.delay:
+            nursery.start_soon(self._send_late, back, data, self._switch.delay)
+        else:
+            _send(back, data, self._target)
+
+    async def _send_late(
+        self,
+        back: socket.socket,
+        data: bytes,
+        delay: float,
+    ) -> None:
+        await trio.sleep(delay)
+        _send(back, data, self._target)
+
+    async def _reply(self, back: socket.socket, source: Source) -> None:
         while True:
-            try:
-                data, _ = await back.recvfrom(_CHUNK)
-            except OSError:
-                # The kernel tells that an earlier datagram found nobody.
-                continue
-            if not self._switch.drops(is_answer=True):
-                await _send(self._front, data, source)
-
-
-async def _send(
-    sock: trio.socket.SocketType,
-    data: bytes,
-    to: Source,
-) -> None:
+            await trio.lowlevel.wait_readable(back)
+            for data, _ in _receive_all(back):
+                if not self._switch.drops(is_answer=True):
+                    _send(self._front, data, source)
+
+
+def _open_datagrams() -> socket.socket:
+    opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    opened.setblocking(False)
+    return opened
+
+
+def _receive_all(sock: socket.socket) -> Iterator[tuple[bytes, Source]]:
+    """What has come, up to a bound that leaves others their turn."""
+    for _ in range(_MOST_AT_ONCE):
+        try:
+            yield sock.recvfrom(_CHUNK)
+        except OSError:
+            # Nothing is left, or an earlier datagram found nobody.
+            return
+
+
+def _send(sock: socket.socket, data: bytes, to: Source) -> None:
     try:
-        await sock.sendto(data, to)
+        sock.sendto(data, to)
     except OSError:
         # Lost on its way, as datagrams may be.
         return
--- a/libs/soak/src/verbenamill_soak/run.py
+++ b/libs/soak/src/verbenamill_soak/run.py
@@ -8,6 +8,7 @@
 from msgspec import Struct
 
 from verbenamill_soak.callers import Asked, Caller, Ending
+from verbenamill_soak.lag import Lag
 from verbenamill_soak.nodes import Node
 from verbenamill_soak.plan import draw_plan
 from verbenamill_soak.promises import Promises
@@ -37,12 +38,16 @@
     """What became of a run.
 
     :param requests: by how they ended and their status.
+    :param worst_lag: of the soak's own process, in seconds.
+    :param lag: the sum of all its lags, in seconds.
     """
 
     wanted: Wanted
     broken: list[Broken]
     requests: dict[str, int]
     moments: list[Moment]
+    worst_lag: float
+    lag: float
 
     @property
     def verdict(self) -> str:
@@ -67,6 +72,7 @@
 
 async def _run(wanted: Wanted, folder: Path) -> Report:
     timeline = Timeline()
+    lag = Lag(timeline)
     async with trio.open_nursery() as nursery:
         site = Site(nursery, timeline, Random(wanted.seed))
         promises = Promises(site)
@@ -74,6 +80,7 @@
             await site.open(wanted.vms, folder)
             site.begin_traffic(CALLERS)
             nursery.start_soon(promises.watch)
+            nursery.start_soon(lag.watch)
             await _play(site, wanted)
             await _check_recovery(site)
             promises.look()
@@ -86,6 +93,8 @@
         broken=timeline.broken,
         requests=_count(site.callers),
         moments=timeline.moments,
+        worst_lag=round(lag.worst, 3),
+        lag=round(lag.total, 3),
     )
 
 
--- a/libs/soak/tests/test_relays.py
+++ b/libs/soak/tests/test_relays.py
@@ -3,6 +3,7 @@
 import socket
 
 import trio
+from trio.testing import MockClock
 
 from verbenamill_soak.relays import Switch, TcpRelay, UdpRelay
 
@@ -65,7 +66,7 @@
         target = trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         await target.bind((HOST, 0))
         relay = UdpRelay(switch, f'{HOST}:{target.getsockname()[1]}')
-        await relay.bind()
+        relay.bind()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(relay.serve)
             source = trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -82,3 +83,30 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main)
+
+
+def test_delays_of_datagrams_do_not_add_up():
+    """Guards against a backlog that makes all of a fleet's news late."""
+
+    async def main():
+        switch = Switch()
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as target:
+            target.bind((HOST, 0))
+            target.setblocking(False)
+            relay = UdpRelay(switch, f'{HOST}:{target.getsockname()[1]}')
+            relay.bind()
+            port = int(relay.address.rpartition(':')[2])
+            switch.delay = MOMENT
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(relay.serve)
+                with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as near:
+                    for number in range(20):
+                        near.sendto(bytes([number]), (HOST, port))
+                    began = trio.current_time()
+                    for _ in range(20):
+                        await trio.lowlevel.wait_readable(target)
+                        target.recv(1)
+                    assert trio.current_time() - began < 2 * MOMENT
+                nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=MockClock(autojump_threshold=0.01))
