Soak: the check of the recovery looks at all daemons at once

Cause: the check asked one daemon after the other; on a busy machine one pass over 30 did not end within the time, and what it found at its begin was reported.

Change: one pass asks all daemons at the same time. All have to serve in the same pass, as before, within the same 15 s.

--- a/libs/soak/src/verbenamill_soak/run.py
+++ b/libs/soak/src/verbenamill_soak/run.py
@@ -115,20 +115,23 @@
     for node in site.nodes:
         for switch in (node.peers, node.to_store, node.to_upstream):
             switch.set(Way.OPEN)
-    behind: list[str] = []
+    behind: dict[str, str] = {}
+
+    async def look(node: Node) -> None:
+        fault = await _find_fault(node, newest)
+        behind.pop(node.name, None)
+        if fault:
+            behind[node.name] = f'{node.name}: {fault}'
 
     async def is_well() -> bool:
-        faults: list[str] = []
-        for node in site.nodes:
-            fault = await _find_fault(node, newest)
-            if fault:
-                faults.append(f'{node.name}: {fault}')
-        behind.clear()
-        behind.extend(faults)
-        return not faults
+        # One after the other, many daemons would take all of the time.
+        async with trio.open_nursery() as nursery:
+            for node in site.nodes:
+                nursery.start_soon(look, node)
+        return not behind
 
     if not await site.until(is_well, RECOVERY_LIMIT):
-        site.timeline.break_promise('recovers', '; '.join(behind))
+        site.timeline.break_promise('recovers', '; '.join(behind.values()))
 
 
 async def _find_fault(node: Node, newest: int) -> str:
