A version is compared with the best of several old ones

Change: baselines are kept by version, and answers are compared with the best of those that have 30 calls or more; without one, with all together as before. What got no answer is still compared with all, since VMs are lost whatever they run.

--- a/libs/policy/src/verbenamill_policy/evidence.py
+++ b/libs/policy/src/verbenamill_policy/evidence.py
@@ -54,6 +54,8 @@
 _BAD_LONG = 0.4
 #: Calls of the old version without which its mean says nothing.
 _FEW = 5
+#: Calls of one of several old versions that make a baseline by themselves.
+_ENOUGH = 30
 #: Part of the old version's counts that is kept at each step.
 _FADE = 0.97
 
@@ -189,7 +191,7 @@
         for bucket in self.times:
             self.times[bucket] *= _FADE
 
-    def add(self, change: RouteCounts) -> None:
+    def add(self, change: 'RouteCounts | _Sums') -> None:
         self.calls += change.calls
         self.lost += change.lost
         self.failed += change.failed
@@ -228,6 +230,57 @@
         return None
 
 
+class _Baseline:
+    """What is usual on one route, by all old versions.
+
+    One of them may be bad itself: the version of a move that was replaced
+    before its verdict. So answers are compared with the best of those that
+    have had enough calls. What gets no answer is mostly lost with a VM,
+    whatever ran there; all versions together tell how often that happens.
+    """
+
+    def __init__(self) -> None:
+        self._versions: dict[VersionName, _Sums] = {}
+
+    def fade(self) -> None:
+        for sums in self._versions.values():
+            sums.fade()
+
+    def add(self, version: VersionName, change: RouteCounts) -> None:
+        self._versions.setdefault(version, _Sums()).add(change)
+
+    @property
+    def failure_rate(self) -> float:
+        return min(sums.failure_rate for sums in self._references)
+
+    @property
+    def loss_rate(self) -> float:
+        return self._pool.loss_rate
+
+    @property
+    def mean_log(self) -> float | None:
+        means = (sums.mean_log for sums in self._references)
+        return min((mean for mean in means if mean is not None), default=None)
+
+    @property
+    def long_bucket(self) -> int | None:
+        buckets = (sums.long_bucket for sums in self._references)
+        return min((one for one in buckets if one is not None), default=None)
+
+    @property
+    def _references(self) -> list[_Sums]:
+        known = self._versions.values()
+        enough = [sums for sums in known if sums.calls >= _ENOUGH]
+        return enough or [self._pool]
+
+    @property
+    def _pool(self) -> _Sums:
+        pool = _Sums()
+        for sums in self._versions.values():
+            pool.add(sums)
+        return pool
+
+
 class Evidence:
     """Compares the new version of one move with the old ones.
 
@@ -244,7 +297,7 @@
     def __init__(self, target: VersionName) -> None:
         self._target = target
         self._seen: dict[tuple[VmId, str, RouteName], RouteCounts] = {}
-        self._old: dict[RouteName, _Sums] = {}
+        self._old: dict[RouteName, _Baseline] = {}
         self._failing: dict[RouteName, dict[VmId, float]] = {}
         self._losing: dict[RouteName, dict[VmId, float]] = {}
         self._slow: dict[RouteName, dict[VmId, float]] = {}
@@ -259,12 +312,13 @@
     def update(self, tallies: Iterable[Tally]) -> None:
         """Take in the owners' counts of now."""
         fresh = list(tallies)
-        for sums in self._old.values():
-            sums.fade()
+        for baseline in self._old.values():
+            baseline.fade()
         for tally in fresh:
             if tally.version != self._target:
                 for change in self._changes(tally):
-                    self._old.setdefault(change.route, _Sums()).add(change)
+                    usual = self._old.setdefault(change.route, _Baseline())
+                    usual.add(tally.version, change)
         for tally in fresh:
             if tally.version == self._target:
                 for change in self._changes(tally):
@@ -304,7 +358,7 @@
     def _weigh(self, vm: VmId, change: RouteCounts) -> None:
         route = change.route
         self._calls[vm] = self._calls.get(vm, 0) + change.calls
-        old = self._old.setdefault(route, _Sums())
+        old = self._old.setdefault(route, _Baseline())
         failing = self._failing.setdefault(route, {})
         added = _weigh_share(change.failed, change.answered, old.failure_rate)
         failing[vm] = max(failing.get(vm, 0) + added, 0)
--- a/libs/policy/tests/test_rollouts.py
+++ b/libs/policy/tests/test_rollouts.py
@@ -84,7 +84,7 @@
     def __init__(self, *, seed, speeds=(0.7, 1, 1.5)):
         self.random = Random(seed)
         self.owners = {}
-        for version in ('v1', 'v2'):
+        for version in ('v1', 'v2', 'v3'):
             for place, speed in enumerate(speeds):
                 counts = OwnCounts()
                 counts.begin(f'{version}{place}')
@@ -120,16 +120,19 @@
         ]
 
 
-def play(world, *, per_step, at, lost=0):
+def play(world, *, per_step, at, lost=0, beside=None):
     """Steps of 0.1 s; returns the moment of the veto, or ``None``.
 
     :param lost: share of the old version's requests that crashes take.
+    :param beside: how another old version serves, which gets as many.
     """
     evidence = Evidence('v2')
     for step in range(100):
         moment = step / 10
         world.serve('v1', per_step * 9, failing=0.01, lost=lost)
         world.serve('v2', per_step, **at(moment))
+        if beside is not None:
+            world.serve('v3', per_step * 9, **beside)
         evidence.update(world.tallies())
         if evidence.finding().is_conclusive:
             return moment
@@ -170,6 +173,31 @@
     assert found < 3
 
 
+@pytest.mark.parametrize('seed', range(10))
+@pytest.mark.parametrize(
+    'bad',
+    [{'failing': 0.5}, {'failing': 0, 'slower': 6}],
+)
+def test_a_bad_version_is_found_beside_another_bad_one(bad, seed):
+    """Guards against a replaced move whose version passes for a sound one."""
+    found = play(World(seed=seed), per_step=2, at=lambda _: bad, beside=bad)
+    assert found < 3
+
+
+@pytest.mark.parametrize('seed', range(10))
+def test_a_good_version_beside_two_old_ones_is_left_alone(seed):
+    """Guards against a comparison with whoever was lucky."""
+    usual = {'failing': 0.01, 'lost': 0.1}
+    found = play(
+        World(seed=seed),
+        per_step=3,
+        at=lambda _: usual,
+        beside=usual,
+        lost=0.1,
+    )
+    assert found is None
+
+
 @pytest.mark.parametrize('seed', range(10))
 def test_a_good_version_among_crashes_is_left_alone(seed):
     """Guards against a version that is condemned for the crashes of all."""
