--- a/libs/policy/tests/test_rollouts.py
+++ b/libs/policy/tests/test_rollouts.py
@@ -268,6 +268,48 @@
     assert not evidence.finding().is_conclusive
 
 
+def serve_alone(counts, evidence, world, *, steps, per_step):
+    """One owner of the new version fails half; returns how many were served."""
+    for number in range(steps * per_step):
+        counts.add('r', failed=bool(number % 2), took=None)
+        if number % per_step:
+            continue
+        world.serve('v1', 20, failing=0.01)
+        evidence.update(world.tallies())
+        if evidence.finding().is_conclusive:
+            return number
+    return None
+
+
+def test_a_bad_version_is_found_by_the_one_owner_that_is_left():
+    """Guards against an owner that has stopped and vouches for its version."""
+    world = World(seed=3)
+    evidence = Evidence('v2')
+    for place in (0, 1):
+        counts, _ = world.owners['v2', place]
+        for _ in range(3):
+            counts.add('r', failed=False, took=0.1)
+    evidence.update(world.tallies())
+    left, _ = world.owners['v2', 0]
+    assert serve_alone(left, evidence, world, steps=30, per_step=1)
+
+
+@pytest.mark.parametrize('others', [1, 5])
+def test_one_sick_upstream_with_most_of_the_calls_does_not_condemn(others):
+    """Guards against a zone with most callers that decides for all."""
+    world = World(seed=3)
+    evidence = Evidence('v2')
+    sick, _ = world.owners['v2', 0]
+    well, _ = world.owners['v2', 1]
+    for step in range(100):
+        world.serve('v1', 20, failing=0.01)
+        sick.add('r', failed=bool(step % 2), took=None)
+        if step % 10 < others:
+            well.add('r', failed=False, took=0.1)
+        evidence.update(world.tallies())
+        assert not evidence.finding().is_conclusive
+
+
 def situation(elapsed, stage, evidence, **more):
     return Situation(
         window=14,
