--- a/libs/policy/tests/test_rollouts.py
+++ b/libs/policy/tests/test_rollouts.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from verbenamill_policy.deciding import Situation, decide
-from verbenamill_policy.evidence import Evidence, OwnCounts
+from verbenamill_policy.evidence import Evidence
 from verbenamill_policy.rollouts import (
     LAST_STAGE,
     STAGES,
@@ -19,6 +19,7 @@
     find_shares,
     merge_progress,
 )
+from verbenamill_policy.tallies import OwnCounts
 
 ORDER = Order(id=7, service='s', target='v2', window=14)
 progresses = st.builds(
--- a/libs/sidecar/src/verbenamill_sidecar/datagrams.py
+++ b/libs/sidecar/src/verbenamill_sidecar/datagrams.py
@@ -6,10 +6,10 @@
 from msgspec import Struct
 
 from verbenamill_model.typing import AvailabilityZone, VmId
-from verbenamill_policy.evidence import Tally
 from verbenamill_policy.members import MemberRecord
 from verbenamill_policy.quarantine import Suspect
 from verbenamill_policy.rollouts import Progress, Settled
+from verbenamill_policy.tallies import Tally
 
 
 class Rumors(Struct, tag='r', array_like=True):
--- a/libs/sidecar/src/verbenamill_sidecar/gossip.py
+++ b/libs/sidecar/src/verbenamill_sidecar/gossip.py
@@ -14,7 +14,6 @@
 
 from verbenamill_http.addresses import Address, parse_address
 from verbenamill_model.typing import VmId
-from verbenamill_policy.evidence import Tally
 from verbenamill_policy.fingerprints import Fingerprint
 from verbenamill_policy.members import (
     MemberRecord,
@@ -24,6 +23,7 @@
 from verbenamill_policy.quarantine import Suspect
 from verbenamill_policy.rollouts import Progress, Settled
 from verbenamill_policy.rumors import Neighbours
+from verbenamill_policy.tallies import Tally
 from verbenamill_sidecar.datagrams import (
     Ages,
     Alive,
--- a/libs/sidecar/src/verbenamill_sidecar/moving.py
+++ b/libs/sidecar/src/verbenamill_sidecar/moving.py
@@ -9,13 +9,14 @@
 
 from verbenamill_model.typing import ServiceName, VmId
 from verbenamill_policy.deciding import Decision, Situation, decide
-from verbenamill_policy.evidence import Evidence, Tally
+from verbenamill_policy.evidence import Evidence
 from verbenamill_policy.rollouts import (
     Order,
     Progress,
     Settled,
     Verdict,
 )
+from verbenamill_policy.tallies import Tally
 from verbenamill_sidecar.gossip import Gossip
 from verbenamill_sidecar.knowledge import Wishes
 from verbenamill_sidecar.owner import OwnUpstream
--- a/libs/sidecar/src/verbenamill_sidecar/owner.py
+++ b/libs/sidecar/src/verbenamill_sidecar/owner.py
@@ -14,13 +14,13 @@
     VersionName,
 )
 from verbenamill_policy.admission import Admission, Entry, Ticket
-from verbenamill_policy.evidence import OwnCounts
 from verbenamill_policy.fingerprints import Fingerprint
 from verbenamill_policy.heartbeats import Belief, Heartbeat, UpstreamRegister
 from verbenamill_policy.limits import NamedLimit
 from verbenamill_policy.members import UpstreamRecord
 from verbenamill_policy.nesting import NestedCall, Nesting
 from verbenamill_policy.quarantine import CrashId
+from verbenamill_policy.tallies import OwnCounts
 from verbenamill_sidecar.call import Call, Fate, Outcome, not_run, unknown
 from verbenamill_sidecar.crashing import CrashDetector
 from verbenamill_sidecar.in_band import read_in_band
