--- a/libs/sidecar/src/verbenamill_sidecar/call.py
+++ b/libs/sidecar/src/verbenamill_sidecar/call.py
@@ -92,7 +92,7 @@
     :param blocked: whether the request is refused for crashes under it.
     :param limit: that the upstream names, if it names one.
     :param knows_limit: whether that comes from an answer of this start of the
-        upstream. An owner that has just started knows of none.
+        upstream, or from a reminder. An owner that has just started has none.
     :param pause: until the limit has room for such a request, in seconds.
     :param has_left: whether the upstream has said that it ends.
     """
--- a/libs/sidecar/src/verbenamill_sidecar/hop.py
+++ b/libs/sidecar/src/verbenamill_sidecar/hop.py
@@ -72,7 +72,7 @@
     :param crash: of the upstream while it ran the request; empty if none.
     :param blocked: whether the request is refused for crashes under it.
     :param limit: that the upstream names, if it names one.
-    :param knows_limit: whether the owner has heard whether it does.
+    :param knows_limit: whether the owner has anything to tell that by.
     :param pause: until that has room for such a request, in milliseconds.
     :param has_left: whether the upstream has said that it ends.
     """
--- a/libs/soak/src/verbenamill_soak/given_up.py
+++ b/libs/soak/src/verbenamill_soak/given_up.py
@@ -5,7 +5,8 @@
 from msgspec import Struct
 
 from verbenamill_soak.callers import DEADLINE, Asked
-from verbenamill_soak.nodes import Node, Upstream
+from verbenamill_soak.nodes import Node
+from verbenamill_soak.upstreams import Upstream
 
 #: Answers by which work is given up, and times left to the deadline, in
 #: seconds, above which they do that. The routes' own timeout is longer. At the
--- a/libs/soak/src/verbenamill_soak/nodes.py
+++ b/libs/soak/src/verbenamill_soak/nodes.py
@@ -5,36 +5,26 @@
 import sys
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field
 from pathlib import Path
 
 import h11
 import trio
 
-from verbenamill_platform_standins import UpstreamStandIn
-from verbenamill_platform_standins.callers import READINESS, SEAL
+from verbenamill_platform_standins.callers import READINESS
 from verbenamill_platform_standins.ports import find_ports
-from verbenamill_platform_standins.serving import Asked, Told
 from verbenamill_soak.relays import Switch, TcpRelay, UdpRelay
 from verbenamill_soak.timeline import Timeline
+from verbenamill_soak.upstreams import DRAIN_TIME, WORK, Upstream
 
 _HOST = '127.0.0.1'
 #: Time for a killed process to be gone, in seconds.
 _END_LIMIT = 5.0
-#: Path of the request that crashes each upstream that runs it.
-DEADLY = '/lookup/deadly'
 #: How often an upstream beats, in seconds.
 BEAT_PERIOD = 0.5
 #: Longest wait for an acknowledgement, in seconds.
 _ACK_TIMEOUT = 1.0
-#: How long an upstream serves after its draining was acknowledged, in s.
-DRAIN_TIME = 2.0
 #: How much longer it listens, so that late requests are seen, in seconds.
 _STAYS_ON = 0.5
-#: Service time of an upstream, and of one that works for longer than a silent
-#: daemon is trusted, in seconds.
-WORK = 0.02
-LONG_WORK = 0.8
 #: Time for a planned stop, in milliseconds.
 GRACE = 6000
 #: Signals that a process cannot answer.
@@ -64,66 +54,6 @@
 """
 
 
-@dataclass
-class Upstream(UpstreamStandIn):
-    """One upstream of a run.
-
-    :ivar acked_at: when its leaving was acknowledged.
-    :ivar died_at: when it ended without that.
-    :ivar is_leaving: whether it ends, or waits for somebody to know that.
-    :ivar fails: whether it answers half of its requests with 500.
-    :ivar name: that of its first start; it has another one after a crash.
-    :ivar killed_at: when the deadly request crashed it.
-    :ivar limits: limits that it has named, and since when.
-    """
-
-    acked_at: float | None = None
-    died_at: float = float('-inf')
-    is_leaving: bool = False
-    fails: bool = False
-    name: str = ''
-    killed_at: list[float] = field(default_factory=list)
-    limits: list[tuple[float, float | None]] = field(default_factory=list)
-
-    def __post_init__(self) -> None:
-        """Remember its first name."""
-        self.name = self.instance
-
-    def name_limit(self, rate: float | None) -> None:
-        """Name another limit from now on, or none."""
-        self.limit = rate
-        self.limits.append((trio.current_time(), rate))
-
-    def most_allowed(self, since: float, until: float) -> float | None:
-        """The largest limit of a time; ``None`` if it named none in it."""
-        found: list[float | None] = [None]
-        for at, rate in self.limits:
-            if at <= since:
-                found = [rate]
-            elif at <= until:
-                found.append(rate)
-        named = [one for one in found if one is not None]
-        return max(named) if len(named) == len(found) else None
-
-    def dies_of(self, asked: Asked) -> bool:
-        """Whether a request crashes it."""
-        if asked.path != DEADLY:
-            return False
-        self.killed_at.append(trio.current_time())
-        return True
-
-    def crash(self) -> None:
-        """End at once, and start again after a while."""
-        self.died_at = trio.current_time()
-        super().crash()
-
-    def judge(self, asked: Asked) -> Told | None:
-        """Fail every second request of a bad version."""
-        if self.fails and len(self.ran) % 2:
-            return Told(500, {SEAL: 'bad'}, b'bad version')
-        return None
-
-
 class Node:
     """One VM.
 
--- a/libs/soak/src/verbenamill_soak/promises.py
+++ b/libs/soak/src/verbenamill_soak/promises.py
@@ -16,8 +16,9 @@
 from verbenamill_soak.deadly import MOST_LATE, DeadlyRuns
 from verbenamill_soak.given_up import Work
 from verbenamill_soak.in_band import InBandPromises
-from verbenamill_soak.nodes import DEADLY, DRAIN_TIME, Node, Upstream
+from verbenamill_soak.nodes import Node
 from verbenamill_soak.site import KEPT, SERVICE, Site
+from verbenamill_soak.upstreams import DEADLY, DRAIN_TIME, Upstream
 
 #: How often new records are looked at, in seconds.
 _PERIOD = 0.2
--- a/libs/soak/src/verbenamill_soak/relays.py
+++ b/libs/soak/src/verbenamill_soak/relays.py
@@ -14,6 +14,7 @@
 _HOST = '127.0.0.1'
 _CHUNK = 65_536
 _BACKLOG = 128
+#: Datagrams that are passed on before other tasks get their turn.
 _MOST_AT_ONCE = 256
 #: With this a close sends a reset in place of an end.
 _RESET = struct.pack('ii', 1, 0)
--- a/libs/soak/tests/test_promises.py
+++ b/libs/soak/tests/test_promises.py
@@ -15,11 +15,11 @@
 )
 from verbenamill_platform_standins.upstream import Arrival, Ran
 from verbenamill_soak.callers import DEADLINE, Asked, Ending
-from verbenamill_soak.nodes import DEADLY, DRAIN_TIME, Upstream
 from verbenamill_soak.promises import BACK_LIMIT, Promises
 from verbenamill_soak.relays import Switch, Way
 from verbenamill_soak.site import SERVICE, Order
 from verbenamill_soak.timeline import Timeline
+from verbenamill_soak.upstreams import DEADLY, DRAIN_TIME, Upstream
 
 
 class FakeCaller:
