Evidence: an owner that stopped no longer counts for its version

Change: only owners that got some of the latest 16 calls, or any in the last 16 updates, count as others. Ruled out: a share of all calls; with few calls an active owner would drop out. Figures: test_a_bad_version_is_found_by_the_one_owner_that_is_left fails before and passes after; the tests with one faulty upstream still pass.

--- a/libs/policy/src/verbenamill_policy/evidence.py
+++ b/libs/policy/src/verbenamill_policy/evidence.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from math import log
+from typing import NamedTuple
 
 from msgspec import Struct
 
@@ -20,6 +21,12 @@
 #: Maximum contribution of one owner while there are others: a single faulty
 #: upstream must not condemn the version that it happens to run.
 _MAX_OWNER_WEIGHT = 4.0
+#: An owner that got none of this number of latest requests has stopped, and no
+#: longer counts as one that may exonerate the version.
+_RECENT_CALLS = 16
+#: Updates without a request after which it has. Owners report at different
+#: times, and one update may cover many requests.
+_RECENT_UPDATES = 16
 #: Failure rate of a bad version in excess of that of a good one.
 _EXCESS_FAILURE_RATE = 0.15
 #: Ratio to the old version's mean time from which on a version is slow.
@@ -52,6 +59,13 @@
         return self.weight >= CONCLUSIVE_WEIGHT
 
 
+class _Served(NamedTuple):
+    """Requests and updates until an owner last served a request."""
+
+    calls: int
+    updates: int
+
+
 class Evidence:
     """Compares the new version of one move with the old ones.
 
@@ -74,16 +88,19 @@
         self._losing: dict[RouteName, dict[VmId, float]] = {}
         self._slow: dict[RouteName, dict[VmId, float]] = {}
         self._long: dict[RouteName, dict[VmId, float]] = {}
-        self._calls: dict[VmId, int] = {}
+        self._calls = 0
+        self._updates = 0
+        self._last_served: dict[VmId, _Served] = {}
 
     @property
     def calls(self) -> int:
         """Number of requests that the new version has processed."""
-        return sum(self._calls.values())
+        return self._calls
 
     def update(self, tallies: Iterable[Tally]) -> None:
         """Add the current counts of the owners."""
         current = list(tallies)
+        self._updates += 1
         for baseline in self._baselines.values():
             baseline.decay()
         for tally in current:
@@ -114,12 +131,20 @@
         return worst
 
     def _total_weight(self, weights: dict[VmId, float]) -> float:
-        if len(self._calls) <= 1:
+        if self._count_active_owners() <= 1:
             return sum(weights.values())
         return sum(
             min(weight, _MAX_OWNER_WEIGHT) for weight in weights.values()
         )
 
+    def _count_active_owners(self) -> int:
+        """Count the owners that got some of the latest requests."""
+        return sum(
+            self._calls - last.calls < _RECENT_CALLS
+            or self._updates - last.updates < _RECENT_UPDATES
+            for last in self._last_served.values()
+        )
+
     def _changes(self, tally: Tally) -> list[RouteCounts]:
         changes = []
         for counts in tally.routes:
@@ -133,7 +158,8 @@
 
     def _add_change(self, vm: VmId, change: RouteCounts) -> None:
         route = change.route
-        self._calls[vm] = self._calls.get(vm, 0) + change.calls
+        self._calls += change.calls
+        self._last_served[vm] = _Served(self._calls, self._updates)
         baseline = self._baselines.setdefault(route, Baseline())
         failing = self._failing.setdefault(route, {})
         added = _rate_weight(
