--- a/libs/http/tests/test_server.py
+++ b/libs/http/tests/test_server.py
@@ -77,11 +77,11 @@
 
 
 async def read_all(stream):
-    data = b''
+    data = bytearray()
     with trio.fail_after(10):
         while chunk := await stream.receive_some(65536):
             data += chunk
-    return data
+    return bytes(data)
 
 
 async def read_until_size(stream, size):
