Evacuated zones, and a rate for cold upstreams that holds at their owner

Cause: no module knew an evacuation, and coldRemainingMs was used only to keep times out of the evidence on a version; X-Cold-Ms, coldStartS and coldPerS were not read. Change, evacuations: policy/evacuations.py merges records by their position in the operators' log, so late, repeated and stale news are harmless. A key that a complete listing lacks was removed; a listing without the configuration shows nothing. Ingresses stop at once, the owners of the zone refuse one second later. Change, cold upstreams: policy/cold_starts.py tells when an upstream is cold (heartbeats, probes, starts by the configuration, zones that are returned, restarts of the daemon) and bounds what may start between two answers to a probe, since it may turn cold without a word. One limiter keeps the lower one of the named and the cold rate; service times while cold are learned apart. Ruled out: heartbeats as a sign that an upstream is warm; they may be late by seconds.

--- a/libs/policy/src/verbenamill_policy/admission.py
+++ b/libs/policy/src/verbenamill_policy/admission.py
@@ -4,6 +4,7 @@
 from enum import Enum, unique
 
 from verbenamill_model.typing import RouteName
+from verbenamill_policy.cold_starts import ColdStartTracker
 from verbenamill_policy.pacing import TokenBucket
 from verbenamill_policy.service_times import ServiceTimes
 
@@ -129,11 +130,16 @@
     knows no priorities, and may reset connections once it is full. A request
     that cannot be served in time is refused as soon as that is known, so that
     its caller can try another upstream while there is time.
+
+    :ivar cold_starts: counts the requests to an upstream that may turn cold.
     """
 
     def __init__(self, *, slots: int) -> None:
         self.slots = slots
         self.times = ServiceTimes()
+        self._other_times = ServiceTimes()
+        self._is_cold = False
+        self.cold_starts: ColdStartTracker | None = None
         self._bucket: TokenBucket | None = None
         self._running: set[AdmissionRequest] = set()
         self._waiting: list[AdmissionRequest] = []
@@ -172,6 +178,15 @@
         self._shed_delayed(0, now)
         self.admit(now)
 
+    def set_cold(self, is_cold: bool) -> None:
+        """Use the service times of a cold, or of a warm, upstream.
+
+        The pace of a cold upstream must not stay in the means afterwards.
+        """
+        if is_cold is not self._is_cold:
+            self._is_cold = is_cold
+            self.times, self._other_times = self._other_times, self.times
+
     def record_resend(self, now: float) -> None:
         """Charge the rate limit for a request that is sent a second time."""
         if self._bucket is not None:
@@ -187,10 +202,10 @@
 
         It is infinite without a rate limit or a free slot.
         """
-        bucket = self._bucket
-        if bucket is None or len(self._running) >= self.slots:
+        is_limited = self._bucket is not None or self.cold_starts is not None
+        if not is_limited or len(self._running) >= self.slots:
             return float('inf')
-        return now + bucket.wait(0, now)
+        return now + self._limit_wait(0, now)
 
     def rate_limit_wait(self, priority: int, now: float) -> float:
         """Time until the rate limit allows a new request, in seconds."""
@@ -278,7 +293,10 @@
         return self._limit_wait(0, now) <= 0
 
     def _limit_wait(self, ahead: int, now: float) -> float:
-        return 0 if self._bucket is None else self._bucket.wait(ahead, now)
+        wait = 0 if self._bucket is None else self._bucket.wait(ahead, now)
+        if self.cold_starts is None:
+            return wait
+        return max(wait, self.cold_starts.wait(ahead, now))
 
     def _time_to_free_slot(self) -> float:
         """Expected time until the next slot becomes free, in seconds.
@@ -294,6 +312,8 @@
         self._running.add(request)
         if self._bucket is not None:
             self._bucket.take(now)
+        if self.cold_starts is not None:
+            self.cold_starts.record_start(now)
 
     def _count_ahead(self, request: AdmissionRequest) -> int:
         ahead = len(self._waiting)
--- a/libs/policy/src/verbenamill_policy/limits.py
+++ b/libs/policy/src/verbenamill_policy/limits.py
@@ -36,17 +36,20 @@
     :param rate: limit in requests a second.
     :param since: when this start of the upstream first announced a limit, as
         Unix time in milliseconds.
+    :param is_cold: whether it applies because the upstream is cold, and not
+        because the upstream announced it.
     """
 
     rate: float
     since: int
+    is_cold: bool = False
 
 
 class RateLimitTracker:
     """The rate limit of one start of an upstream, from its answers.
 
     :ivar rate: limit in requests a second; ``None`` without a limit.
-    :ivar announced: the limit last announced to other daemons.
+    :ivar announced: the rate last announced to other daemons.
     """
 
     def __init__(self) -> None:
@@ -88,13 +91,16 @@
         self.rate = rate
         return True
 
-    def take_update(self, now: float) -> bool:
-        """Whether to announce a change now; it is then marked as announced."""
+    def take_update(self, rate: float | None, now: float) -> bool:
+        """Whether to announce a change now; it is then marked as announced.
+
+        :param rate: rate in force, which may be below the limit.
+        """
         if now - self._announced_at < _ANNOUNCE_PERIOD:
             return False
-        if not _is_significant(self.announced, self.rate):
+        if not _is_significant(self.announced, rate):
             return False
-        self.announced = self.rate
+        self.announced = rate
         self._announced_at = now
         return True
 
--- a/libs/policy/src/verbenamill_policy/routes.py
+++ b/libs/policy/src/verbenamill_policy/routes.py
@@ -5,6 +5,7 @@
 from msgspec import Struct
 
 from verbenamill_model.typing import ConfigVersion, RouteName, ServiceName
+from verbenamill_policy.cold_starts import ColdStartLimit
 
 
 @unique
@@ -62,16 +63,35 @@
     idle_timeout: float = 60
 
 
+class ServiceProperties(Struct, frozen=True, kw_only=True):
+    """Properties of the upstreams of one service.
+
+    :param health_path: path of their health check; empty if there is none.
+    """
+
+    health_path: str = ''
+    cold_start: ColdStartLimit = ColdStartLimit()
+
+
 class Configuration(Struct, frozen=True, kw_only=True):
     """The complete configuration of a proxy, which is replaced as a whole.
 
     :param version: increases with each accepted change.
+    :param properties: properties of the services that have any.
     """
 
     version: ConfigVersion
     routes: tuple[Route, ...]
     services: frozenset[ServiceName]
     limits: Limits
+    properties: dict[ServiceName, ServiceProperties] = {}
+
+    def properties_of(self, service: ServiceName) -> ServiceProperties:
+        """Properties of the upstreams of a service."""
+        return self.properties.get(service, _NO_PROPERTIES)
+
+
+_NO_PROPERTIES = ServiceProperties()
 
 
 class RouteTable:
--- a/libs/policy/tests/test_limits.py
+++ b/libs/policy/tests/test_limits.py
@@ -80,18 +80,18 @@
     for step in range(1000):
         now = step / 100
         tracker.record_limit(1 + step % 20, now)
-        announced += tracker.take_update(now)
+        announced += tracker.take_update(tracker.rate, now)
     assert announced <= 11
 
 
 def test_small_changes_are_not_announced():
     tracker = RateLimitTracker()
     tracker.record_limit(10, 0)
-    assert tracker.take_update(0)
+    assert tracker.take_update(tracker.rate, 0)
     tracker.record_limit(11, 5)
-    assert not tracker.take_update(5)
+    assert not tracker.take_update(tracker.rate, 5)
     tracker.record_limit(0, 6)
-    assert tracker.take_update(6)
+    assert tracker.take_update(tracker.rate, 6)
 
 
 def test_the_limit_is_known_after_an_answer_or_a_restored_value():
--- a/libs/runtime/src/verbenamill_runtime/settings_fields.py
+++ b/libs/runtime/src/verbenamill_runtime/settings_fields.py
@@ -97,6 +97,23 @@
     )
 
 
+def _read_number(value: Any, *, minimum: float, maximum: float) -> float:
+    # bool is a subclass of int, but a TOML boolean is not a number.
+    if not isinstance(value, (int, float)) or isinstance(value, bool):
+        raise ValueError
+    if not minimum <= value <= maximum:
+        raise ValueError
+    return float(value)
+
+
+def number_in_range(minimum: float, maximum: float) -> Meta:
+    """Field metadata for a number in an inclusive range."""
+    return _setting(
+        f'a number from {minimum:g} to {maximum:g}',
+        partial(_read_number, minimum=minimum, maximum=maximum),
+    )
+
+
 def _read_duration(
     value: Any,
     *,
--- a/libs/sidecar/src/verbenamill_sidecar/attempts.py
+++ b/libs/sidecar/src/verbenamill_sidecar/attempts.py
@@ -66,15 +66,23 @@
         self.reason = reason
         self.wait = blocked_for
 
+    def record_unavailable(self, reason: str, *, wait: float) -> None:
+        """Record that no owner is left, unless one has given its reason.
+
+        :param wait: time after which a retry may succeed, in seconds.
+        """
+        if not self.reason:
+            self.reason = reason
+            self.wait = wait
+
     def record_limit_wait(self, wait: float) -> None:
         """Record that no further owner has room in time.
 
         :param wait: time until the first rate limit has room, in seconds; 0 if
             rate limits aren't the reason.
         """
-        if wait and not self.reason:
-            self.reason = AT_LIMIT
-            self.wait = wait
+        if wait:
+            self.record_unavailable(AT_LIMIT, wait=wait)
 
     def record_outcome(self, peer: Peer, outcome: Outcome) -> None:
         """Record the outcome of an attempt."""
--- a/libs/sidecar/src/verbenamill_sidecar/daemon.py
+++ b/libs/sidecar/src/verbenamill_sidecar/daemon.py
@@ -12,7 +12,11 @@
 from verbenamill_http.messages import RequestHead, get_header
 from verbenamill_http.server import Handler, HttpServer, ServerLimits
 from verbenamill_http.sockets import listen
-from verbenamill_model.typing import UpstreamState
+from verbenamill_model.typing import (
+    AvailabilityZone,
+    ServiceName,
+    UpstreamState,
+)
 from verbenamill_policy.heartbeats import Heartbeat
 from verbenamill_policy.members import (
     MemberRecord,
@@ -20,6 +24,7 @@
     UpstreamRecord,
 )
 from verbenamill_policy.quarantine import Quarantine
+from verbenamill_policy.routes import ServiceProperties
 from verbenamill_sidecar.announcements import Announcements
 from verbenamill_sidecar.desired_state import DesiredState
 from verbenamill_sidecar.distribution import DistributionTree
@@ -31,6 +36,7 @@
     LocalUpstream,
     LocalUpstreamContext,
 )
+from verbenamill_sidecar.own_zone import OwnZone
 from verbenamill_sidecar.peer_requests import PeerRequestHandler
 from verbenamill_sidecar.peers import Peers
 from verbenamill_sidecar.protocol import (
@@ -101,7 +107,11 @@
         self._context = context
         settings = context.settings
         self._table = MemberTable()
-        self._peers = Peers(self._table, settings.vm.id)
+        self._peers = Peers(
+            self._table,
+            settings.vm.id,
+            evacuated_zones=self._evacuated_zones,
+        )
         self._tree = DistributionTree(self._table, settings.vm.id)
         self._desired_state = DesiredState()
         self._stats = CallStats()
@@ -111,12 +121,20 @@
             ),
             wall=lambda: context.now().timestamp(),
         )
+        self._own_zone = OwnZone(
+            settings.vm.availability_zone,
+            self._evacuated_zones,
+            on_return=lambda: self._own_upstream.assume_cold(),
+        )
         self._own_upstream = LocalUpstream(
             LocalUpstreamContext(
                 names=context.names,
                 address=settings.upstream_address,
                 on_change=self._publish_upstream,
                 allows_version_of=self._allows,
+                is_evacuated=self._own_zone.refuses_requests,
+                properties_of=self._properties_of,
+                cold_start_margin=settings.cold_start.margin,
                 gate=self._gate,
                 wall_ms=lambda: int(context.now().timestamp() * 1000),
             ),
@@ -179,6 +197,7 @@
             nursery.start_soon(self._register)
             nursery.start_soon(self._rollout_controller.run, self._gossip)
             nursery.start_soon(self._sweep)
+            nursery.start_soon(self._own_upstream.probe.run)
             log(
                 Event.STARTED,
                 id=settings.vm.id,
@@ -317,6 +336,7 @@
         while True:
             await trio.sleep(_SWEEP_PERIOD)
             self._peers.sweep()
+            self._own_zone.refresh()
             self._own_upstream.sweep()
             self._gate.sweep()
 
@@ -372,6 +392,15 @@
         shares = self._desired_state.shares(upstream.service)
         return shares.allows(upstream.version)
 
+    def _evacuated_zones(self) -> frozenset[AvailabilityZone]:
+        return self._desired_state.evacuated_zones
+
+    def _properties_of(self, service: ServiceName) -> ServiceProperties:
+        table = self._desired_state.table
+        if table is None:
+            return ServiceProperties()
+        return table.configuration.properties_of(service)
+
     def _is_known(self, heartbeat: Heartbeat) -> bool:
         """Whether the service of a heartbeat is configured.
 
--- a/libs/sidecar/src/verbenamill_sidecar/datagrams.py
+++ b/libs/sidecar/src/verbenamill_sidecar/datagrams.py
@@ -29,7 +29,8 @@
 
     :param zones: digest of each zone's members.
     :param moves: digest of the progress and verdicts of moves.
-    :param stamp: version of the configuration and number of the newest order.
+    :param stamp: version of the configuration, and number of the newest order
+        or evacuation.
     :param is_reply: whether this answers a summary of the receiver.
     :param blocked: digest of the blocked requests.
     """
@@ -98,7 +99,8 @@
 class Notice(Struct, tag='n', array_like=True):
     """Reports the sender's view of the store.
 
-    :param stamp: version of the configuration and number of the newest order.
+    :param stamp: version of the configuration, and number of the newest order
+        or evacuation.
     """
 
     sender: VmId
--- a/libs/sidecar/src/verbenamill_sidecar/desired_state.py
+++ b/libs/sidecar/src/verbenamill_sidecar/desired_state.py
@@ -6,7 +6,12 @@
 import msgspec
 from msgspec import Struct
 
-from verbenamill_model.typing import ServiceName, VersionName
+from verbenamill_model.typing import (
+    AvailabilityZone,
+    ServiceName,
+    VersionName,
+)
+from verbenamill_policy.evacuations import Evacuation, Evacuations
 from verbenamill_policy.rollouts import (
     LAST_STAGE,
     Order,
@@ -22,7 +27,7 @@
 from verbenamill_telemetry import Event, log
 
 
-#: Version of the configuration and number of the newest order.
+#: Version of the configuration, and number of the newest order or evacuation.
 VersionStamp = tuple[int, int]
 
 
@@ -40,6 +45,7 @@
     progress: dict[ServiceName, Progress] = {}
     verdicts: list[SettledOrder] = []
     has_verdicts: bool = False
+    evacuations: list[Evacuation] = []
 
 
 _decoder = msgspec.msgpack.Decoder(StateSnapshot)
@@ -77,6 +83,7 @@
         self._table: RouteTable | None = None
         self._shares: dict[ServiceName, Shares] = {}
         self._verdicts: dict[ServiceName, Verdicts] = {}
+        self._evacuations = Evacuations()
         self.changes = 0
 
     @property
@@ -96,20 +103,29 @@
         return -1 if configuration is None else configuration.version
 
     @property
-    def newest_order(self) -> int:
-        """Number of the newest order; -1 before any."""
-        return max(
+    def evacuated_zones(self) -> frozenset[AvailabilityZone]:
+        """Zones whose upstreams get no requests."""
+        return self._evacuations.zones
+
+    @property
+    def newest_record(self) -> int:
+        """Number of the newest order or evacuation; -1 before any.
+
+        Both are positions in the same log.
+        """
+        newest_order = max(
             (order.id for order in self._snapshot.orders.values()), default=-1
         )
+        return max(newest_order, self._evacuations.newest)
 
     @property
     def stamp(self) -> VersionStamp:
         """Version stamp of this state; it only grows."""
-        return self.version, self.newest_order
+        return self.version, self.newest_record
 
     def is_older_than(self, stamp: VersionStamp) -> bool:
         """Whether a state with this stamp contains anything newer."""
-        return stamp[0] > self.version or stamp[1] > self.newest_order
+        return stamp[0] > self.version or stamp[1] > self.newest_record
 
     @property
     def snapshot(self) -> StateSnapshot:
@@ -119,6 +135,7 @@
             for verdicts in self._verdicts.values()
             for settled in verdicts.known
         ]
+        self._snapshot.evacuations = self._evacuations.known
         return self._snapshot
 
     def shares(self, service: ServiceName) -> Shares:
@@ -169,6 +186,26 @@
         )
         return True
 
+    def apply_evacuation(self, evacuation: Evacuation) -> bool:
+        """Apply a record on a zone, unless this or a later one is known."""
+        if not self._evacuations.apply(evacuation):
+            return False
+        log(
+            Event.ZONE_EVACUATED
+            if evacuation.is_active
+            else Event.ZONE_RETURNED,
+            zone=evacuation.zone,
+            number=evacuation.number,
+        )
+        return True
+
+    def apply_listed_evacuations(
+        self, listed: Iterable[Evacuation], *, end: int
+    ) -> None:
+        """End the evacuations that a complete listing of the log lacks."""
+        for ended in self._evacuations.find_ended(listed, end=end):
+            self.apply_evacuation(ended)
+
     def apply_order(self, order: Order) -> bool:
         """Apply an order, unless this or a later one is known."""
         known = self._snapshot.orders.get(order.service)
@@ -229,6 +266,9 @@
 
     def apply_snapshot(self, other: StateSnapshot, source: str) -> None:
         """Merge the snapshot of another daemon."""
+        # Evacuations come first: with a configuration, the daemon is ready.
+        for evacuation in other.evacuations:
+            self.apply_evacuation(evacuation)
         if other.configuration is not None:
             self.apply_configuration(other.configuration, source)
         # Verdicts come first: an order without its verdict appears to run.
--- a/libs/sidecar/src/verbenamill_sidecar/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/ingress.py
@@ -47,6 +47,10 @@
 #: Least time to the deadline for a retry, in mean service times of the route.
 _MIN_RETRY_TIME = 0.8
 
+_EVACUATED = 'all upstreams are in evacuated zones'
+#: Retry delay while all upstreams are in evacuated zones, in seconds. An
+#: evacuation usually lasts longer than a request may wait.
+_EVACUATED_RETRY_DELAY = 1.0
 _UNRESTRICTED = AdmissionDecision(is_admitted=True)
 _FIRST_SERVER_ERROR = HTTPStatus.INTERNAL_SERVER_ERROR
 
@@ -188,6 +192,9 @@
     def _choose_owner(self, call: Call, attempts: Attempts) -> Peer | None:
         context = self._context
         peers = context.peers.for_service(call.service)
+        if context.peers.is_evacuated(call.service):
+            attempts.record_unavailable(_EVACUATED, wait=_EVACUATED_RETRY_DELAY)
+            return None
         shares = context.shares(call.service)
         if shares.target is None:
             return self._pick_owner(call, peers, attempts)
--- a/libs/sidecar/src/verbenamill_sidecar/local_upstream.py
+++ b/libs/sidecar/src/verbenamill_sidecar/local_upstream.py
@@ -10,6 +10,7 @@
 from verbenamill_http.client import ClientResponse, ExchangeFailure
 from verbenamill_http.messages import get_header
 from verbenamill_model.typing import (
+    ServiceName,
     UpstreamState,
     VersionName,
 )
@@ -18,6 +19,10 @@
     AdmissionRequest,
     AdmissionResult,
 )
+from verbenamill_policy.cold_starts import (
+    ColdStartMargin,
+    ColdStartTracker,
+)
 from verbenamill_policy.fingerprints import Fingerprint
 from verbenamill_policy.heartbeats import (
     Heartbeat,
@@ -28,6 +33,7 @@
 from verbenamill_policy.members import UpstreamRecord
 from verbenamill_policy.nested_calls import NestedCall, NestedCallTracker
 from verbenamill_policy.quarantine import CrashId
+from verbenamill_policy.routes import ServiceProperties
 from verbenamill_policy.tallies import UpstreamCounts
 from verbenamill_sidecar.attempts import AT_LIMIT
 from verbenamill_sidecar.call import (
@@ -37,6 +43,7 @@
     not_run,
     unknown,
 )
+from verbenamill_sidecar.cold_start_probe import ColdStartProbe
 from verbenamill_sidecar.crashing import CrashDetector
 from verbenamill_sidecar.in_band import read_signals
 from verbenamill_sidecar.rate_limiting import UpstreamRateLimiter
@@ -65,6 +72,9 @@
 #: than the mean; a shorter run only shows that its caller had a short deadline.
 _SLOW_FACTOR = 2.0
 
+_ACCEPTED = (HeartbeatResult.CHANGED, HeartbeatResult.UNCHANGED)
+_UNKNOWN_PROPERTIES = ServiceProperties()
+_MS_PER_SECOND = 1000
 _MISDIRECTED = 421
 _GATEWAY_TIMEOUT = 504
 _SERVER_ERROR = 500
@@ -77,6 +87,11 @@
 
     :param on_change: called when the upstream is replaced or changes its state.
     :param allows_version_of: whether requests may go to the upstream's version.
+    :param is_evacuated: whether the upstream gets no requests because its zone
+        is evacuated.
+    :param properties_of: returns the properties of a service.
+    :param cold_start_margin: requests that a cold upstream may get beyond its
+        rate.
     :param gate: holds the requests during which upstreams crashed.
     :param wall_ms: returns Unix time in milliseconds.
     """
@@ -85,6 +100,9 @@
     address: Address
     on_change: Callable[[], None]
     allows_version_of: Callable[[UpstreamRecord], bool]
+    is_evacuated: Callable[[], bool]
+    properties_of: Callable[[ServiceName], ServiceProperties]
+    cold_start_margin: ColdStartMargin
     gate: SuspectGate
     wall_ms: Callable[[], int]
 
@@ -104,14 +122,26 @@
         self._running_calls: dict[bytes, Call] = {}
         self._running_scopes: set[trio.CancelScope] = set()
         self._is_cancelling = False
-        self._cold_start_ends_at = float(0)
+        self._cold_starts = ColdStartTracker(
+            lambda: self._properties().cold_start, context.cold_start_margin
+        )
         self.limits = UpstreamRateLimiter(
             self.register,
+            cold_starts=self._cold_starts,
             on_limit_change=context.on_change,
             wall_ms=context.wall_ms,
         )
         self._link = UpstreamLink(context.address, context.names)
         self._pool = self._link.pool
+        self.probe = ColdStartProbe(
+            address=context.address,
+            names=context.names,
+            pool=self._pool,
+            tracker=self._cold_starts,
+            current=self._find_ready,
+            health_path=lambda _: self._properties().health_path,
+            on_sign=self._apply_cold_sign,
+        )
         self.crashes = CrashDetector(
             self.register,
             self._pool,
@@ -139,9 +169,10 @@
         """Apply a heartbeat; a draining upstream gets no further requests."""
         result = self.register.update(heartbeat)
         if result is HeartbeatResult.CHANGED:
-            if heartbeat.cold > 0:
-                self._cold_start_ends_at = trio.current_time() + heartbeat.cold
             self._apply_change()
+        if result in _ACCEPTED:
+            self._cold_starts.record_cold(heartbeat.cold, trio.current_time())
+            self.limits.refresh()
         return result
 
     def handle_leave(self, announcement: LeaveAnnouncement) -> bool:
@@ -172,6 +203,12 @@
         if (instance, born) == self._start_id:
             self.limits.restore(limit)
 
+    def assume_cold(self) -> None:
+        """Pace the upstream like a cold one until it is known to be warm."""
+        self._cold_starts.assume(trio.current_time())
+        self.limits.refresh()
+        self.probe.request_if_needed()
+
     def stop(self) -> None:
         """Reject new and queued requests."""
         self.is_stopping = True
@@ -199,7 +236,8 @@
     def sweep(self) -> None:
         """Close connections past their idle time; publish a changed limit."""
         self._pool.close_expired()
-        self.limits.publish()
+        self.limits.refresh()
+        self.probe.request_if_needed()
 
     async def run(
         self,
@@ -275,6 +313,8 @@
             self.crashes.record_start()
             self._admission.shed_all()
             self._admission = Admission(slots=upstream.slots)
+            self._admission.cold_starts = self._cold_starts
+            self._begin_cold_start(upstream)
             self.limits.reset(self._admission)
             self._pool.invalidate()
             self.counts.begin(f'{upstream.instance}/{upstream.born}')
@@ -283,6 +323,35 @@
             self._admission.shed_all()
         self._context.on_change()
 
+    def _begin_cold_start(self, upstream: UpstreamRecord) -> None:
+        """Treat a start as cold, or as unknown if it is not recent."""
+        now = trio.current_time()
+        age = float(0)
+        if upstream.born:
+            age = (self._context.wall_ms() - upstream.born) / _MS_PER_SECOND
+        self._cold_starts.begin(age=age, now=now)
+        if not self._cold_starts.is_cold(now):
+            # This daemon has just started, and does not know what its
+            # predecessor has sent.
+            self._cold_starts.assume(now)
+
+    def _apply_cold_sign(self) -> None:
+        self.limits.refresh()
+        self._admission.admit(trio.current_time())
+
+    def _properties(self) -> ServiceProperties:
+        upstream = self.register.current
+        if upstream is None:
+            return _UNKNOWN_PROPERTIES
+        return self._context.properties_of(upstream.service)
+
+    def _find_ready(self) -> UpstreamRecord | None:
+        """Return the upstream if it takes requests."""
+        upstream = self.register.current
+        if upstream is None or upstream.state is not UpstreamState.READY:
+            return None
+        return upstream
+
     def _refusal_reasons(
         self,
         upstream: UpstreamRecord,
@@ -291,6 +360,8 @@
     ) -> Iterator[str]:
         if self.is_stopping:
             yield 'the daemon stops'
+        if self._context.is_evacuated():
+            yield 'the zone is evacuated'
         if upstream.state is not UpstreamState.READY:
             yield f'the upstream is {upstream.state.value}'
         if upstream.instance != instance or upstream.version != version:
@@ -300,6 +371,7 @@
 
     async def _run(self, call: Call, upstream: UpstreamRecord) -> Outcome:
         admission = self._admission
+        self.limits.refresh()
         now = trio.current_time()
         results: list[AdmissionResult] = []
         event = trio.Event()
@@ -333,6 +405,7 @@
                 admission.record_unsent(trio.current_time())
                 return _refuse_blocked(blocked_for)
             started = trio.current_time()
+            self.probe.request_if_needed()
             outcome = await self._send_tracked(call, upstream)
             service_time = outcome.service_time
             return outcome
@@ -361,6 +434,7 @@
         current = self.register.current
         return (
             self.is_stopping
+            or self._context.is_evacuated()
             or current is None
             or current.state is not UpstreamState.READY
             or current.instance != upstream.instance
@@ -552,9 +626,8 @@
         self, call: Call, *, failed: bool, service_time: float | None
     ) -> None:
         # The time of a cold start is no property of the version.
-        is_cold = (
-            trio.current_time() - (service_time or 0) < self._cold_start_ends_at
-        )
+        began_at = trio.current_time() - (service_time or 0)
+        is_cold = self._cold_starts.is_cold(began_at)
         self.counts.add(
             call.route.name,
             failed=failed,
--- a/libs/sidecar/src/verbenamill_sidecar/peers.py
+++ b/libs/sidecar/src/verbenamill_sidecar/peers.py
@@ -8,7 +8,12 @@
 
 from verbenamill_http.addresses import parse_address
 from verbenamill_http.client import ConnectionPool
-from verbenamill_model.typing import ServiceName, UpstreamState, VmId
+from verbenamill_model.typing import (
+    AvailabilityZone,
+    ServiceName,
+    UpstreamState,
+    VmId,
+)
 from verbenamill_policy.limits import RateLimit
 from verbenamill_policy.members import (
     LEAVE_SEQUENCE,
@@ -241,11 +246,23 @@
 
 
 class Peers:
-    """All daemons by service, updated from the member table."""
+    """All daemons by service, updated from the member table.
+
+    :param evacuated_zones: returns the zones whose upstreams get no requests.
+    """
 
-    def __init__(self, table: MemberTable, own_vm: VmId) -> None:
+    def __init__(
+        self,
+        table: MemberTable,
+        own_vm: VmId,
+        *,
+        evacuated_zones: Callable[[], frozenset[AvailabilityZone]] = frozenset,
+    ) -> None:
         self._table = table
         self._own_vm = own_vm
+        self._find_evacuated_zones = evacuated_zones
+        self._evacuated_zones: frozenset[AvailabilityZone] = frozenset()
+        self._evacuated_services: frozenset[ServiceName] = frozenset()
         self._table_version = -1
         self._peers: dict[VmId, Peer] = {}
         self._watched: set[Peer] = set()
@@ -278,6 +295,14 @@
         self._refresh()
         return self._by_service.get(service, [])
 
+    def is_evacuated(self, service: ServiceName) -> bool:
+        """Whether a service has upstreams, all of them in evacuated zones."""
+        self._refresh()
+        return (
+            service in self._evacuated_services
+            and service not in self._by_service
+        )
+
     def record_leave(self, peer: Peer, upstream: UpstreamRecord) -> None:
         """Record that an upstream has left, as a reply of its daemon says."""
         if peer.has_recorded_leave(upstream):
@@ -308,9 +333,15 @@
             peer.pool.close_idle()
 
     def _refresh(self) -> None:
-        if self._table_version == self._table.version:
+        evacuated_zones = self._find_evacuated_zones()
+        if (
+            self._table_version == self._table.version
+            and self._evacuated_zones == evacuated_zones
+        ):
             return
         self._table_version = self._table.version
+        self._evacuated_zones = evacuated_zones
+        evacuated_services: set[ServiceName] = set()
         previous = self._peers
         self._peers = {}
         self._by_service = {}
@@ -321,8 +352,13 @@
             if record.leaving:
                 self._leaving.append(peer)
             upstream = peer.upstream
-            if upstream is not None:
+            if upstream is None:
+                continue
+            if record.availability_zone in evacuated_zones:
+                evacuated_services.add(upstream.service)
+            else:
                 self._by_service.setdefault(upstream.service, []).append(peer)
+        self._evacuated_services = frozenset(evacuated_services)
         for gone in previous.values():
             gone.pool.close_idle()
 
--- a/libs/sidecar/src/verbenamill_sidecar/protocol.py
+++ b/libs/sidecar/src/verbenamill_sidecar/protocol.py
@@ -13,6 +13,7 @@
 from returns.result import Result
 
 from verbenamill_model.typing import AvailabilityZone, ServiceName, VmId
+from verbenamill_policy.evacuations import Evacuation
 from verbenamill_policy.fingerprints import Fingerprint
 from verbenamill_policy.heartbeats import Heartbeat
 from verbenamill_policy.members import MemberRecord
@@ -34,6 +35,9 @@
     :param caller: service of the VM on which the request originated.
     :param limit: on an answer, requests per second that the upstream accepts.
     :param leaving: on an answer, that the upstream is leaving.
+    :param cold: on the answer to a health check, how long the upstream stays
+        cold, in milliseconds.
+    :param instance_id: on the answer to a health check, the upstream itself.
     """
 
     request_id: bytes
@@ -45,6 +49,8 @@
     caller: bytes
     limit: bytes
     leaving: bytes
+    cold: bytes
+    instance_id: bytes
 
 
 @unique
@@ -80,12 +86,17 @@
 
     :param next_position: position after these records, for the next read.
     :param configuration: the newest configuration among them, if any.
+    :param evacuations: evacuations that begin, or that end.
+    :param listed_until: end of the log if this is a complete listing of the
+        newest records, from which a removed record is absent; else ``None``.
     :param faults: for each unreadable record, why it could not be read.
     """
 
     next_position: int
     configuration: Configuration | None = None
     orders: tuple[Order, ...] = ()
+    evacuations: tuple[Evacuation, ...] = ()
+    listed_until: int | None = None
     faults: tuple[str, ...] = ()
 
 
--- a/libs/sidecar/src/verbenamill_sidecar/rate_limiting.py
+++ b/libs/sidecar/src/verbenamill_sidecar/rate_limiting.py
@@ -1,4 +1,4 @@
-"""Enforces the rate limit that the local upstream names."""
+"""Enforces the rate limit of the local upstream, announced or while cold."""
 
 from collections.abc import Callable
 from enum import Enum, unique
@@ -7,6 +7,7 @@
 from msgspec import Struct
 
 from verbenamill_policy.admission import Admission
+from verbenamill_policy.cold_starts import ColdStartTracker
 from verbenamill_policy.heartbeats import UpstreamTracker
 from verbenamill_policy.limits import RateLimit, RateLimitTracker
 from verbenamill_sidecar.in_band import UpstreamSignals
@@ -19,6 +20,7 @@
 
     ANSWER = 'answer'
     MEMORY = 'memory'
+    COLD = 'cold'
 
 
 class LimitCounts(Struct):
@@ -37,6 +39,7 @@
 
     All requests for the upstream pass this daemon, so its count is exact.
 
+    :param cold_starts: tells whether the upstream is cold.
     :param on_limit_change: called when other daemons need to get a new limit.
     :param wall_ms: returns Unix time in milliseconds.
     """
@@ -45,6 +48,7 @@
         self,
         upstream_tracker: UpstreamTracker,
         *,
+        cold_starts: ColdStartTracker,
         on_limit_change: Callable[[], None],
         wall_ms: Callable[[], int],
     ) -> None:
@@ -53,6 +57,8 @@
         self._on_change = on_limit_change
         self._wall_ms = wall_ms
         self._limit_tracker = RateLimitTracker()
+        self._cold_starts = cold_starts
+        self._rate: float | None = None
         self._admission = Admission(slots=1)
 
     @property
@@ -64,35 +70,44 @@
     @property
     def rate(self) -> float | None:
         """The limit in force, in requests per second; ``None`` without one."""
-        return self._limit_tracker.rate
+        return self._rate
 
     @property
     def is_known(self) -> bool:
         """Whether it is known if this start of the upstream has a limit."""
-        return self._limit_tracker.is_known
+        return self._limit_tracker.is_known or self._rate is not None
 
     def reset(self, admission: Admission) -> None:
         """Drop the limit of an upstream that was replaced or restarted."""
         self._limit_tracker = RateLimitTracker()
         self._admission = admission
+        self._rate = None
         if self.limit is not None:
             self.restore(self.limit)
+        self.refresh()
 
     def observe(self, signals: UpstreamSignals, *, asked_at: float) -> None:
         """Update the limit from an upstream's response.
 
         :param asked_at: time at which the request was sent.
         """
-        before = self._limit_tracker.rate
         if signals.limit is not None:
             self._limit_tracker.record_limit(signals.limit, trio.current_time())
         elif signals.shows_no_limit:
             self._limit_tracker.record_no_limit(asked_at=asked_at)
-        if self._limit_tracker.rate != before:
-            self._admission.set_rate(
-                self._limit_tracker.rate, trio.current_time()
-            )
-        self.publish()
+        self.refresh()
+
+    def refresh(self, source: LimitSource = LimitSource.ANSWER) -> None:
+        """Apply the lower one of the announced rate and that while cold."""
+        now = trio.current_time()
+        cold_rate = self._cold_starts.rate(now)
+        rate = _lower(self._limit_tracker.rate, cold_rate)
+        self._admission.set_cold(cold_rate is not None)
+        if rate != self._rate:
+            self._rate = rate
+            self._admission.set_rate(rate, now)
+        is_cold = cold_rate is not None and rate == cold_rate
+        self._publish(LimitSource.COLD if is_cold else source)
 
     def restore(self, limit: RateLimit) -> None:
         """Apply the limit that others remember of this start of the upstream.
@@ -100,17 +115,19 @@
         A daemon that has just started has counted no requests and seen no
         response; without the limit it would send as much as the slots allow.
         """
+        if limit.is_cold:
+            # Whether it is still cold is found out by a probe.
+            return
         if self._limit_tracker.restore(limit.rate):
-            self._admission.set_rate(limit.rate, trio.current_time())
             self._upstream_tracker.set_limit(limit)
-            self.publish(LimitSource.MEMORY)
+            self.refresh(LimitSource.MEMORY)
 
-    def publish(self, source: LimitSource = LimitSource.ANSWER) -> None:
+    def _publish(self, source: LimitSource) -> None:
         """Announce a changed limit if an announcement is due."""
         before = self._limit_tracker.announced
-        if not self._limit_tracker.take_update(trio.current_time()):
+        rate = self._rate
+        if not self._limit_tracker.take_update(rate, trio.current_time()):
             return
-        rate = self._limit_tracker.rate
         announced_limit = self.limit
         if rate is None:
             self._upstream_tracker.set_limit(None)
@@ -120,7 +137,8 @@
                 if announced_limit is None
                 else announced_limit.since
             )
-            self._upstream_tracker.set_limit(RateLimit(rate, since))
+            is_cold = source is LimitSource.COLD
+            self._upstream_tracker.set_limit(RateLimit(rate, since, is_cold))
         self._log(rate, before, source)
         self._on_change()
 
@@ -143,3 +161,10 @@
             sent=self.counts.sent,
             refused=self.counts.refused,
         )
+
+
+def _lower(one: float | None, other: float | None) -> float | None:
+    """Return the lower one of two rates, of which ``None`` is unlimited."""
+    if one is None or other is None:
+        return other if one is None else one
+    return min(one, other)
--- a/libs/sidecar/src/verbenamill_sidecar/settings.py
+++ b/libs/sidecar/src/verbenamill_sidecar/settings.py
@@ -11,12 +11,14 @@
 from verbenamill_http.addresses import Address, parse_address
 from verbenamill_model.faults import Fault
 from verbenamill_model.typing import AvailabilityZone, ServiceName, VmId
+from verbenamill_policy.cold_starts import ColdStartMargin
 from verbenamill_runtime.settings_fields import (
     Flag,
     Name,
     SocketAddress,
     one_of,
     integer_in_range,
+    number_in_range,
 )
 from verbenamill_runtime.settings_reader import read_sections
 from verbenamill_telemetry.log_settings import LogFormat, LogLevel
@@ -92,6 +94,24 @@
     first: Annotated[bool, Flag] = False
 
 
+class ColdStartSettings(Struct, frozen=True, kw_only=True):
+    """Requests that a cold upstream may get in one second beyond its rate.
+
+    The rate itself is part of the configuration.
+
+    :param overshoot: factor on the rate.
+    :param slack: number of requests in addition.
+    """
+
+    overshoot: Annotated[float, number_in_range(1, 100)] = 1.5
+    slack: Annotated[float, number_in_range(0, 1_000_000)] = 4
+
+    @property
+    def margin(self) -> ColdStartMargin:
+        """These settings as the policy uses them."""
+        return ColdStartMargin(overshoot=self.overshoot, slack=self.slack)
+
+
 class LoggingSettings(Struct, frozen=True, kw_only=True):
     """Level and format of the log."""
 
@@ -109,6 +129,7 @@
     advertise: AdvertiseSettings = AdvertiseSettings()
     start: StartSettings = StartSettings()
     stop: StopSettings = StopSettings()
+    cold_start: ColdStartSettings = ColdStartSettings()
     logging: LoggingSettings = LoggingSettings()
 
     @property
--- a/libs/sidecar/src/verbenamill_sidecar/store_follower.py
+++ b/libs/sidecar/src/verbenamill_sidecar/store_follower.py
@@ -227,6 +227,13 @@
     def _apply_published(self, published: PublishedRecords) -> None:
         for unreadable in published.faults:
             log(Event.RECORD_UNREADABLE, reason=unreadable)
+        # Evacuations come first: with a configuration, the daemon is ready.
+        for evacuation in published.evacuations:
+            self._desired_state.apply_evacuation(evacuation)
+        if published.listed_until is not None:
+            self._desired_state.apply_listed_evacuations(
+                published.evacuations, end=published.listed_until
+            )
         if published.configuration is not None:
             self._desired_state.apply_configuration(
                 published.configuration, 'store'
--- a/libs/sidecar/tests/test_in_band.py
+++ b/libs/sidecar/tests/test_in_band.py
@@ -16,6 +16,8 @@
     caller=b'caller',
     limit=b'limit',
     leaving=b'leaving',
+    cold=b'cold',
+    instance_id=b'instance-id',
 )
 SEAL = (b'seal', b's')
 
--- a/libs/telemetry/src/verbenamill_telemetry/events.py
+++ b/libs/telemetry/src/verbenamill_telemetry/events.py
@@ -476,6 +476,22 @@
         _NO_ACTION,
         rate=5,
     )
+    ZONE_EVACUATED = EventDefinition(
+        'VM6019',
+        logging.WARNING,
+        'zone {zone} is evacuated (record {number})',
+        'The upstreams of the zone get no requests until its evacuation is '
+        'removed. Its daemons go on serving the callers on their VMs.',
+        'Nothing, if the evacuation is intended; otherwise remove it.',
+    )
+    ZONE_RETURNED = EventDefinition(
+        'VM6020',
+        logging.INFO,
+        'zone {zone} is no longer evacuated (record {number})',
+        'The upstreams of the zone get requests again, as many as they '
+        'take while they are cold.',
+        _NO_ACTION,
+    )
     INVARIANT_BROKEN = EventDefinition(
         'VM9001',
         logging.CRITICAL,
