Placement: a free slot beside the caller is used first

Cause: an ingress chose among 12 sampled owners by loads that were reported with its last reply, which is older than a request takes where a daemon sees few replies of each owner; its own upstream, whose load it knows exactly, was one of them and cost a hop like the others. Change: the own upstream is preferred by the cost of a hop while it has a free slot and its expected value is close to that of the best one. Ruled out: always the own upstream first; a slow or failing one would keep its callers.

--- a/libs/policy/src/verbenamill_policy/placement.py
+++ b/libs/policy/src/verbenamill_policy/placement.py
@@ -63,6 +63,10 @@
 #: It makes the fastest owner win among those that are all fast enough.
 _SPEED_VALUE = 0.1
 
+#: Cost of passing a request on to another daemon, in answers: processor time
+#: of two daemons, and a load there that is only estimated.
+_HOP_COST = 0.05
+
 #: Shortest and longest time in which no request goes to an owner that could
 #: not be reached, in seconds.
 INITIAL_BACKOFF = 0.25
@@ -90,6 +94,7 @@
         'relative_time',
         'load',
         'load_reported_at',
+        'answered_at',
         'failure_rate',
         'down_until',
         'backoff',
@@ -111,6 +116,7 @@
         self.relative_time = _INITIAL_RELATIVE_TIME
         self.load = float(0)
         self.load_reported_at = float(0)
+        self.answered_at = float(0)
         self.failure_rate = float(0)
         self.down_until = float(0)
         self.backoff = INITIAL_BACKOFF
@@ -124,11 +130,16 @@
 
     def record_load(self, load: int, now: float) -> None:
         """Record the load that the owner reported with a reply."""
-        self.load = float(load)
-        self.load_reported_at = now
+        self.observe_load(load, now)
+        self.answered_at = now
         self.backoff = INITIAL_BACKOFF
         self.down_until = 0
 
+    def observe_load(self, load: int, now: float) -> None:
+        """Record a load without a reply, which says nothing else."""
+        self.load = float(load)
+        self.load_reported_at = now
+
     def record_service_time(self, took: float, fleet_mean: float) -> None:
         """Record the owner's mean time of a route.
 
@@ -283,9 +294,7 @@
     """Forecast the wait, service time and failures of a request at an owner."""
     load = owner.estimate_load(now)
     slots = owner.slots
-    confidence = _decay(
-        max(now - owner.load_reported_at, 0), _ESTIMATE_HALF_LIFE
-    )
+    confidence = _decay(max(now - owner.answered_at, 0), _ESTIMATE_HALF_LIFE)
     service_time = request.mean_time * (
         1 + (owner.relative_time - 1) * confidence
     )
@@ -326,13 +335,19 @@
     excluded: Collection[VmId],
     now: float,
     random: Random,
+    own: OwnerEstimate | None = None,
 ) -> OwnerEstimate | None:
     """Choose the owner that a request is sent to.
 
     Owners are compared by the expected value of their answer, less the cost
     of the bytes that would cross to another zone. A request therefore stays
     in its own zone as long as it has about the same chance to meet its
-    objective there, and large requests stay longer than small ones.
+    objective there, and large requests stay longer than small ones. The
+    upstream beside this daemon is preferred by the cost of passing a request
+    on while it has a free slot: its load is known exactly, while what is known
+    of others is older than most requests take.
+
+    :param own: the owner among these that is this daemon, if it is one.
     """
     usable = [
         owner
@@ -343,6 +358,12 @@
     local = [owner for owner in usable if owner.availability_zone == zone]
     remote = [owner for owner in usable if owner.availability_zone != zone]
     best_local, local_value = _choose_best(local, request, now, random)
+    if own is not None and own in local:
+        own_forecast = forecast(own, request, now)
+        own_value = expected_value(own_forecast, request)
+        if own_forecast.wait <= 0 and own_value >= local_value - _HOP_COST:
+            best_local = own
+            local_value = own_value
     best_remote, remote_value = _choose_best(remote, request, now, random)
     if (
         best_local is None
--- a/libs/policy/tests/test_placement.py
+++ b/libs/policy/tests/test_placement.py
@@ -177,3 +177,46 @@
     limited.clear_limit()
     assert pick([limited], now=2).vm == 'limited'
     assert not limited.is_limited
+
+
+def pick_beside(own, others, *, left=0.4, seed=1):
+    return choose_owner(
+        [own, *others],
+        PlacementRequest(mean_time=0.1, time_to_objective=left),
+        zone='a',
+        excluded=(),
+        now=0,
+        random=Random(seed),
+        own=own,
+    )
+
+
+def test_a_free_slot_beside_the_caller_is_used_first():
+    """Guards against a hop to an owner whose load is only guessed."""
+    own = make_owner('own', slots=2)
+    own.observe_load(1, 0)
+    others = [make_owner(f'vm{place}', slots=2) for place in range(5)]
+    assert all(pick_beside(own, others, seed=seed) is own for seed in range(20))
+
+
+def test_a_busy_upstream_beside_the_caller_is_passed_over():
+    """Guards against a queue beside the caller while others are free."""
+    own = make_owner('own', slots=2)
+    own.observe_load(4, 0)
+    others = [make_owner(f'vm{place}', slots=2) for place in range(5)]
+    assert pick_beside(own, others) is not own
+
+
+def test_a_slow_or_failing_upstream_beside_the_caller_is_passed_over():
+    """Guards against callers that stay with a faulty upstream of their VM."""
+    others = [make_owner(f'vm{place}', slots=2) for place in range(5)]
+    slow = make_owner('slow', slots=2)
+    for _ in range(30):
+        slow.record_service_time(0.5, 0.1)
+    slow.record_load(0, 0)
+    assert pick_beside(slow, others) is not slow
+    grey = make_owner('grey', slots=2)
+    for number in range(30):
+        grey.record_outcome(failed=number % 2 == 0)
+    grey.record_load(0, 0)
+    assert pick_beside(grey, others) is not grey
--- a/libs/sidecar/src/verbenamill_sidecar/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/ingress.py
@@ -220,6 +220,9 @@
             peer.owner: peer for peer in peers
         }
         requirements = self._route_statistics.placement_request(call, now)
+        own = context.peers.own
+        if own is not None:
+            own.owner.observe_load(context.own.load, now)
         owner = choose_owner(
             list(by_owner),
             requirements,
@@ -227,6 +230,7 @@
             excluded=attempts.tried_vms,
             now=now,
             random=context.random,
+            own=None if own is None else own.owner,
         )
         if owner is not None:
             return by_owner[owner]
--- a/libs/sidecar/src/verbenamill_sidecar/peers.py
+++ b/libs/sidecar/src/verbenamill_sidecar/peers.py
@@ -279,6 +279,11 @@
         self._refresh()
         return self._peers.get(vm)
 
+    @property
+    def own(self) -> Peer | None:
+        """This daemon, once its own record is known."""
+        return self.get(self._own_vm)
+
     def is_own(self, peer: Peer) -> bool:
         """Whether the peer is this daemon."""
         return peer.record.vm == self._own_vm
