Admission: a request that can hardly be answered any more is not tried

Cause: a request that came back with 10 ms left, of a kind that takes 92 ms, was sent on; one that waited behind slow requests stayed in the queue until its deadline. Both ended without an answer (held to the end). Change: below a chance of a tenth, by the learned distribution of service times, a request is neither placed nor started; who waits is refused at the last time at which a start is worth while, and not at its deadline.

--- a/libs/policy/src/verbenamill_policy/admission.py
+++ b/libs/policy/src/verbenamill_policy/admission.py
@@ -6,7 +6,7 @@
 from verbenamill_model.typing import RouteName
 from verbenamill_policy.cold_starts import ColdStartTracker
 from verbenamill_policy.pacing import TokenBucket
-from verbenamill_policy.service_times import ServiceTimes
+from verbenamill_policy.service_times import ServiceTimes, is_hopeless
 
 #: Share of the remaining time that the wait and the work after it may take.
 #: The rest covers the transfer of the answer.
@@ -102,6 +102,11 @@
         """Priority of its route; 0 is served first."""
         return self._order[0]
 
+    @property
+    def latest_start(self) -> float:
+        """Time after which it is no longer worth starting."""
+        return self.deadline - self.expected / 2
+
     @property
     def order(self) -> tuple[int, bool, float]:
         """Sort key in the queue; the lowest goes first.
@@ -258,12 +263,27 @@
         """Assign free slots to waiting requests."""
         while self._waiting and self._may_start(now):
             request = self._waiting.pop(0)
-            if self._is_hopeless(request, now):
+            if request.latest_start < now:
                 request.on_settled(AdmissionResult.SHED)
                 continue
             self._start(request, now)
             request.on_settled(AdmissionResult.ADMITTED)
 
+    def shed_hopeless(self, now: float) -> None:
+        """Refuse waiting requests that can no longer be answered at all."""
+        hopeless = [one for one in self._waiting if one.latest_start <= now]
+        for request in hopeless:
+            self._waiting.remove(request)
+            request.on_settled(AdmissionResult.SHED)
+
+    def is_worth_starting(self, request: AdmissionRequest, now: float) -> bool:
+        """Whether a request may still be answered by its deadline."""
+        return not is_hopeless(
+            request.expected,
+            self.times.log_deviation(request.route),
+            request.deadline - now,
+        )
+
     def shed_all(self) -> None:
         """Refuse all waiting requests, as when the upstream leaves."""
         waiting = self._waiting
@@ -338,9 +358,6 @@
             time_to_deadline=request.deadline - now,
         )
 
-    def _is_hopeless(self, request: AdmissionRequest, now: float) -> bool:
-        return now + request.expected / 2 > request.deadline
-
     def _shed_delayed(self, first: int, now: float) -> None:
         """Refuse requests that more urgent ones have delayed too long.
 
--- a/libs/policy/src/verbenamill_policy/service_times.py
+++ b/libs/policy/src/verbenamill_policy/service_times.py
@@ -103,6 +103,20 @@
         self._mean = before + MIN_WEIGHT * (took - before)
 
 
+#: Probability of an answer by the deadline below which a request is hopeless.
+_HOPELESS_PROBABILITY = 0.1
+
+
+def is_hopeless(mean: float, log_deviation: float, left: float) -> bool:
+    """Whether an answer within ``left`` seconds is too unlikely to try.
+
+    :param mean: mean of the service times, in seconds.
+    :param log_deviation: standard deviation of their logarithm.
+    """
+    chance = probability_within(mean, log_deviation, left)
+    return chance < _HOPELESS_PROBABILITY
+
+
 def probability_within(mean: float, log_deviation: float, left: float) -> float:
     """Probability that a service time is at most ``left`` seconds.
 
--- a/libs/policy/tests/test_admission.py
+++ b/libs/policy/tests/test_admission.py
@@ -1,5 +1,6 @@
 """Slots, order and refusals of one upstream's queue, on a simulated clock."""
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -263,3 +264,53 @@
         now = max(now, min(admission.next_start(now), now + 10))
         admission.admit(now)
     assert not admission.load
+
+
+def test_a_waiting_request_is_refused_once_it_is_hopeless():
+    """Guards against a request that waits for its deadline behind slow ones.
+
+    The pattern: every slot is held by an upstream that has turned slow.
+    """
+    admission = Admission(slots=1)
+    settled = []
+
+    def make(deadline):
+        return AdmissionRequest(
+            route='r',
+            latency_objective=0.4,
+            priority=1,
+            arrived=0,
+            due=0.4,
+            objective=0.4,
+            deadline=deadline,
+            on_settled=settled.append,
+        )
+
+    assert admission.acquire(make(5), 0) is AdmissionResult.ADMITTED
+    waiting = make(0.9)
+    assert admission.acquire(waiting, 0) is None
+    admission.shed_hopeless(waiting.latest_start - 0.01)
+    assert not settled
+    admission.shed_hopeless(waiting.latest_start)
+    assert settled == [AdmissionResult.SHED]
+    assert not admission.waiting
+
+
+@pytest.mark.parametrize(('left', 'expected'), [(0.01, False), (0.3, True)])
+def test_a_request_without_enough_time_is_not_sent(left, expected):
+    """Guards against a slot that is spent on an answer nobody gets."""
+    admission = Admission(slots=1)
+    for number in range(20):
+        admission.times.add('r', 0.09, number / 10)
+    request = AdmissionRequest(
+        route='r',
+        latency_objective=0.4,
+        priority=1,
+        arrived=0,
+        due=0.4,
+        objective=0.4,
+        deadline=left,
+        on_settled=lambda _: None,
+    )
+    admission.acquire(request, 0)
+    assert admission.is_worth_starting(request, 0) is expected
--- a/libs/sidecar/src/verbenamill_sidecar/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/ingress.py
@@ -176,6 +176,9 @@
             return None
         if race.in_progress and not call.is_idempotent:
             return None
+        if self._route_statistics.is_hopeless(call, trio.current_time()):
+            attempts.record_unavailable('too little time is left', wait=0)
+            return None
         # A suspected owner may have run the request.
         seen = attempts.reached + race.in_progress
         may_try = attempts.owners_asked < MAX_OWNERS_ASKED + seen
--- a/libs/sidecar/src/verbenamill_sidecar/local_upstream.py
+++ b/libs/sidecar/src/verbenamill_sidecar/local_upstream.py
@@ -396,10 +396,15 @@
         service_time: float | None = None
         try:
             if result is None:
-                await _wait_for_result(admission, event)
+                await _wait_for_result(admission, admission_request, event)
                 result = results[0]
             if result is AdmissionResult.SHED or self._is_withdrawn(upstream):
                 return self._refuse_for_capacity(admission)
+            if not admission.is_worth_starting(
+                admission_request, trio.current_time()
+            ):
+                admission.record_unsent(trio.current_time())
+                return not_run('too little time is left')
             blocked_for = self._context.gate.blocked_for(call)
             if blocked_for:
                 admission.record_unsent(trio.current_time())
@@ -663,7 +668,9 @@
     return outcome
 
 
-async def _wait_for_result(admission: Admission, event: trio.Event) -> None:
+async def _wait_for_result(
+    admission: Admission, request: AdmissionRequest, event: trio.Event
+) -> None:
     """Wait until a request is admitted or refused.
 
     A released slot admits the next request. While a rate limit delays the
@@ -671,9 +678,12 @@
     """
     while not event.is_set():
         now = trio.current_time()
-        with trio.move_on_at(admission.next_start(now)):
+        wake_at = min(admission.next_start(now), request.latest_start)
+        with trio.move_on_at(wake_at):
             await event.wait()
-        admission.admit(trio.current_time())
+        now = trio.current_time()
+        admission.admit(now)
+        admission.shed_hopeless(now)
 
 
 def _set_result(
--- a/libs/sidecar/src/verbenamill_sidecar/route_statistics.py
+++ b/libs/sidecar/src/verbenamill_sidecar/route_statistics.py
@@ -6,7 +6,7 @@
 from verbenamill_policy.placement import OwnerEstimate, PlacementRequest
 from verbenamill_policy.retry_detection import RetryDetector
 from verbenamill_policy.routes import Route
-from verbenamill_policy.service_times import ServiceTimes
+from verbenamill_policy.service_times import ServiceTimes, is_hopeless
 from verbenamill_sidecar.call import (
     RETRIABLE_STATUSES,
     Call,
@@ -43,6 +43,15 @@
             route.name, deadline_ms
         )
 
+    def is_hopeless(self, call: Call, now: float) -> bool:
+        """Whether a request is too unlikely to be answered by its deadline."""
+        route = call.route
+        return is_hopeless(
+            self.mean_service_time(route),
+            self._times.log_deviation(route.name),
+            call.deadline - now,
+        )
+
     def placement_request(self, call: Call, now: float) -> PlacementRequest:
         """Return the requirements of a request for the choice of an owner."""
         route = call.route
