Placement: a few owners are asked for their load before a request is sent

Cause: an ingress knows an owner's load from its last reply. With 68 owners of two slots that 86 ingresses share, that is two seconds old for work of 0.1 s, so requests queued at some owners while others were idle. Change: if the chosen owner's load is older than 0.3 service times, three random owners of the zone are asked by one datagram each; the first with a free slot decides, 5 ms at most. Owners that did not get the question are no candidates then; the own upstream and other zones are. Ways weighed: idle slots announced by owners (one token an idle slot goes to one of 24 ingresses, most of them without work); late binding at the owner (knows as little of the others).

--- a/libs/sidecar/src/verbenamill_sidecar/daemon.py
+++ b/libs/sidecar/src/verbenamill_sidecar/daemon.py
@@ -166,6 +166,7 @@
             tree=self._tree,
             on_tally=self._rollout_controller.record_tally,
             gate=self._gate,
+            own_load=lambda: self._own_upstream.load,
         )
         self._gate.publish = self._gossip.publish_suspect
         self._registrar = Registrar(
@@ -258,6 +259,7 @@
                 sender=f'{own.vm}/{own.incarnation}',
                 availability_zone=context.settings.vm.availability_zone,
                 random=context.random,
+                load_probes=self._gossip.load_probes,
             ),
         )
         peer_requests = PeerRequestHandler(
--- a/libs/sidecar/src/verbenamill_sidecar/datagrams.py
+++ b/libs/sidecar/src/verbenamill_sidecar/datagrams.py
@@ -109,15 +109,24 @@
 
 
 class Ask(Struct, tag='a', array_like=True):
-    """Probes whether the receiver is alive."""
+    """Probes whether the receiver is alive.
+
+    :param wants_load: whether the sender is about to place a request.
+    """
 
     sender: VmId
+    wants_load: bool = False
 
 
 class Alive(Struct, tag='l', array_like=True):
-    """Answers a probe."""
+    """Answers a probe.
+
+    :param load: number of requests running and queued, if it was asked for;
+        otherwise -1.
+    """
 
     sender: VmId
+    load: int = -1
 
 
 class Tallies(Struct, tag='t', array_like=True):
--- a/libs/sidecar/src/verbenamill_sidecar/gossip.py
+++ b/libs/sidecar/src/verbenamill_sidecar/gossip.py
@@ -45,6 +45,7 @@
 from verbenamill_sidecar.dissemination import Dissemination
 from verbenamill_sidecar.distribution import DistributionTree
 from verbenamill_sidecar.liveness import LivenessMonitor
+from verbenamill_sidecar.load_probes import LoadProbes
 from verbenamill_sidecar.peers import Peer, Peers
 from verbenamill_sidecar.reconciliation import Reconciliation
 from verbenamill_sidecar.store_follower import Follower
@@ -85,6 +86,8 @@
     :param follower: receives the version stamps of other daemons.
     :param on_tally: called with each tally of another owner.
     :param gate: holds the requests that are suspected of crashing upstreams.
+    :param own_load: returns the number of requests running and queued here.
+    :ivar load_probes: asks other daemons for their load.
     :ivar peer_state_received: set once another daemon has sent its state, or
         :data:`PEER_STATE_TIMEOUT` after the start.
     :ivar peer_heard: set once any datagram of another daemon has arrived.
@@ -103,7 +106,10 @@
         tree: DistributionTree,
         on_tally: Callable[[Tally], None],
         gate: SuspectGate,
+        own_load: Callable[[], int],
     ) -> None:
+        self._own_load = own_load
+        self.load_probes = LoadProbes(self._ask_for_load, random)
         self._table = table
         self._peers = peers
         self._desired_state = desired_state
@@ -242,6 +248,9 @@
         """Send a tally of this daemon to the decider of a move."""
         self._send(peer.record, Tallies([tally]))
 
+    def _ask_for_load(self, peer: Peer) -> None:
+        self._send(peer.record, Ask(self.own.vm, wants_load=True))
+
     async def _run_dissemination(self) -> None:
         while True:
             await trio.sleep(RUMOR_PERIOD)
@@ -293,9 +302,11 @@
                     )
                     self._introduce(message.sender, source)
                 else:
-                    self._send(sender, Alive(self.own.vm))
+                    load = self._own_load() if message.wants_load else -1
+                    self._send(sender, Alive(self.own.vm, load))
             case Alive():
                 self._mark_alive(message.sender)
+                self._record_load(message)
             case Notice():
                 self._handle_notice(message, source)
             case _:
@@ -306,6 +317,11 @@
         if peer is not None:
             peer.mark_alive()
 
+    def _record_load(self, message: Alive) -> None:
+        peer = self._peers.get(message.sender)
+        if peer is not None and message.load >= 0:
+            self.load_probes.record(peer, message.load)
+
     def _handle_notice(self, message: Notice, source: Address) -> None:
         self._mark_alive(message.sender)
         if self._table.get(message.sender) is None:
--- a/libs/sidecar/src/verbenamill_sidecar/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/ingress.py
@@ -44,6 +44,9 @@
 #: Most owners that are asked in turn while each refuses. Each costs a round
 #: trip, and if three have no room, the whole service is taken to be full.
 MAX_OWNERS_ASKED = 3
+#: Age from which on the load of an owner is asked for, in mean service times
+#: of the route.
+_MAX_LOAD_AGE = 0.3
 #: Least time to the deadline for a retry, in mean service times of the route.
 _MIN_RETRY_TIME = 0.8
 
@@ -140,7 +143,7 @@
     ) -> None:
         """Make attempts until one has a final outcome or none is left."""
         while True:
-            peer = self._choose_next_owner(call, attempts, budget, race)
+            peer = await self._choose_next_owner(call, attempts, budget, race)
             if peer is not None:
                 attempts.record_start(peer)
                 race.start(peer, partial(self._attempt, call, peer))
@@ -164,7 +167,7 @@
             if decides and self._is_final(call, ended[1]):
                 return
 
-    def _choose_next_owner(
+    async def _choose_next_owner(
         self,
         call: Call,
         attempts: Attempts,
@@ -184,7 +187,7 @@
         may_try = attempts.owners_asked < MAX_OWNERS_ASKED + seen
         if not may_try or (seen and not self._can_repeat(call, seen)):
             return None
-        peer = self._choose_owner(call, attempts)
+        peer = await self._choose_owner(call, attempts)
         if seen and peer is not None:
             has_run = attempts.has_run or race.in_progress > 0
             if not budget.take(has_run=has_run):
@@ -192,7 +195,9 @@
             self._context.stats.retries += 1
         return peer
 
-    def _choose_owner(self, call: Call, attempts: Attempts) -> Peer | None:
+    async def _choose_owner(
+        self, call: Call, attempts: Attempts
+    ) -> Peer | None:
         context = self._context
         peers = context.peers.for_service(call.service)
         if context.peers.is_evacuated(call.service):
@@ -200,23 +205,65 @@
             return None
         shares = context.shares(call.service)
         if shares.target is None:
-            return self._pick_owner(call, peers, attempts)
+            return await self._pick_owner(call, peers, attempts)
         chosen = self._filter_version(call, peers, shares, attempts)
-        peer = self._pick_owner(call, chosen, attempts)
+        peer = await self._pick_owner(call, chosen, attempts)
         if peer is None and attempts.wants_target and 0 < shares.share < 1:
             # The target version has no room, so the old version is used.
             attempts.wants_target = False
             others = filter_by_version(peers, shares, target=False)
-            peer = self._pick_owner(call, others, attempts)
+            peer = await self._pick_owner(call, others, attempts)
         return peer
 
-    def _pick_owner(
+    async def _pick_owner(
+        self,
+        call: Call,
+        peers: list[Peer],
+        attempts: Attempts,
+    ) -> Peer | None:
+        """Choose the best of these owners; ``None`` if none is in time.
+
+        Another daemon is chosen by its load at this moment: a few of those
+        in this zone are asked for it.
+        """
+        peer = self._pick_by_estimate(call, peers, attempts)
+        if peer is None or not self._should_ask(call, peer):
+            return peer
+        near = [one for one in peers if self._may_ask(call, one, attempts)]
+        if len(near) <= 1:
+            return peer
+        asked = await self._context.load_probes.refresh(near)
+        skipped = {one.record.vm for one in near}
+        skipped.difference_update(one.record.vm for one in asked)
+        candidates = [one for one in peers if one.record.vm not in skipped]
+        return self._pick_by_estimate(call, candidates, attempts)
+
+    def _should_ask(self, call: Call, peer: Peer) -> bool:
+        """Whether the load of the chosen owner is only guessed."""
+        if self._context.peers.is_own(peer):
+            return False
+        age = trio.current_time() - peer.owner.load_reported_at
+        mean_time = self._route_statistics.mean_service_time(call.route)
+        return age > _MAX_LOAD_AGE * mean_time
+
+    def _may_ask(self, call: Call, peer: Peer, attempts: Attempts) -> bool:
+        context = self._context
+        now = trio.current_time()
+        return (
+            peer.record.availability_zone == context.availability_zone
+            and not context.peers.is_own(peer)
+            and peer.record.vm not in attempts.tried_vms
+            and peer.owner.down_until <= now
+            and peer.owner.limit_ready_at(call.route.priority) <= now
+        )
+
+    def _pick_by_estimate(
         self,
         call: Call,
         peers: list[Peer],
         attempts: Attempts,
     ) -> Peer | None:
-        """Choose the best of these owners; ``None`` if none is in time."""
+        """Choose the best of these owners by what is known of them."""
         context = self._context
         now = trio.current_time()
         by_owner: dict[OwnerEstimate, Peer] = {
--- a/libs/sidecar/src/verbenamill_sidecar/ingress_context.py
+++ b/libs/sidecar/src/verbenamill_sidecar/ingress_context.py
@@ -9,6 +9,7 @@
 from verbenamill_policy.rollouts import Shares
 from verbenamill_policy.routes import RouteTable
 from verbenamill_sidecar.local_upstream import LocalUpstream
+from verbenamill_sidecar.load_probes import LoadProbes
 from verbenamill_sidecar.peers import Peers
 from verbenamill_sidecar.protocol import HeaderNames
 from verbenamill_sidecar.stats import CallStats
@@ -20,6 +21,7 @@
 
     :param table: returns the routes in force; ``None`` before any are known.
     :param shares: returns how a service is split between its versions.
+    :param load_probes: asks other daemons for their load.
     :param gate: holds the requests during which upstreams crashed.
     :param origin: service of this VM.
     :param sender: identifies this daemon and its incarnation to other daemons.
@@ -36,6 +38,7 @@
     sender: str
     availability_zone: AvailabilityZone
     random: Random
+    load_probes: LoadProbes
 
     @property
     def version(self) -> int | None:
--- a/libs/sidecar/tests/test_gossip.py
+++ b/libs/sidecar/tests/test_gossip.py
@@ -64,6 +64,7 @@
             tree=DistributionTree(self.table, vm),
             on_tally=lambda tally: None,
             gate=SuspectGate(Quarantine(), wall=lambda: 0),
+            own_load=lambda: 0,
         )
         self.gossip.bind(parse_address(record.gossip))
 
--- a/libs/sidecar/tests/test_silence.py
+++ b/libs/sidecar/tests/test_silence.py
@@ -45,6 +45,7 @@
             tree=DistributionTree(table, 'vm0'),
             on_tally=lambda _: None,
             gate=SuspectGate(Quarantine(), wall=lambda: 0),
+            own_load=lambda: 0,
         )
         self.gossip.bind(parse_address(own.gossip))
         table.merge(make_record('vm1', ports[1]))
