--- a/deploy/tests/test_adapter.py
+++ b/deploy/tests/test_adapter.py
@@ -7,8 +7,8 @@
 
 from verbenamill_model.typing import UpstreamState
 from verbenamill_platform import read_announcement
+from verbenamill_platform.configurations import decode_configuration
 from verbenamill_platform.documents import (
-    decode_configuration,
     decode_order,
     decode_settled_order,
     encode_settled_order,
--- a/deploy/tests/test_failures.py
+++ b/deploy/tests/test_failures.py
@@ -6,8 +6,8 @@
 from verbenamill_platform.store import LONG_POLL_GRACE
 from verbenamill_platform_standins.http_server import HttpResponse
 from verbenamill_policy.routes import RouteKind
-from verbenamill_sidecar.hop import HopCall, encode_hop
-from verbenamill_sidecar.store_follower import LONG_POLL_TIMEOUT
+from verbenamill_sidecar.routing.hop import HopCall, encode_hop
+from verbenamill_sidecar.state.store_follower import LONG_POLL_TIMEOUT
 
 
 def sealed_response(id, body=b'whole'):
--- a/deploy/tests/test_invalid_input.py
+++ b/deploy/tests/test_invalid_input.py
@@ -10,13 +10,13 @@
 from trio.testing import MockClock
 
 from verbenamill_http.addresses import Address
+from verbenamill_platform.configurations import decode_configuration
 from verbenamill_platform.documents import (
-    decode_configuration,
     decode_order,
     decode_settled_order,
 )
 from verbenamill_policy.routes import RouteTable, SplitCounter
-from verbenamill_sidecar.datagrams import Message, decode_message
+from verbenamill_sidecar.membership.datagrams import Message, decode_message
 
 COLUMNS = (
     'name',
--- a/deploy/tests/test_store_calls.py
+++ b/deploy/tests/test_store_calls.py
@@ -6,7 +6,7 @@
 from trio.testing import MockClock
 
 from verbenamill_platform_standins.store import PAGE_SIZE
-from verbenamill_sidecar.distribution import READING_ZONES
+from verbenamill_sidecar.state.distribution import READING_ZONES
 from verbenamill_sidecar.protocol import StorePurpose
 
 ZONES = ('z1', 'z2', 'z3', 'z4')
--- a/deploy/tests/test_suspicion.py
+++ b/deploy/tests/test_suspicion.py
@@ -8,11 +8,16 @@
 from verbenamill_http.client import ClientResponse
 from verbenamill_platform_standins.http_server import HttpResponse
 from verbenamill_policy.placement import INITIAL_BACKOFF
-from verbenamill_sidecar import ingress as ingress_module
-from verbenamill_sidecar.call import ExecutionStatus, Outcome, not_run, unknown
-from verbenamill_sidecar.forwarding import forward_call
-from verbenamill_sidecar.liveness import PROBE_PERIOD
-from verbenamill_sidecar.peers import SUSPECT_AFTER
+from verbenamill_sidecar.routing import ingress as ingress_module
+from verbenamill_sidecar.routing.call import (
+    ExecutionStatus,
+    Outcome,
+    not_run,
+    unknown,
+)
+from verbenamill_sidecar.routing.forwarding import forward_call
+from verbenamill_sidecar.membership.liveness import PROBE_PERIOD
+from verbenamill_sidecar.membership.peers import SUSPECT_AFTER
 
 
 def drop_datagrams_of(vm):
--- a/libs/cli/src/verbenamill_cli/fleet.py
+++ b/libs/cli/src/verbenamill_cli/fleet.py
@@ -15,9 +15,9 @@
 from verbenamill_policy.limits import RateLimit
 from verbenamill_policy.members import MemberRecord
 from verbenamill_policy.rollouts import Order, SettledOrder
-from verbenamill_sidecar.desired_state import StateSnapshot
+from verbenamill_sidecar.state.desired_state import StateSnapshot
 from verbenamill_sidecar.protocol import PublishedRecords, Store, StoreFault
-from verbenamill_sidecar.snapshot_client import fetch_snapshot
+from verbenamill_sidecar.state.snapshot_client import fetch_snapshot
 
 #: Timeouts of one query of a daemon, and of the connection to it, in seconds.
 DAEMON_TIMEOUT_S = 2.0
--- a/libs/policy/src/verbenamill_policy/admission.py
+++ b/libs/policy/src/verbenamill_policy/admission.py
@@ -190,7 +190,9 @@
         """
         if is_cold is not self._is_cold:
             self._is_cold = is_cold
-            self.times, self._other_times = self._other_times, self.times
+            previous_times = self.times
+            self.times = self._other_times
+            self._other_times = previous_times
 
     def record_resend(self, now: float) -> None:
         """Charge the rate limit for a request that is sent a second time."""
--- a/libs/sidecar/src/verbenamill_sidecar/daemon.py
+++ b/libs/sidecar/src/verbenamill_sidecar/daemon.py
@@ -25,31 +25,31 @@
 )
 from verbenamill_policy.quarantine import Quarantine
 from verbenamill_policy.routes import ServiceProperties
-from verbenamill_sidecar.announcements import Announcements
-from verbenamill_sidecar.desired_state import DesiredState
-from verbenamill_sidecar.distribution import DistributionTree
-from verbenamill_sidecar.gossip import Gossip
+from verbenamill_sidecar.upstream.announcements import Announcements
+from verbenamill_sidecar.state.desired_state import DesiredState
+from verbenamill_sidecar.state.distribution import DistributionTree
+from verbenamill_sidecar.membership.gossip import Gossip
 from verbenamill_sidecar.health import Health
-from verbenamill_sidecar.ingress import Ingress
-from verbenamill_sidecar.ingress_context import IngressContext
-from verbenamill_sidecar.local_upstream import (
+from verbenamill_sidecar.routing.ingress import Ingress
+from verbenamill_sidecar.routing.ingress_context import IngressContext
+from verbenamill_sidecar.upstream.local_upstream import (
     LocalUpstream,
     LocalUpstreamContext,
 )
-from verbenamill_sidecar.own_zone import OwnZone
-from verbenamill_sidecar.peer_requests import PeerRequestHandler
-from verbenamill_sidecar.peers import Peers
+from verbenamill_sidecar.state.own_zone import OwnZone
+from verbenamill_sidecar.routing.peer_requests import PeerRequestHandler
+from verbenamill_sidecar.membership.peers import Peers
 from verbenamill_sidecar.protocol import (
     AnnouncementParser,
     HeaderNames,
     Store,
 )
-from verbenamill_sidecar.registration import Registrar
-from verbenamill_sidecar.rollout_controller import RolloutController
+from verbenamill_sidecar.membership.registration import Registrar
+from verbenamill_sidecar.state.rollout_controller import RolloutController
 from verbenamill_sidecar.settings import Settings
 from verbenamill_sidecar.stats import CallStats
-from verbenamill_sidecar.store_follower import Follower
-from verbenamill_sidecar.suspects import SuspectGate
+from verbenamill_sidecar.state.store_follower import Follower
+from verbenamill_sidecar.quarantine.suspects import SuspectGate
 from verbenamill_telemetry import Event, log
 
 #: Time for which a stopping daemon goes on serving until callers and other
@@ -363,7 +363,7 @@
                 # other daemons understand.
                 await self._daemon_server.shut_down(reject_late=False)
         if self._own_upstream.in_flight:
-            self._own_upstream.cancel_running()
+            self._own_upstream.exchange.cancel_running()
             await trio.sleep(_FINAL_ANSWERS_TIME)
 
     async def _finish_callers(self) -> None:
@@ -376,7 +376,10 @@
     def _is_nested(self, head: RequestHead) -> bool:
         """Whether a request is made by one that the local upstream runs."""
         id = get_header(head.headers, self._context.names.request_id)
-        return id is not None and self._own_upstream.find_parent(id) is not None
+        return (
+            id is not None
+            and self._own_upstream.exchange.find_parent(id) is not None
+        )
 
     def _publish_upstream(self) -> None:
         self._gossip.update_own(
@@ -481,7 +484,7 @@
             ),
             'upstream_crashes': (
                 'Crashes of the upstream since the start.',
-                self._own_upstream.crashes.count,
+                self._own_upstream.exchange.crashes.count,
             ),
             'requests_suspected': (
                 'Requests under which upstreams crashed, blocked or not.',
--- a/libs/sidecar/src/verbenamill_sidecar/health.py
+++ b/libs/sidecar/src/verbenamill_sidecar/health.py
@@ -4,7 +4,7 @@
 from http import HTTPStatus
 
 from verbenamill_http.server import Request, Response
-from verbenamill_sidecar.responses import error_response
+from verbenamill_sidecar.routing.responses import error_response
 
 METRICS_PATH = b'/metrics'
 
--- /dev/null
+++ b/libs/sidecar/src/verbenamill_sidecar/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which daemons there are, and what they tell each other."""
--- a/libs/sidecar/src/verbenamill_sidecar/gossip.py
+++ b/libs/sidecar/src/verbenamill_sidecar/membership/gossip.py
@@ -1,7 +1,8 @@
 """Gossip between daemons over UDP: membership, progress of moves, suspects.
 
-:mod:`~verbenamill_sidecar.dissemination` spreads updates as rumors, and
-:mod:`~verbenamill_sidecar.reconciliation` finds what rumors missed. This
+:mod:`~verbenamill_sidecar.membership.dissemination` spreads updates as
+rumors, and :mod:`~verbenamill_sidecar.membership.reconciliation` finds what
+rumors missed. This
 module owns the socket, the timers and the dispatch of received messages.
 """
 
@@ -25,7 +26,7 @@
 from verbenamill_policy.rollouts import Progress, SettledOrder
 from verbenamill_policy.rumors import Neighbours
 from verbenamill_policy.tallies import Tally
-from verbenamill_sidecar.datagrams import (
+from verbenamill_sidecar.membership.datagrams import (
     Ages,
     Alive,
     Ask,
@@ -41,16 +42,16 @@
     decode_message,
     encode_message,
 )
-from verbenamill_sidecar.desired_state import DesiredState
-from verbenamill_sidecar.dissemination import Dissemination
-from verbenamill_sidecar.distribution import DistributionTree
-from verbenamill_sidecar.liveness import LivenessMonitor
-from verbenamill_sidecar.load_probes import LoadProbes
-from verbenamill_sidecar.peers import Peer, Peers
-from verbenamill_sidecar.reconciliation import Reconciliation
-from verbenamill_sidecar.store_follower import Follower
-from verbenamill_sidecar.suspects import SuspectGate
-from verbenamill_sidecar.traffic import Traffic
+from verbenamill_sidecar.state.desired_state import DesiredState
+from verbenamill_sidecar.membership.dissemination import Dissemination
+from verbenamill_sidecar.state.distribution import DistributionTree
+from verbenamill_sidecar.membership.liveness import LivenessMonitor
+from verbenamill_sidecar.routing.load_probes import LoadProbes
+from verbenamill_sidecar.membership.peers import Peer, Peers
+from verbenamill_sidecar.membership.reconciliation import Reconciliation
+from verbenamill_sidecar.state.store_follower import Follower
+from verbenamill_sidecar.quarantine.suspects import SuspectGate
+from verbenamill_sidecar.membership.traffic import Traffic
 from verbenamill_telemetry import Event, log
 
 #: Interval between rounds of rumors, in seconds.
--- a/libs/sidecar/src/verbenamill_sidecar/liveness.py
+++ b/libs/sidecar/src/verbenamill_sidecar/membership/liveness.py
@@ -6,7 +6,7 @@
 
 from verbenamill_model.typing import AvailabilityZone, VmId
 from verbenamill_policy.members import MemberRecord
-from verbenamill_sidecar.peers import PROBE_AFTER, Peer, Peers
+from verbenamill_sidecar.membership.peers import PROBE_AFTER, Peer, Peers
 from verbenamill_telemetry import Event, log
 
 #: Interval between checks of the daemons that owe an answer, in seconds.
--- a/libs/sidecar/src/verbenamill_sidecar/reconciliation.py
+++ b/libs/sidecar/src/verbenamill_sidecar/membership/reconciliation.py
@@ -20,7 +20,7 @@
 )
 from verbenamill_policy.quarantine import Quarantine, Suspect
 from verbenamill_policy.rumors import Neighbours
-from verbenamill_sidecar.datagrams import (
+from verbenamill_sidecar.membership.datagrams import (
     Ages,
     Digests,
     RecordRevision,
@@ -29,8 +29,8 @@
     Summary,
     Wanted,
 )
-from verbenamill_sidecar.desired_state import DesiredState
-from verbenamill_sidecar.dissemination import (
+from verbenamill_sidecar.state.desired_state import DesiredState
+from verbenamill_sidecar.membership.dissemination import (
     Send,
     pack_suspects,
     split_records,
--- a/libs/sidecar/src/verbenamill_sidecar/traffic.py
+++ b/libs/sidecar/src/verbenamill_sidecar/membership/traffic.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from typing import NamedTuple
 
-from verbenamill_sidecar.datagrams import Message
+from verbenamill_sidecar.membership.datagrams import Message
 
 
 class TrafficKind(NamedTuple):
--- a/libs/sidecar/src/verbenamill_sidecar/metrics.py
+++ b/libs/sidecar/src/verbenamill_sidecar/metrics.py
@@ -16,7 +16,7 @@
 
 from verbenamill_sidecar.protocol import StorePurpose
 from verbenamill_sidecar.stats import LATENCY_BOUNDS, CallStats
-from verbenamill_sidecar.traffic import Traffic
+from verbenamill_sidecar.membership.traffic import Traffic
 
 
 #: Help text and value of each gauge, by name.
--- /dev/null
+++ b/libs/sidecar/src/verbenamill_sidecar/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Requests under which upstreams crash."""
--- a/libs/sidecar/src/verbenamill_sidecar/suspects.py
+++ b/libs/sidecar/src/verbenamill_sidecar/quarantine/suspects.py
@@ -14,7 +14,7 @@
     QuarantineStatus,
     Suspect,
 )
-from verbenamill_sidecar.call import Call
+from verbenamill_sidecar.routing.call import Call
 from verbenamill_telemetry import Event, log
 
 #: Reason that callers and other daemons get for a blocked request.
--- a/libs/sidecar/src/verbenamill_sidecar/attempts.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/attempts.py
@@ -2,8 +2,8 @@
 
 from verbenamill_http.client import ClientResponse
 from verbenamill_model.typing import VmId
-from verbenamill_sidecar.call import ExecutionStatus, Outcome
-from verbenamill_sidecar.peers import Peer
+from verbenamill_sidecar.routing.call import ExecutionStatus, Outcome
+from verbenamill_sidecar.membership.peers import Peer
 
 #: Reason of a refusal because the limits of all upstreams are reached.
 AT_LIMIT = 'the upstream is at its limit'
--- a/libs/sidecar/src/verbenamill_sidecar/call_reader.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/call_reader.py
@@ -11,10 +11,10 @@
 from verbenamill_http.server import Request, Response
 from verbenamill_model.typing import ServiceName
 from verbenamill_policy.routes import Route, SplitCounter
-from verbenamill_sidecar.call import Call
-from verbenamill_sidecar.ingress_context import IngressContext
-from verbenamill_sidecar.route_statistics import RouteStatistics
-from verbenamill_sidecar.responses import (
+from verbenamill_sidecar.routing.call import Call
+from verbenamill_sidecar.routing.ingress_context import IngressContext
+from verbenamill_sidecar.routing.route_statistics import RouteStatistics
+from verbenamill_sidecar.routing.responses import (
     error_response,
     retry_later_response,
     validate_head,
@@ -58,7 +58,7 @@
             return error_response(HTTPStatus.NOT_FOUND, _NOT_FOUND)
         arrived = request.received_at
         id = get_header(head.headers, names.request_id) or b''
-        parent = self._context.own.find_parent(id)
+        parent = self._context.own.exchange.find_parent(id)
         if parent is not None:
             self._record_nested(parent, route)
         deadline_ms = self._read_deadline_ms(head)
--- a/libs/sidecar/src/verbenamill_sidecar/hop.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/hop.py
@@ -20,7 +20,7 @@
 from verbenamill_policy.limits import RateLimit
 from verbenamill_policy.quarantine import CrashId
 from verbenamill_policy.routes import RouteKind
-from verbenamill_sidecar.call import ExecutionStatus, Outcome
+from verbenamill_sidecar.routing.call import ExecutionStatus, Outcome
 
 CALL_HEADER = b'verbenamill-call'
 OWNER_HEADER = b'verbenamill-owner'
--- a/libs/sidecar/src/verbenamill_sidecar/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/ingress.py
@@ -15,26 +15,30 @@
     find_limit_wait,
 )
 from verbenamill_policy.rollouts import Shares, VersionCounter
-from verbenamill_sidecar.attempts import Attempts
-from verbenamill_sidecar.call import (
+from verbenamill_sidecar.routing.attempts import Attempts
+from verbenamill_sidecar.routing.call import (
     RETRIABLE_STATUSES,
     Call,
     ExecutionStatus,
     Outcome,
     not_run,
 )
-from verbenamill_sidecar.call_reader import CallReader
-from verbenamill_sidecar.forwarding import forward_call
-from verbenamill_sidecar.ingress_context import IngressContext
-from verbenamill_sidecar.route_statistics import RouteStatistics
-from verbenamill_sidecar.peers import Peer, SuspicionCallback, filter_by_version
-from verbenamill_sidecar.racing import Race
-from verbenamill_sidecar.responses import (
+from verbenamill_sidecar.routing.call_reader import CallReader
+from verbenamill_sidecar.routing.forwarding import forward_call
+from verbenamill_sidecar.routing.ingress_context import IngressContext
+from verbenamill_sidecar.routing.route_statistics import RouteStatistics
+from verbenamill_sidecar.membership.peers import (
+    Peer,
+    SuspicionCallback,
+    filter_by_version,
+)
+from verbenamill_sidecar.routing.racing import Race
+from verbenamill_sidecar.routing.responses import (
     blocked_response,
     error_response,
     retry_later_response,
 )
-from verbenamill_sidecar.suspects import (
+from verbenamill_sidecar.quarantine.suspects import (
     BLOCKED_REASON,
     AdmissionDecision,
     identify,
@@ -96,7 +100,7 @@
 
     def _update_parent(self, call: Call, status: int, *, blocked: bool) -> None:
         """Record the result of a nested call at the request that made it."""
-        parent = self._context.own.find_parent(call.id)
+        parent = self._context.own.exchange.find_parent(call.id)
         if parent is None:
             return
         if status >= _FIRST_SERVER_ERROR:
@@ -175,9 +179,7 @@
         race: Race,
     ) -> Peer | None:
         """Choose the next owner; ``None`` if no attempt is to be made now."""
-        if not race.all_suspected or attempts.fails_everywhere:
-            return None
-        if race.in_progress and not call.is_idempotent:
+        if not _may_start_another(call, attempts, race):
             return None
         if self._route_statistics.is_hopeless(call, trio.current_time()):
             attempts.record_unavailable('too little time is left', wait=0)
@@ -247,14 +249,17 @@
         return age > _MAX_LOAD_AGE * mean_time
 
     def _may_ask(self, call: Call, peer: Peer, attempts: Attempts) -> bool:
-        context = self._context
-        now = trio.current_time()
+        if peer.record.vm in attempts.tried_vms:
+            return False
+        if peer.record.availability_zone != self._context.availability_zone:
+            return False
+        owner = peer.owner
+        ready_at = max(
+            owner.down_until, owner.limit_ready_at(call.route.priority)
+        )
         return (
-            peer.record.availability_zone == context.availability_zone
-            and not context.peers.is_own(peer)
-            and peer.record.vm not in attempts.tried_vms
-            and peer.owner.down_until <= now
-            and peer.owner.limit_ready_at(call.route.priority) <= now
+            ready_at <= trio.current_time()
+            and not self._context.peers.is_own(peer)
         )
 
     def _pick_by_estimate(
@@ -441,6 +446,13 @@
         )
 
 
+def _may_start_another(call: Call, attempts: Attempts, race: Race) -> bool:
+    """Whether the attempts so far leave room for another one."""
+    if not race.all_suspected or attempts.fails_everywhere:
+        return False
+    return call.is_idempotent or not race.in_progress
+
+
 def _is_conclusive(outcome: Outcome) -> bool:
     """Whether the answer cannot be improved by another upstream."""
     answer = outcome.answer
--- a/libs/sidecar/src/verbenamill_sidecar/ingress_context.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/ingress_context.py
@@ -8,12 +8,12 @@
 from verbenamill_model.typing import AvailabilityZone, ServiceName
 from verbenamill_policy.rollouts import Shares
 from verbenamill_policy.routes import RouteTable
-from verbenamill_sidecar.local_upstream import LocalUpstream
-from verbenamill_sidecar.load_probes import LoadProbes
-from verbenamill_sidecar.peers import Peers
+from verbenamill_sidecar.upstream.local_upstream import LocalUpstream
+from verbenamill_sidecar.routing.load_probes import LoadProbes
+from verbenamill_sidecar.membership.peers import Peers
 from verbenamill_sidecar.protocol import HeaderNames
 from verbenamill_sidecar.stats import CallStats
-from verbenamill_sidecar.suspects import SuspectGate
+from verbenamill_sidecar.quarantine.suspects import SuspectGate
 
 
 class IngressContext(Struct, frozen=True, kw_only=True):
--- a/libs/sidecar/src/verbenamill_sidecar/load_probes.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/load_probes.py
@@ -6,7 +6,7 @@
 import trio
 
 from verbenamill_model.typing import VmId
-from verbenamill_sidecar.peers import Peer
+from verbenamill_sidecar.membership.peers import Peer
 
 #: Number of owners asked for one request. With the best of a few random ones,
 #: queues stay nearly as short as with the best of all.
--- a/libs/sidecar/src/verbenamill_sidecar/route_statistics.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/route_statistics.py
@@ -7,7 +7,7 @@
 from verbenamill_policy.retry_detection import RetryDetector
 from verbenamill_policy.routes import Route
 from verbenamill_policy.service_times import ServiceTimes, is_hopeless
-from verbenamill_sidecar.call import (
+from verbenamill_sidecar.routing.call import (
     RETRIABLE_STATUSES,
     Call,
     ExecutionStatus,
--- /dev/null
+++ b/libs/sidecar/src/verbenamill_sidecar/state/__init__.py
@@ -0,0 +1,1 @@
+"""What operators have published, and who applies it."""
--- a/libs/sidecar/src/verbenamill_sidecar/rollout_controller.py
+++ b/libs/sidecar/src/verbenamill_sidecar/state/rollout_controller.py
@@ -21,10 +21,10 @@
     Verdict,
 )
 from verbenamill_policy.tallies import Tally
-from verbenamill_sidecar.desired_state import DesiredState
-from verbenamill_sidecar.gossip import Gossip
-from verbenamill_sidecar.local_upstream import LocalUpstream
-from verbenamill_sidecar.peers import Peer, Peers
+from verbenamill_sidecar.state.desired_state import DesiredState
+from verbenamill_sidecar.membership.gossip import Gossip
+from verbenamill_sidecar.upstream.local_upstream import LocalUpstream
+from verbenamill_sidecar.membership.peers import Peer, Peers
 from verbenamill_sidecar.protocol import ReportedVerdicts, Store
 from verbenamill_telemetry import Event, log
 
--- /dev/null
+++ b/libs/sidecar/src/verbenamill_sidecar/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""The upstream beside this daemon: announcements, slots and limits."""
--- a/libs/sidecar/src/verbenamill_sidecar/announcements.py
+++ b/libs/sidecar/src/verbenamill_sidecar/upstream/announcements.py
@@ -8,13 +8,13 @@
 from verbenamill_http.server import Request, Response
 from verbenamill_model.typing import UpstreamState
 from verbenamill_policy.heartbeats import Heartbeat, HeartbeatResult
-from verbenamill_sidecar.local_upstream import LocalUpstream
+from verbenamill_sidecar.upstream.local_upstream import LocalUpstream
 from verbenamill_sidecar.protocol import (
     AnnouncementParser,
     InvalidAnnouncement,
     LeaveAnnouncement,
 )
-from verbenamill_sidecar.responses import error_response
+from verbenamill_sidecar.routing.responses import error_response
 from verbenamill_telemetry import Event, log
 
 
--- a/libs/sidecar/src/verbenamill_sidecar/local_upstream.py
+++ b/libs/sidecar/src/verbenamill_sidecar/upstream/local_upstream.py
@@ -7,8 +7,6 @@
 from msgspec import Struct
 
 from verbenamill_http.addresses import Address
-from verbenamill_http.client import ClientResponse, ExchangeFailure
-from verbenamill_http.messages import get_header
 from verbenamill_model.typing import (
     ServiceName,
     UpstreamState,
@@ -23,7 +21,6 @@
     ColdStartMargin,
     ColdStartTracker,
 )
-from verbenamill_policy.fingerprints import Fingerprint
 from verbenamill_policy.heartbeats import (
     Heartbeat,
     HeartbeatResult,
@@ -32,39 +29,27 @@
 from verbenamill_policy.limits import RateLimit
 from verbenamill_policy.members import UpstreamRecord
 from verbenamill_policy.nested_calls import NestedCall, NestedCallTracker
-from verbenamill_policy.quarantine import CrashId
 from verbenamill_policy.routes import ServiceProperties
 from verbenamill_policy.tallies import UpstreamCounts
-from verbenamill_sidecar.attempts import AT_LIMIT
-from verbenamill_sidecar.call import (
+from verbenamill_sidecar.routing.attempts import AT_LIMIT
+from verbenamill_sidecar.routing.call import (
     Call,
-    ExecutionStatus,
     Outcome,
     not_run,
-    unknown,
 )
-from verbenamill_sidecar.cold_start_probe import ColdStartProbe
-from verbenamill_sidecar.crashing import CrashDetector
-from verbenamill_sidecar.in_band import read_signals
-from verbenamill_sidecar.rate_limiting import UpstreamRateLimiter
+from verbenamill_sidecar.upstream.cold_start_probe import ColdStartProbe
+from verbenamill_sidecar.upstream.exchange import (
+    ExchangeContext,
+    UpstreamExchange,
+)
+from verbenamill_sidecar.upstream.rate_limiting import UpstreamRateLimiter
 from verbenamill_sidecar.protocol import HeaderNames, LeaveAnnouncement
-from verbenamill_sidecar.suspects import (
+from verbenamill_sidecar.quarantine.suspects import (
     BLOCKED_REASON,
-    RequestIdentity,
     SuspectGate,
 )
-from verbenamill_sidecar.upstream_link import UpstreamLink, max_idle_of
-from verbenamill_telemetry import Event, log
-
-#: If a reused connection fails within this time in seconds, it is taken to have
-#: been closed before the request was sent.
-_STALE_CONNECTION_TIME = 0.02
-#: Least time to the deadline with which a request is sent, in seconds.
-_MIN_TIME_LEFT = 0.002
-#: Retry delay after a refusal by an upstream with free slots, in seconds. There
-#: is no queue to wait for; a caller that retries after this delay can still
-#: meet its objective.
-_REFUSAL_RETRY_DELAY = 0.01
+from verbenamill_sidecar.upstream.upstream_link import UpstreamLink
+
 #: Retry delay if a nested service is at capacity, in seconds. By then half of
 #: its recorded refusals have expired, so that new requests are tried again.
 _FULL_SERVICE_RETRY_DELAY = 0.25
@@ -75,11 +60,6 @@
 _ACCEPTED = (HeartbeatResult.CHANGED, HeartbeatResult.UNCHANGED)
 _UNKNOWN_PROPERTIES = ServiceProperties()
 _MS_PER_SECOND = 1000
-_MISDIRECTED = 421
-_GATEWAY_TIMEOUT = 504
-_SERVER_ERROR = 500
-_UNAVAILABLE = 503
-_FIRST_NON_SUCCESS = 300
 
 
 class LocalUpstreamContext(Struct, frozen=True, kw_only=True):
@@ -119,9 +99,6 @@
         self._context = context
         self._admission = Admission(slots=1)
         self._start_id = ('', 0)
-        self._running_calls: dict[bytes, Call] = {}
-        self._running_scopes: set[trio.CancelScope] = set()
-        self._is_cancelling = False
         self._cold_starts = ColdStartTracker(
             lambda: self._properties().cold_start, context.cold_start_margin
         )
@@ -131,8 +108,22 @@
             on_limit_change=context.on_change,
             wall_ms=context.wall_ms,
         )
-        self._link = UpstreamLink(context.address, context.names)
-        self._pool = self._link.pool
+        link = UpstreamLink(context.address, context.names)
+        self._pool = link.pool
+        self.exchange = UpstreamExchange(
+            ExchangeContext(
+                names=context.names,
+                link=link,
+                register=self.register,
+                limits=self.limits,
+                counts=self.counts,
+                nested_calls=self.nested_calls,
+                gate=context.gate,
+                is_cold=self._cold_starts.is_cold,
+                on_change=self._apply_change,
+                on_unreachable=self._mark_unreachable,
+            ),
+        )
         self.probe = ColdStartProbe(
             address=context.address,
             names=context.names,
@@ -142,13 +133,6 @@
             health_path=lambda _: self._properties().health_path,
             on_sign=self._apply_cold_sign,
         )
-        self.crashes = CrashDetector(
-            self.register,
-            self._pool,
-            on_unreachable=self._mark_unreachable,
-            in_flight=self._running_fingerprints,
-            on_crash_found=self._report_crash,
-        )
 
     @property
     def load(self) -> int:
@@ -214,25 +198,6 @@
         self.is_stopping = True
         self._admission.shed_all()
 
-    def cancel_running(self) -> None:
-        """Cancel all running requests at the end of a shutdown.
-
-        The process is about to be killed. If the callers are answered now,
-        they learn that the result of their requests is unknown; otherwise
-        their connections would be cut.
-        """
-        self._is_cancelling = True
-        for scope in self._running_scopes:
-            scope.cancel()
-
-    def find_parent(self, id: bytes) -> Call | None:
-        """Find the running request that makes a nested call.
-
-        The id of a nested call is the id of its parent, a dot and a suffix.
-        Calls with any other id are treated as not nested.
-        """
-        return self._running_calls.get(id.rpartition(b'.')[0])
-
     def sweep(self) -> None:
         """Close connections past their idle time; publish a changed limit."""
         self._pool.close_expired()
@@ -248,9 +213,6 @@
     ) -> Outcome:
         """Run a request on the upstream.
 
-        A request that is not idempotent isn't cancelled once it was sent, even
-        if its caller has disconnected: whether it ran would be unknown.
-
         :param instance: the upstream instance that the request is meant for.
         """
         upstream = self.register.current
@@ -310,7 +272,7 @@
         start_id = (upstream.instance, upstream.born)
         if start_id != self._start_id:
             self._start_id = start_id
-            self.crashes.record_start()
+            self.exchange.crashes.record_start()
             self._admission.shed_all()
             self._admission = Admission(slots=upstream.slots)
             self._admission.cold_starts = self._cold_starts
@@ -411,7 +373,7 @@
                 return _refuse_blocked(blocked_for)
             started = trio.current_time()
             self.probe.request_if_needed()
-            outcome = await self._send_tracked(call, upstream)
+            outcome = await self.exchange.send(call, upstream, admission)
             service_time = outcome.service_time
             return outcome
         finally:
@@ -429,21 +391,18 @@
     ) -> None:
         now = trio.current_time()
         if started is not None and service_time is None:
-            service_time = self._long_running_time(
-                admission, call, now - started
-            )
+            elapsed = now - started
+            if _is_slow(admission, call, elapsed):
+                service_time = elapsed
+                self.exchange.count(call, failed=False, service_time=elapsed)
         admission.release(admission_request, now, took=service_time)
 
     def _is_withdrawn(self, upstream: UpstreamRecord) -> bool:
         """Whether the upstream became unavailable while the request waited."""
-        current = self.register.current
-        return (
-            self.is_stopping
-            or self._context.is_evacuated()
-            or current is None
-            or current.state is not UpstreamState.READY
-            or current.instance != upstream.instance
-        )
+        if self.is_stopping or self._context.is_evacuated():
+            return True
+        ready = self._find_ready()
+        return ready is None or ready.instance != upstream.instance
 
     def _refuse_for_capacity(self, admission: Admission) -> Outcome:
         wait = admission.expected_wait(admission.waiting, trio.current_time())
@@ -455,212 +414,20 @@
         outcome.detail = f'{rate:g} requests per second'
         return outcome
 
-    def _long_running_time(
-        self,
-        admission: Admission,
-        call: Call,
-        elapsed: float,
-    ) -> float | None:
-        """Time of an abandoned request if it was slow, else ``None``."""
-        mean_service_time = admission.times.expect(
-            call.route.name,
-            objective=call.route.objective,
-        )
-        if elapsed < _SLOW_FACTOR * mean_service_time:
-            return None
-        self._count(call, failed=False, service_time=elapsed)
-        return elapsed
-
-    async def _send_tracked(
-        self,
-        call: Call,
-        upstream: UpstreamRecord,
-    ) -> Outcome:
-        """Send a request and recognise its nested calls while it runs."""
-        self._running_calls[call.id] = call
-        try:
-            return await self._send_shielded(call, upstream)
-        finally:
-            self._running_calls.pop(call.id, None)
-            self.nested_calls.record_end(call.route.name)
-
-    async def _send_shielded(
-        self,
-        call: Call,
-        upstream: UpstreamRecord,
-    ) -> Outcome:
-        outcome = None
-        with trio.CancelScope(
-            deadline=call.deadline,
-            shield=not call.is_idempotent,
-        ) as scope:
-            self._running_scopes.add(scope)
-            try:
-                outcome = await self._send(call, upstream)
-            finally:
-                self._running_scopes.discard(scope)
-        if outcome is None and self._is_cancelling:
-            return unknown('the daemon has stopped')
-        return outcome or unknown('no answer by the deadline')
-
-    async def _send(self, call: Call, upstream: UpstreamRecord) -> Outcome:
-        time_left = call.deadline - trio.current_time()
-        if time_left < _MIN_TIME_LEFT:
-            self._admission.record_unsent(trio.current_time())
-            return not_run('the deadline has passed')
-        max_idle = max_idle_of(call)
-        failure = ExchangeFailure.CONNECTION_LOST
-        was_sent = False
-        for _ in range(2):
-            connection = await self._pool.acquire(max_idle=max_idle)
-            if connection is None and not was_sent:
-                self._admission.record_unsent(trio.current_time())
-                return self._refuse_unreachable(upstream)
-            if connection is None:
-                break
-            sent_at = trio.current_time()
-            if was_sent:
-                self._admission.record_resend(sent_at)
-            self.limits.counts.sent += self._admission.is_paced
-            result = await self._link.exchange(call, upstream, connection)
-            service_time = trio.current_time() - sent_at
-            was_reused = not connection.is_new
-            if isinstance(result, ClientResponse):
-                self.crashes.record_response(sent_at)
-                self._observe_response(upstream, result, sent_at)
-                return self._make_outcome(call, upstream, result, service_time)
-            # A reused connection may have been closed by the upstream without
-            # notice, so that the request did not run. A request that isn't
-            # idempotent is sent again only if the kernel refused the first
-            # send, which proves that it did not run.
-            failure = result
-            was_sent |= failure is not ExchangeFailure.NOT_SENT
-            is_safe = failure is ExchangeFailure.NOT_SENT or call.is_idempotent
-            if not (
-                was_reused and is_safe and service_time < _STALE_CONNECTION_TIME
-            ):
-                break
-        if failure is ExchangeFailure.MALFORMED:
-            self._count(call, failed=True, service_time=None)
-        else:
-            self.counts.add_lost(call.route.name)
-        if not was_sent:
-            return not_run('the upstream closed the connection')
-        return await self._classify_loss(call, upstream, failure)
-
-    def _observe_response(
-        self,
-        upstream: UpstreamRecord,
-        answer: ClientResponse,
-        asked_at: float,
-    ) -> None:
-        """Apply what a response says of the upstream's limit and leave."""
-        if (upstream.instance, upstream.born) != self._start_id:
-            return
-        signals = read_signals(answer, self._context.names)
-        self.limits.observe(signals, asked_at=asked_at)
-        if signals.is_leaving and self.register.leave_in_band(*self._start_id):
-            log(Event.UPSTREAM_LEAVING, instance=upstream.instance)
-            self._apply_change()
-
-    async def _classify_loss(
-        self,
-        call: Call,
-        upstream: UpstreamRecord,
-        failure: ExchangeFailure,
-    ) -> Outcome:
-        """Outcome of a request that was sent but got no response."""
-        if failure is ExchangeFailure.MALFORMED:
-            return unknown('the answer was garbled')
-        crash = await self.crashes.explain(call, upstream)
-        if crash is None:
-            return unknown('the answer was lost')
-        return unknown('the upstream crashed', crash=crash)
-
-    def _make_outcome(
-        self,
-        call: Call,
-        upstream: UpstreamRecord,
-        answer: ClientResponse,
-        service_time: float,
-    ) -> Outcome:
-        names = self._context.names
-        if answer.status == _MISDIRECTED:
-            # Another upstream has the address until the next heartbeat.
-            self._mark_unreachable(upstream)
-            return not_run('another upstream has the address')
-        if get_header(answer.headers, names.not_run) is not None:
-            # The upstream refused although it has free slots by this daemon's
-            # count, so there is no queue to wait for. The next attempt, here
-            # or at another upstream, may be accepted.
-            return not_run(
-                'the upstream refused it',
-                reached=True,
-                wait=_REFUSAL_RETRY_DELAY,
-            )
-        is_sealed = get_header(answer.headers, names.seal) is not None
-        if answer.status < _FIRST_NON_SUCCESS and not is_sealed:
-            self._count(call, failed=True, service_time=None)
-            return unknown('the answer bears no seal')
-        is_late = answer.status == _GATEWAY_TIMEOUT
-        # A failed nested call isn't counted against the version: otherwise
-        # a service at capacity would cause the rollback of any version of
-        # the services that call it.
-        failed = answer.status >= _SERVER_ERROR and not is_late
-        is_excused = failed and call.nested_status >= _SERVER_ERROR
-        if not is_excused:
-            self._count(
-                call,
-                failed=failed,
-                service_time=None if failed else service_time,
-            )
-        return Outcome(
-            execution=ExecutionStatus.ANSWERED,
-            answer=answer,
-            reached=True,
-            mean_service_time=self._admission.times.expect(
-                call.route.name,
-                objective=call.route.objective,
-            ),
-            # Another upstream would make the same nested call and fail too.
-            everywhere=is_excused and call.nested_status == _UNAVAILABLE,
-            service_time=service_time,
-        )
-
-    def _count(
-        self, call: Call, *, failed: bool, service_time: float | None
-    ) -> None:
-        # The time of a cold start is no property of the version.
-        began_at = trio.current_time() - (service_time or 0)
-        is_cold = self._cold_starts.is_cold(began_at)
-        self.counts.add(
-            call.route.name,
-            failed=failed,
-            took=None if is_cold else service_time,
-        )
-
-    def _refuse_unreachable(self, upstream: UpstreamRecord) -> Outcome:
-        """Handle a refused connection to the upstream."""
-        self.crashes.record_refused_connection(upstream)
-        return not_run('the upstream takes no connection')
-
-    def _report_crash(self, request: RequestIdentity, crash: CrashId) -> None:
-        """Tell others of a crash whose ingress has had its answer already."""
-        gate = self._context.gate
-        gate.record_crash(request, crash)
-        gate.publish_suspicion(request.fingerprint)
-
-    def _running_fingerprints(self) -> list[Fingerprint]:
-        """Fingerprints of the requests at the upstream."""
-        return [
-            call.find_fingerprint() for call in self._running_calls.values()
-        ]
-
     def _mark_unreachable(self, upstream: UpstreamRecord) -> None:
         self.register.mark_gone(upstream.instance)
         self._apply_change()
 
 
+def _is_slow(admission: Admission, call: Call, elapsed: float) -> bool:
+    """Whether an abandoned request shows that the upstream is slow."""
+    mean_service_time = admission.times.expect(
+        call.route.name,
+        objective=call.route.objective,
+    )
+    return elapsed >= _SLOW_FACTOR * mean_service_time
+
+
 def _refuse_blocked(wait: float) -> Outcome:
     outcome = not_run(BLOCKED_REASON, wait=wait)
     outcome.blocked = True
--- a/libs/sidecar/src/verbenamill_sidecar/rate_limiting.py
+++ b/libs/sidecar/src/verbenamill_sidecar/upstream/rate_limiting.py
@@ -10,7 +10,7 @@
 from verbenamill_policy.cold_starts import ColdStartTracker
 from verbenamill_policy.heartbeats import UpstreamTracker
 from verbenamill_policy.limits import RateLimit, RateLimitTracker
-from verbenamill_sidecar.in_band import UpstreamSignals
+from verbenamill_sidecar.upstream.in_band import UpstreamSignals
 from verbenamill_telemetry import Event, log
 
 
--- a/libs/sidecar/src/verbenamill_sidecar/upstream_link.py
+++ b/libs/sidecar/src/verbenamill_sidecar/upstream/upstream_link.py
@@ -18,7 +18,7 @@
     get_header,
 )
 from verbenamill_policy.members import UpstreamRecord
-from verbenamill_sidecar.call import Call
+from verbenamill_sidecar.routing.call import Call
 from verbenamill_sidecar.protocol import HeaderNames
 
 #: Idle time after which a connection is not reused, in seconds. Servers often
--- a/libs/sidecar/tests/test_crashing.py
+++ b/libs/sidecar/tests/test_crashing.py
@@ -7,8 +7,8 @@
 from verbenamill_model.typing import UpstreamState
 from verbenamill_policy.heartbeats import Heartbeat, UpstreamTracker
 from verbenamill_policy.routes import Route, RouteKind, Split
-from verbenamill_sidecar.call import Call
-from verbenamill_sidecar.crashing import CrashDetector
+from verbenamill_sidecar.routing.call import Call
+from verbenamill_sidecar.quarantine.crashing import CrashDetector
 
 ADDRESS = '10.0.0.1:80'
 
--- a/libs/sidecar/tests/test_desired_state.py
+++ b/libs/sidecar/tests/test_desired_state.py
@@ -1,7 +1,7 @@
 """What a daemon concludes from successive orders and verdicts."""
 
 from verbenamill_policy.rollouts import Order, SettledOrder, Verdict
-from verbenamill_sidecar.desired_state import (
+from verbenamill_sidecar.state.desired_state import (
     DesiredState,
     decode_snapshot,
     encode_snapshot,
--- a/libs/sidecar/tests/test_dissemination.py
+++ b/libs/sidecar/tests/test_dissemination.py
@@ -27,7 +27,7 @@
 from verbenamill_policy.rollouts import Progress
 from verbenamill_policy.routes import Route, RouteKind, Split
 from verbenamill_policy.rumors import FANOUT, RELAYS, ROUNDS, Neighbours
-from verbenamill_sidecar.datagrams import (
+from verbenamill_sidecar.membership.datagrams import (
     Ages,
     Digests,
     Records,
@@ -36,15 +36,15 @@
     Wanted,
     encode_message,
 )
-from verbenamill_sidecar.call import Call
-from verbenamill_sidecar.desired_state import DesiredState
-from verbenamill_sidecar.dissemination import Dissemination
-from verbenamill_sidecar.reconciliation import (
+from verbenamill_sidecar.routing.call import Call
+from verbenamill_sidecar.state.desired_state import DesiredState
+from verbenamill_sidecar.membership.dissemination import Dissemination
+from verbenamill_sidecar.membership.reconciliation import (
     CROSS_ZONE_COMPARISONS,
     REPLY_ALLOWANCE,
     Reconciliation,
 )
-from verbenamill_sidecar.suspects import SuspectGate, identify
+from verbenamill_sidecar.quarantine.suspects import SuspectGate, identify
 
 #: Rounds of rumors from one comparison to the next.
 ROUNDS_PER_COMPARISON = 10
--- a/libs/sidecar/tests/test_distribution.py
+++ b/libs/sidecar/tests/test_distribution.py
@@ -7,7 +7,7 @@
 from trio.testing import MockClock
 
 from verbenamill_policy.members import MemberRecord, MemberTable
-from verbenamill_sidecar.distribution import (
+from verbenamill_sidecar.state.distribution import (
     BEHIND_TIMEOUT,
     NOTICE_PERIOD,
     NOTICE_TIMEOUT,
--- a/libs/sidecar/tests/test_gossip.py
+++ b/libs/sidecar/tests/test_gossip.py
@@ -15,11 +15,11 @@
 from verbenamill_policy.quarantine import Quarantine
 from verbenamill_policy.rollouts import Progress
 from verbenamill_policy.routes import Configuration, Limits
-from verbenamill_sidecar.desired_state import DesiredState
-from verbenamill_sidecar.distribution import DistributionTree
-from verbenamill_sidecar.gossip import Gossip
-from verbenamill_sidecar.peers import Peers
-from verbenamill_sidecar.suspects import SuspectGate
+from verbenamill_sidecar.state.desired_state import DesiredState
+from verbenamill_sidecar.state.distribution import DistributionTree
+from verbenamill_sidecar.membership.gossip import Gossip
+from verbenamill_sidecar.membership.peers import Peers
+from verbenamill_sidecar.quarantine.suspects import SuspectGate
 
 
 class FakeFollower:
--- a/libs/sidecar/tests/test_hop.py
+++ b/libs/sidecar/tests/test_hop.py
@@ -2,8 +2,8 @@
 
 from verbenamill_http.client import ClientResponse
 from verbenamill_policy.limits import RateLimit
-from verbenamill_sidecar.call import ExecutionStatus, Outcome, not_run
-from verbenamill_sidecar.hop import encode_outcome, read_outcome
+from verbenamill_sidecar.routing.call import ExecutionStatus, Outcome, not_run
+from verbenamill_sidecar.routing.hop import encode_outcome, read_outcome
 
 
 def response_of(response):
--- a/libs/sidecar/tests/test_in_band.py
+++ b/libs/sidecar/tests/test_in_band.py
@@ -3,7 +3,7 @@
 import pytest
 
 from verbenamill_http.client import ClientResponse
-from verbenamill_sidecar.in_band import UpstreamSignals, read_signals
+from verbenamill_sidecar.upstream.in_band import UpstreamSignals, read_signals
 from verbenamill_sidecar.protocol import HeaderNames
 
 NAMES = HeaderNames(
--- a/libs/sidecar/tests/test_load_probes.py
+++ b/libs/sidecar/tests/test_load_probes.py
@@ -8,8 +8,8 @@
 from verbenamill_model.typing import UpstreamState
 from verbenamill_policy.members import MemberRecord, UpstreamRecord
 from verbenamill_policy.placement import PlacementRequest, choose_owner
-from verbenamill_sidecar.load_probes import PROBED_OWNERS, LoadProbes
-from verbenamill_sidecar.peers import Peer
+from verbenamill_sidecar.routing.load_probes import PROBED_OWNERS, LoadProbes
+from verbenamill_sidecar.membership.peers import Peer
 
 SLOTS = 2
 OWNERS = 17
--- a/libs/sidecar/tests/test_peers.py
+++ b/libs/sidecar/tests/test_peers.py
@@ -15,7 +15,7 @@
     MemberTable,
     UpstreamRecord,
 )
-from verbenamill_sidecar.peers import Peers
+from verbenamill_sidecar.membership.peers import Peers
 
 LIMIT = RateLimit(2.3, 1000)
 
--- a/libs/sidecar/tests/test_racing.py
+++ b/libs/sidecar/tests/test_racing.py
@@ -6,9 +6,14 @@
 
 from verbenamill_http.client import ClientResponse
 from verbenamill_policy.members import MemberRecord
-from verbenamill_sidecar.call import ExecutionStatus, Outcome, not_run, unknown
-from verbenamill_sidecar.peers import Peer
-from verbenamill_sidecar.racing import Race
+from verbenamill_sidecar.routing.call import (
+    ExecutionStatus,
+    Outcome,
+    not_run,
+    unknown,
+)
+from verbenamill_sidecar.membership.peers import Peer
+from verbenamill_sidecar.routing.racing import Race
 
 #: Number of runs, as trio runs tasks that are ready together in random order.
 ROUNDS = 20
--- a/libs/sidecar/tests/test_silence.py
+++ b/libs/sidecar/tests/test_silence.py
@@ -9,11 +9,11 @@
 from verbenamill_http.addresses import parse_address
 from verbenamill_policy.members import MemberRecord, MemberTable
 from verbenamill_policy.quarantine import Quarantine
-from verbenamill_sidecar.desired_state import DesiredState
-from verbenamill_sidecar.distribution import DistributionTree
-from verbenamill_sidecar.gossip import Gossip
-from verbenamill_sidecar.peers import MAX_IDLE, Peers
-from verbenamill_sidecar.suspects import SuspectGate
+from verbenamill_sidecar.state.desired_state import DesiredState
+from verbenamill_sidecar.state.distribution import DistributionTree
+from verbenamill_sidecar.membership.gossip import Gossip
+from verbenamill_sidecar.membership.peers import MAX_IDLE, Peers
+from verbenamill_sidecar.quarantine.suspects import SuspectGate
 
 
 def make_record(vm, port):
--- a/libs/sidecar/tests/test_store_follower.py
+++ b/libs/sidecar/tests/test_store_follower.py
@@ -9,15 +9,15 @@
 from verbenamill_model.typing import ConfigVersion
 from verbenamill_policy.members import MemberRecord, MemberTable
 from verbenamill_policy.routes import Configuration, Limits
-from verbenamill_sidecar import store_follower
-from verbenamill_sidecar.desired_state import (
+from verbenamill_sidecar.state import store_follower
+from verbenamill_sidecar.state.desired_state import (
     DesiredState,
     StateSnapshot,
     encode_snapshot,
 )
-from verbenamill_sidecar.distribution import DistributionTree
-from verbenamill_sidecar.peers import Peers
-from verbenamill_sidecar.store_follower import Follower
+from verbenamill_sidecar.state.distribution import DistributionTree
+from verbenamill_sidecar.membership.peers import Peers
+from verbenamill_sidecar.state.store_follower import Follower
 
 NEWEST_VERSION = 7
 NEWEST_STAMP = (NEWEST_VERSION, -1)
