Peers: first requests to an upstream that became cold are spread

Cause: all daemons of a zone hear of a cold upstream at once, and none has a reply that tells when there is room, so each sends its first request. Change: each waits for its own part of the time in which the upstream takes one request of each daemon of its zone, 3 s at most. A probe for a sign of cold is asked for a little later (0.85 in place of 0.7 of what may start unverified).

--- a/libs/policy/src/verbenamill_policy/cold_starts.py
+++ b/libs/policy/src/verbenamill_policy/cold_starts.py
@@ -13,7 +13,7 @@
 #: upstream that stays cold repeats the sign.
 MAX_SIGN_DURATION = 30.0
 #: Share of the allowed unverified requests after which a sign is asked for.
-_ASK_SHARE = 0.7
+_ASK_SHARE = 0.85
 #: Expected time until a sign that was asked for arrives, in seconds.
 _SIGN_DELAY = 0.03
 #: Time after which a sign that was asked for is no longer expected, in seconds.
--- a/libs/policy/src/verbenamill_policy/placement.py
+++ b/libs/policy/src/verbenamill_policy/placement.py
@@ -67,6 +67,8 @@
 #: of two daemons, and a load there that is only estimated.
 _HOP_COST = 0.05
 
+_HIGHEST_PRIORITY = 0
+
 #: Shortest and longest time in which no request goes to an owner that could
 #: not be reached, in seconds.
 INITIAL_BACKOFF = 0.25
@@ -182,6 +184,13 @@
         throttle.record(now, taken=taken)
         self._limit_waits[priority] = _LimitWait(wait, now + wait)
 
+    def delay_first_request(self, delay: float, now: float) -> None:
+        """Expect room under a limit only after some time, in seconds.
+
+        It holds for all priorities, until replies of the owner say more.
+        """
+        self._limit_waits[_HIGHEST_PRIORITY] = _LimitWait(delay, now + delay)
+
     def clear_limit(self) -> None:
         """Record that the upstream no longer announces a rate limit."""
         self._throttles.clear()
--- a/libs/sidecar/src/verbenamill_sidecar/membership/peers.py
+++ b/libs/sidecar/src/verbenamill_sidecar/membership/peers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
+from zlib import crc32
 
 import trio
 from msgspec.structs import replace
@@ -40,11 +41,16 @@
 SUSPECT_AFTER = 0.6
 
 
+#: Longest delay of the first request to an upstream that has become cold, in
+#: seconds. It is about as long as upstreams are cold.
+MAX_FIRST_DELAY = 3.0
+
 #: Called with the time at which a daemon was suspected. A sign of life after
 #: that time ends the suspicion; infinity if its process was replaced.
 SuspicionCallback = Callable[[float], None]
 
 
+_CRC_RANGE = 1 << 32
 #: Identifies one start of an upstream: its instance and start time.
 StartId = tuple[str, int]
 
@@ -369,11 +375,37 @@
 
     def _peer_for(self, peer: Peer | None, record: MemberRecord) -> Peer:
         """Update the peer of a record; make a new one for a new address."""
+        was_cold = peer is not None and _is_cold(peer.record)
         if peer is None or peer.record.calls != record.calls:
-            return Peer(record, self._watched)
-        _update(peer, record)
+            peer = Peer(record, self._watched)
+        else:
+            _update(peer, record)
+        if _is_cold(record) and not was_cold:
+            self._spread_first_requests(peer)
         return peer
 
+    def _spread_first_requests(self, peer: Peer) -> None:
+        """Spread the first requests of all daemons to a cold upstream.
+
+        All of them hear of it at the same time. Each waits for its own part of
+        the time in which the upstream takes one request of each daemon of its
+        zone.
+        """
+        upstream = peer.record.upstream
+        if self.is_own(peer) or upstream is None or upstream.limit is None:
+            return
+        daemons = len(self._table.in_zone(peer.record.availability_zone))
+        place = crc32(f'{self._own_vm}/{peer.record.vm}'.encode()) / _CRC_RANGE
+        delay = min(daemons / upstream.limit.rate, MAX_FIRST_DELAY) * place
+        peer.owner.delay_first_request(delay, trio.current_time())
+
+
+def _is_cold(record: MemberRecord) -> bool:
+    """Whether the upstream of a daemon is announced as cold."""
+    upstream = record.upstream
+    limit = None if upstream is None else upstream.limit
+    return limit is not None and limit.is_cold
+
 
 def _update(peer: Peer, record: MemberRecord) -> None:
     """Apply a daemon's new member record to its peer."""
--- a/libs/sidecar/tests/test_peers.py
+++ b/libs/sidecar/tests/test_peers.py
@@ -15,7 +15,7 @@
     MemberTable,
     UpstreamRecord,
 )
-from verbenamill_sidecar.membership.peers import Peers
+from verbenamill_sidecar.membership.peers import MAX_FIRST_DELAY, Peers
 
 LIMIT = RateLimit(2.3, 1000)
 
@@ -180,3 +180,36 @@
     table.merge(make_record(3, make_upstream()))
     peers.all()
     assert peer.owner.limit_ready_at(0) < 0
+
+
+@run_in_trio
+def test_the_first_requests_to_a_cold_upstream_are_spread():
+    """Guards against a herd at the upstreams of a zone that comes back cold."""
+    cold = RateLimit(5.0, 1000, is_cold=True)
+    daemons = 24
+    now = trio.current_time()
+    ready_at = []
+    for number in range(daemons):
+        created = MemberTable()
+        created.merge(make_record(1, make_upstream()))
+        for place in range(daemons - 1):
+            created.merge(make_neighbour(place))
+        peers = Peers(created, f'ingress{number}')
+        assert peers.for_service('entries')
+        created.merge(make_record(2, make_upstream(limit=cold)))
+        (peer,) = peers.for_service('entries')
+        ready_at.append(peer.owner.limit_ready_at(1) - now)
+    in_first_second = sum(delay < 1 for delay in ready_at)
+    assert 1 <= in_first_second <= 3 * cold.rate
+    assert max(ready_at) <= MAX_FIRST_DELAY + 0.1
+
+
+def make_neighbour(place):
+    return MemberRecord(
+        f'near{place}',
+        1,
+        0,
+        'z1',
+        f'127.0.0.2:{place + 1}',
+        f'127.0.0.3:{place + 1}',
+    )
