Fleet status, metrics and explain name evacuated zones

fleet status shows each evacuated zone, its record and at how many daemons it is in force; gauges for evacuated zones, load probes and cold probes; explain shows the evacuation that a daemon knew of.

--- a/deploy/tests/test_fleet.py
+++ b/deploy/tests/test_fleet.py
@@ -10,6 +10,7 @@
 from verbenamill_cli.fleet import report_fleet_status, report_moves
 from verbenamill_http.addresses import parse_address
 from verbenamill_platform import PlatformStore
+from verbenamill_platform_standins.operators import evacuate
 
 
 def open_store(site):
@@ -131,3 +132,22 @@
         assert re.search(r'verbenamill_upstream_limit_refused [1-9]', text)
 
     run_scenario(scenario, clock=MockClock(autojump_threshold=0))
+
+
+def test_the_fleet_report_names_evacuated_zones(run_scenario):
+    """Guards against an evacuation that operators cannot see."""
+
+    async def scenario(site):
+        await site.add_vm('vm0')
+        await site.add_vm('vm1', zone='z2')
+        await site.wait_until_converged()
+        evacuate(site.store, 'z2')
+        await site.wait_until_saved()
+        await trio.sleep(3)
+        report = (await report_fleet_status(open_store(site))).unwrap()
+        assert report.data['evacuated'] == ['z2']
+        (line,) = [one for one in report.lines if 'evacuated' in one]
+        assert 'zone z2' in line
+        assert 'in force at 2 of 2 daemons' in line
+
+    run_scenario(scenario, clock=MockClock(autojump_threshold=0))
--- a/libs/cli/src/verbenamill_cli/fleet.py
+++ b/libs/cli/src/verbenamill_cli/fleet.py
@@ -11,7 +11,8 @@
 from verbenamill_cli.output import Report, format_table
 from verbenamill_http.addresses import parse_address
 from verbenamill_http.client import ConnectionPool
-from verbenamill_model.typing import ServiceName
+from verbenamill_model.typing import AvailabilityZone, ServiceName
+from verbenamill_policy.evacuations import Evacuation
 from verbenamill_policy.limits import RateLimit
 from verbenamill_policy.members import MemberRecord
 from verbenamill_policy.rollouts import Order, SettledOrder
@@ -41,10 +42,12 @@
 
     :param version: version of the configuration that the daemon runs;
         ``None`` if it did not answer, -1 if it has no configuration yet.
+    :param evacuated: zones that it sends no requests to.
     """
 
     record: MemberRecord
     version: int | None
+    evacuated: frozenset[AvailabilityZone] = frozenset()
 
 
 async def report_fleet_status(store: Store) -> Result[Report, CliError]:
@@ -82,7 +85,11 @@
         async with limiter:
             snapshot = await _fetch_snapshot(record)
         daemons.append(
-            DaemonInFleet(record=record, version=_version_of(snapshot))
+            DaemonInFleet(
+                record=record,
+                version=_version_of(snapshot),
+                evacuated=_evacuated_zones_of(snapshot),
+            )
         )
 
     async with trio.open_nursery() as nursery:
@@ -110,6 +117,24 @@
     return -1 if configuration is None else configuration.version
 
 
+def _evacuated_zones_of(
+    snapshot: StateSnapshot | None,
+) -> frozenset[AvailabilityZone]:
+    if snapshot is None:
+        return frozenset()
+    return frozenset(one.zone for one in snapshot.evacuations if one.is_active)
+
+
+def _format_evacuation(
+    evacuation: Evacuation, daemons: list[DaemonInFleet]
+) -> str:
+    in_force = sum(evacuation.zone in daemon.evacuated for daemon in daemons)
+    return (
+        f'evacuated: zone {evacuation.zone} by record {evacuation.number}, '
+        f'in force at {in_force} of {len(daemons)} daemons'
+    )
+
+
 def _format_fleet(
     records: PublishedRecords,
     daemons: list[DaemonInFleet],
@@ -125,10 +150,12 @@
     return Report(
         data={
             'published': newest,
+            'evacuated': sorted(one.zone for one in records.evacuations),
             'daemons': [_to_plain(daemon, newest) for daemon in daemons],
         },
         lines=(
             f'configuration published: {published}',
+            *(_format_evacuation(one, daemons) for one in records.evacuations),
             f'daemons: {len(daemons)}, in step: {len(daemons) - len(lagging)}',
             *format_table(
                 _HEADINGS,
--- a/libs/cli/src/verbenamill_cli/request_trace.py
+++ b/libs/cli/src/verbenamill_cli/request_trace.py
@@ -28,6 +28,8 @@
     'VM6016': 'limit of the own upstream',
     'VM6017': 'limit of the own upstream',
     'VM6018': 'own upstream',
+    'VM6019': 'evacuation',
+    'VM6020': 'evacuation',
 }
 #: Codes of events about another daemon, and the field that names it.
 _PEER_FIELDS = {'VM4001': 'peer', 'VM4002': 'peer', 'VM4006': 'vm'}
--- a/libs/sidecar/src/verbenamill_sidecar/daemon.py
+++ b/libs/sidecar/src/verbenamill_sidecar/daemon.py
@@ -450,6 +450,18 @@
                 age_of(self._follower.last_read_at),
             ),
             'members': ('Daemons known.', len(self._table)),
+            'evacuated_zones': (
+                'Zones whose upstreams get no requests.',
+                len(self._evacuated_zones()),
+            ),
+            'load_probes': (
+                'Requests for which owners were asked for their load.',
+                self._gossip.load_probes.count,
+            ),
+            'upstream_probes': (
+                'Health checks sent to find out whether the upstream is cold.',
+                self._own_upstream.probe.count,
+            ),
             'moves': (
                 'Running moves.',
                 len(self._desired_state.running_orders()),
