Placement: less processor time for each choice and each refusal

Profile of 24 daemons in one process: choosing an owner 0.7 ms a request of 24 candidates with two estimates each; a refused request asks three owners. Change: a good own upstream with a free slot is taken without a look at the others; other zones are compared only if they can win; one estimate a candidate. If the owners that were asked have no free slot, one owner less is tried before the request is refused.

--- a/libs/policy/src/verbenamill_policy/placement.py
+++ b/libs/policy/src/verbenamill_policy/placement.py
@@ -358,21 +358,15 @@
 
     :param own: the owner among these that is this daemon, if it is one.
     """
-    usable = [
-        owner
-        for owner in _reachable(owners, excluded, now)
-        if _limit_allows(owner, request, now)
-        and not owner.should_throttle(request.priority, now, random)
-    ]
-    local = [owner for owner in usable if owner.availability_zone == zone]
-    remote = [owner for owner in usable if owner.availability_zone != zone]
+    if own is not None and _is_good_enough(own, request, excluded, now):
+        return own
+    reachable = list(_reachable(owners, excluded, now))
+    local = [owner for owner in reachable if owner.availability_zone == zone]
     best_local, local_value = _choose_best(local, request, now, random)
-    if own is not None and own in local:
-        own_forecast = forecast(own, request, now)
-        own_value = expected_value(own_forecast, request)
-        if own_forecast.wait <= 0 and own_value >= local_value - _HOP_COST:
-            best_local = own
-            local_value = own_value
+    if best_local is not None and local_value >= 1 - request.cross_zone_cost:
+        # No answer from another zone is worth more than 1.
+        return best_local
+    remote = [owner for owner in reachable if owner.availability_zone != zone]
     best_remote, remote_value = _choose_best(remote, request, now, random)
     if (
         best_local is None
@@ -382,6 +376,25 @@
     return best_local
 
 
+def _is_good_enough(
+    own: OwnerEstimate,
+    request: PlacementRequest,
+    excluded: Collection[VmId],
+    now: float,
+) -> bool:
+    """Whether the own upstream has a free slot and is not slow or failing."""
+    if own.down_until > now or own.vm in excluded:
+        return False
+    expected = forecast(own, request, now)
+    if expected.wait > 0:
+        return False
+    usual = Forecast(0, request.mean_time, 0)
+    return (
+        expected_value(expected, request)
+        >= expected_value(usual, request) - _HOP_COST
+    )
+
+
 def find_limit_wait(
     owners: Sequence[OwnerEstimate],
     request: PlacementRequest,
@@ -432,18 +445,45 @@
     now: float,
     random: Random,
 ) -> tuple[OwnerEstimate | None, float]:
-    if len(owners) > _MAX_CANDIDATES:
-        owners = random.sample(owners, _MAX_CANDIDATES)
     best = None
     best_score = float('-inf')
-    best_value = best_score
-    for owner in owners:
+    for owner in _sample_usable(owners, request, now, random):
         expected = forecast(owner, request, now)
-        value = expected_value(expected, request)
         expected.service_time *= 1 + _NOISE * random.random()
         score = expected_value(expected, request)
         if score > best_score:
             best = owner
             best_score = score
-            best_value = value
-    return best, best_value
+    if best is None:
+        return None, best_score
+    return best, expected_value(forecast(best, request, now), request)
+
+
+def _sample_usable(
+    owners: list[OwnerEstimate],
+    request: PlacementRequest,
+    now: float,
+    random: Random,
+) -> list[OwnerEstimate]:
+    """Sample the owners to compare; of all of them if the sample has none."""
+    sample = owners
+    if len(owners) > _MAX_CANDIDATES:
+        sample = random.sample(owners, _MAX_CANDIDATES)
+    usable = _filter_usable(sample, request, now, random)
+    if usable or sample is owners:
+        return usable
+    return _filter_usable(owners, request, now, random)[:_MAX_CANDIDATES]
+
+
+def _filter_usable(
+    owners: list[OwnerEstimate],
+    request: PlacementRequest,
+    now: float,
+    random: Random,
+) -> list[OwnerEstimate]:
+    return [
+        owner
+        for owner in owners
+        if _limit_allows(owner, request, now)
+        and not owner.should_throttle(request.priority, now, random)
+    ]
--- a/libs/sidecar/src/verbenamill_sidecar/routing/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/ingress.py
@@ -46,7 +46,8 @@
 from verbenamill_telemetry import Event, log
 
 #: Most owners that are asked in turn while each refuses. Each costs a round
-#: trip, and if three have no room, the whole service is taken to be full.
+#: trip, and if three have no room, the whole service is taken to be full. It
+#: is one less if those asked for their load had no free slot either.
 MAX_OWNERS_ASKED = 3
 #: Age from which on the load of an owner is asked for, in mean service times
 #: of the route.
@@ -186,7 +187,8 @@
             return None
         # A suspected owner may have run the request.
         seen = attempts.reached + race.in_progress
-        may_try = attempts.owners_asked < MAX_OWNERS_ASKED + seen
+        allowed = MAX_OWNERS_ASKED - attempts.found_zone_full
+        may_try = attempts.owners_asked < allowed + seen
         if not may_try or (seen and not self._can_repeat(call, seen)):
             return None
         peer = await self._choose_owner(call, attempts)
@@ -250,6 +252,9 @@
         if len(near) <= 1:
             return peer
         asked = await self._context.load_probes.refresh(near)
+        attempts.found_zone_full = all(
+            one.owner.load >= one.owner.slots for one in asked
+        )
         skipped = {one.record.vm for one in near}
         skipped.difference_update(one.record.vm for one in asked)
         candidates = [one for one in peers if one.record.vm not in skipped]
@@ -291,8 +296,10 @@
         }
         requirements = self._route_statistics.placement_request(call, now)
         own = context.peers.own
-        if own is not None:
+        if own is not None and own.owner in by_owner:
             own.owner.observe_load(context.own.load, now)
+        else:
+            own = None
         owner = choose_owner(
             list(by_owner),
             requirements,
