--- a/libs/cli/src/verbenamill_cli/request_trace.py
+++ b/libs/cli/src/verbenamill_cli/request_trace.py
@@ -30,6 +30,7 @@
     'VM6018': 'own upstream',
     'VM6019': 'evacuation',
     'VM6020': 'evacuation',
+    'VM6021': 'limit of the own upstream',
 }
 #: Codes of events about another daemon, and the field that names it.
 _PEER_FIELDS = {'VM4001': 'peer', 'VM4002': 'peer', 'VM4006': 'vm'}
--- a/libs/sidecar/src/verbenamill_sidecar/upstream/rate_limiting.py
+++ b/libs/sidecar/src/verbenamill_sidecar/upstream/rate_limiting.py
@@ -151,9 +151,7 @@
         current = self._upstream_tracker.current
         instance = '' if current is None else current.instance
         log(
-            Event.UPSTREAM_UNLIMITED
-            if rate is None
-            else Event.UPSTREAM_LIMITED,
+            _event_of(rate, source),
             instance=instance,
             rate=rate,
             before=before,
@@ -163,6 +161,14 @@
         )
 
 
+def _event_of(rate: float | None, source: LimitSource) -> Event:
+    if rate is None:
+        return Event.UPSTREAM_UNLIMITED
+    if source is LimitSource.COLD:
+        return Event.UPSTREAM_COLD
+    return Event.UPSTREAM_LIMITED
+
+
 def _lower(one: float | None, other: float | None) -> float | None:
     """Return the lower one of two rates, of which ``None`` is unlimited."""
     if one is None or other is None:
--- a/libs/telemetry/src/verbenamill_telemetry/events.py
+++ b/libs/telemetry/src/verbenamill_telemetry/events.py
@@ -462,9 +462,10 @@
     UPSTREAM_UNLIMITED = EventDefinition(
         'VM6017',
         logging.INFO,
-        'upstream {instance} no longer names a limit',
+        'upstream {instance} no longer has a limit',
         'A response to a request that was sent after the limit of `before` '
-        'requests per second was last named contains no limit.',
+        'requests per second was last named contains no limit, or the '
+        'upstream is no longer cold.',
         _NO_ACTION,
         rate=5,
     )
@@ -492,6 +493,16 @@
         'take while they are cold.',
         _NO_ACTION,
     )
+    UPSTREAM_COLD = EventDefinition(
+        'VM6021',
+        logging.INFO,
+        'upstream {instance} is cold and gets {rate} requests per second',
+        'The upstream has started, its zone was returned, or it says that it '
+        'is cold. It would crash above a rate, which the configuration '
+        'names. `before` is the limit that was logged last, if any.',
+        _NO_ACTION,
+        rate=5,
+    )
     INVARIANT_BROKEN = EventDefinition(
         'VM9001',
         logging.CRITICAL,
