--- a/libs/sidecar/src/verbenamill_sidecar/routing/attempts.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/attempts.py
@@ -15,8 +15,8 @@
 
     :ivar reached: number of upstreams that got the request.
     :ivar fails_everywhere: whether other owners would have the same outcome.
-    :ivar found_zone_full: whether none of the owners that were asked for their
-        load had a free slot.
+    :ivar found_owners_full: whether none of the owners that were asked for
+        their load had a free slot.
     :ivar crashed: whether an upstream crashed while it ran the request.
     :ivar blocked: whether the request is refused because of crashes under it.
     """
@@ -31,7 +31,7 @@
         self.crashed = False
         self.blocked = False
         self.fails_everywhere = False
-        self.found_zone_full = False
+        self.found_owners_full = False
         self.reason = ''
         self.wait = float(0)
         self.summaries: list[str] = []
--- a/libs/sidecar/src/verbenamill_sidecar/routing/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/ingress.py
@@ -9,11 +9,6 @@
 from verbenamill_http.server import Request, Response
 from verbenamill_model.typing import ServiceName
 from verbenamill_policy.budget import RetryBudget
-from verbenamill_policy.placement import (
-    OwnerEstimate,
-    choose_owner,
-    find_limit_wait,
-)
 from verbenamill_policy.rollouts import Shares, VersionCounter
 from verbenamill_sidecar.membership.peers import (
     Peer,
@@ -36,6 +31,7 @@
 from verbenamill_sidecar.routing.call_reader import CallReader
 from verbenamill_sidecar.routing.forwarding import forward_call
 from verbenamill_sidecar.routing.ingress_context import IngressContext
+from verbenamill_sidecar.routing.owner_selection import OwnerSelector
 from verbenamill_sidecar.routing.racing import Race
 from verbenamill_sidecar.routing.responses import (
     blocked_response,
@@ -49,9 +45,6 @@
 #: trip, and if three have no room, the whole service is taken to be full. It
 #: is one less if those asked for their load had no free slot either.
 MAX_OWNERS_ASKED = 3
-#: Age from which on the load of an owner is asked for, in mean service times
-#: of the route.
-_MAX_LOAD_AGE = 0.3
 #: Least time to the deadline for a retry, in mean service times of the route.
 _MIN_RETRY_TIME = 0.8
 
@@ -72,6 +65,7 @@
         self._budgets: dict[ServiceName, RetryBudget] = {}
         self._route_statistics = RouteStatistics()
         self._reader = CallReader(context, self._route_statistics)
+        self._selector = OwnerSelector(context, self._route_statistics)
 
     async def handle(self, request: Request) -> Response:
         """Handle one request of a caller."""
@@ -187,7 +181,7 @@
             return None
         # A suspected owner may have run the request.
         seen = attempts.reached + race.in_progress
-        allowed = MAX_OWNERS_ASKED - attempts.found_zone_full
+        allowed = MAX_OWNERS_ASKED - attempts.found_owners_full
         may_try = attempts.owners_asked < allowed + seen
         if not may_try or (seen and not self._can_repeat(call, seen)):
             return None
@@ -208,119 +202,20 @@
             attempts.record_unavailable(_EVACUATED, wait=_EVACUATED_RETRY_DELAY)
             return None
         if call.route.homes:
-            peers = self._filter_homes(call, peers)
+            peers = self._selector.filter_homes(call, peers)
             attempts.record_no_home(is_reachable=bool(peers))
         shares = context.shares(call.service)
         if shares.target is None:
-            return await self._pick_owner(call, peers, attempts)
+            return await self._selector.select(call, peers, attempts)
         chosen = self._filter_version(call, peers, shares, attempts)
-        peer = await self._pick_owner(call, chosen, attempts)
+        peer = await self._selector.select(call, chosen, attempts)
         if peer is None and attempts.wants_target and 0 < shares.share < 1:
             # The target version has no room, so the old version is used.
             attempts.wants_target = False
             others = filter_by_version(peers, shares, target=False)
-            peer = await self._pick_owner(call, others, attempts)
+            peer = await self._selector.select(call, others, attempts)
         return peer
 
-    def _filter_homes(self, call: Call, peers: list[Peer]) -> list[Peer]:
-        """Select the owners in the home regions of the route.
-
-        An owner whose region is unknown may be anywhere.
-        """
-        regions = self._context.regions
-        return [
-            peer
-            for peer in peers
-            if regions.get(peer.record.availability_zone) in call.route.homes
-        ]
-
-    async def _pick_owner(
-        self,
-        call: Call,
-        peers: list[Peer],
-        attempts: Attempts,
-    ) -> Peer | None:
-        """Choose the best of these owners; ``None`` if none is in time.
-
-        Another daemon is chosen by its load at this moment: a few of those
-        in this zone are asked for it.
-        """
-        peer = self._pick_by_estimate(call, peers, attempts)
-        if peer is None or not self._should_ask(call, peer):
-            return peer
-        near = [one for one in peers if self._may_ask(call, one, attempts)]
-        if len(near) <= 1:
-            return peer
-        asked = await self._context.load_probes.refresh(near)
-        attempts.found_zone_full = all(
-            one.owner.load >= one.owner.slots for one in asked
-        )
-        skipped = {one.record.vm for one in near}
-        skipped.difference_update(one.record.vm for one in asked)
-        candidates = [one for one in peers if one.record.vm not in skipped]
-        return self._pick_by_estimate(call, candidates, attempts)
-
-    def _should_ask(self, call: Call, peer: Peer) -> bool:
-        """Whether the load of the chosen owner is only guessed."""
-        if self._context.peers.is_own(peer):
-            return False
-        age = trio.current_time() - peer.owner.load_reported_at
-        mean_time = self._route_statistics.mean_service_time(call.route)
-        return age > _MAX_LOAD_AGE * mean_time
-
-    def _may_ask(self, call: Call, peer: Peer, attempts: Attempts) -> bool:
-        if peer.record.vm in attempts.tried_vms:
-            return False
-        if peer.record.availability_zone != self._context.availability_zone:
-            return False
-        owner = peer.owner
-        ready_at = max(
-            owner.down_until, owner.limit_ready_at(call.route.priority)
-        )
-        return (
-            ready_at <= trio.current_time()
-            and not self._context.peers.is_own(peer)
-        )
-
-    def _pick_by_estimate(
-        self,
-        call: Call,
-        peers: list[Peer],
-        attempts: Attempts,
-    ) -> Peer | None:
-        """Choose the best of these owners by what is known of them."""
-        context = self._context
-        now = trio.current_time()
-        by_owner: dict[OwnerEstimate, Peer] = {
-            peer.owner: peer for peer in peers
-        }
-        requirements = self._route_statistics.placement_request(call, now)
-        own = context.peers.own
-        if own is not None and own.owner in by_owner:
-            own.owner.observe_load(context.own.load, now)
-        else:
-            own = None
-        owner = choose_owner(
-            list(by_owner),
-            requirements,
-            zone=context.availability_zone,
-            excluded=attempts.tried_vms,
-            now=now,
-            random=context.random,
-            own=None if own is None else own.owner,
-        )
-        if owner is not None:
-            return by_owner[owner]
-        attempts.record_limit_wait(
-            find_limit_wait(
-                list(by_owner),
-                requirements,
-                excluded=attempts.tried_vms,
-                now=now,
-            ),
-        )
-        return None
-
     def _filter_version(
         self,
         call: Call,
--- /dev/null
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/owner_selection.py
@@ -0,0 +1,136 @@
+"""Selects the owner of a request, by estimates and by asking a few owners."""
+
+import trio
+
+from verbenamill_policy.placement import (
+    OwnerEstimate,
+    choose_owner,
+    find_limit_wait,
+)
+from verbenamill_sidecar.membership.peers import Peer
+from verbenamill_sidecar.routing.attempts import Attempts
+from verbenamill_sidecar.routing.call import Call
+from verbenamill_sidecar.routing.ingress_context import IngressContext
+from verbenamill_sidecar.routing.route_statistics import RouteStatistics
+
+#: Age from which on the load of an owner is asked for, in mean service times
+#: of the route.
+_MAX_LOAD_AGE = 0.3
+
+
+class OwnerSelector:
+    """Selects among the owners that may run a request."""
+
+    def __init__(
+        self, context: IngressContext, route_statistics: RouteStatistics
+    ) -> None:
+        self._context = context
+        self._route_statistics = route_statistics
+
+    async def select(
+        self, call: Call, peers: list[Peer], attempts: Attempts
+    ) -> Peer | None:
+        """Select the best of these owners; ``None`` if none is in time.
+
+        Another daemon is chosen by its load at this moment: a few owners of
+        this zone are asked for it, and if none of them has a free slot, a few
+        of the other zones.
+        """
+        peer = self._choose(call, peers, attempts)
+        if peer is None or not self._should_ask(call, peer):
+            return peer
+        askable = [one for one in peers if self._may_ask(call, one, attempts)]
+        near = [one for one in askable if self._is_near(one)]
+        far = [one for one in askable if not self._is_near(one)]
+        asked = await self._ask(near)
+        if _are_all_full(asked):
+            asked += await self._ask(far)
+            attempts.found_owners_full = _are_all_full(asked)
+        else:
+            far = []
+        skipped = {one.record.vm for one in (*near, *far)}
+        skipped.difference_update(one.record.vm for one in asked)
+        candidates = [one for one in peers if one.record.vm not in skipped]
+        return self._choose(call, candidates, attempts)
+
+    def filter_homes(self, call: Call, peers: list[Peer]) -> list[Peer]:
+        """Select the owners in the home regions of the route.
+
+        An owner whose region is unknown may be anywhere.
+        """
+        regions = self._context.regions
+        return [
+            peer
+            for peer in peers
+            if regions.get(peer.record.availability_zone) in call.route.homes
+        ]
+
+    async def _ask(self, peers: list[Peer]) -> list[Peer]:
+        if not peers:
+            return []
+        return await self._context.load_probes.refresh(peers)
+
+    def _is_near(self, peer: Peer) -> bool:
+        zone = peer.record.availability_zone
+        return zone == self._context.availability_zone
+
+    def _should_ask(self, call: Call, peer: Peer) -> bool:
+        """Whether the load of the chosen owner is only guessed."""
+        if self._context.peers.is_own(peer):
+            return False
+        age = trio.current_time() - peer.owner.load_reported_at
+        mean_time = self._route_statistics.mean_service_time(call.route)
+        return age > _MAX_LOAD_AGE * mean_time
+
+    def _may_ask(self, call: Call, peer: Peer, attempts: Attempts) -> bool:
+        """Whether the owner may get the request now, if it has room."""
+        if peer.record.vm in attempts.tried_vms:
+            return False
+        owner = peer.owner
+        ready_at = max(
+            owner.down_until, owner.limit_ready_at(call.route.priority)
+        )
+        return (
+            ready_at <= trio.current_time()
+            and not self._context.peers.is_own(peer)
+        )
+
+    def _choose(
+        self, call: Call, peers: list[Peer], attempts: Attempts
+    ) -> Peer | None:
+        """Choose the best of these owners by what is known of them."""
+        context = self._context
+        now = trio.current_time()
+        by_owner: dict[OwnerEstimate, Peer] = {
+            peer.owner: peer for peer in peers
+        }
+        requirements = self._route_statistics.placement_request(call, now)
+        own = context.peers.own
+        if own is not None and own.owner in by_owner:
+            own.owner.observe_load(context.own.load, now)
+        else:
+            own = None
+        owner = choose_owner(
+            list(by_owner),
+            requirements,
+            zone=context.availability_zone,
+            excluded=attempts.tried_vms,
+            now=now,
+            random=context.random,
+            own=None if own is None else own.owner,
+        )
+        if owner is not None:
+            return by_owner[owner]
+        attempts.record_limit_wait(
+            find_limit_wait(
+                list(by_owner),
+                requirements,
+                excluded=attempts.tried_vms,
+                now=now,
+            ),
+        )
+        return None
+
+
+def _are_all_full(peers: list[Peer]) -> bool:
+    return all(peer.owner.load >= peer.owner.slots for peer in peers)
