--- a/libs/http/src/verbenamill_http/client.py
+++ b/libs/http/src/verbenamill_http/client.py
@@ -351,6 +351,36 @@
             return None
         return ClientConnection(sock, opened_at=trio.current_time())
 
+    async def exchange(
+        self,
+        connection: ClientConnection,
+        request: bytes,
+        *,
+        matches_request: Callable[[ResponseHead], bool],
+        is_bodiless: bool,
+        max_body: int,
+    ) -> ClientResponse | ExchangeFailure:
+        """Exchange a request on a connection, then release or close it.
+
+        The parameters are those of :meth:`ClientConnection.exchange`.
+        """
+        result: ClientResponse | ExchangeFailure = (
+            ExchangeFailure.CONNECTION_LOST
+        )
+        try:
+            result = await connection.exchange(
+                request,
+                matches_request=matches_request,
+                is_bodiless=is_bodiless,
+                max_body=max_body,
+            )
+        finally:
+            if isinstance(result, ClientResponse) and result.is_reusable:
+                self.release(connection)
+            else:
+                self.discard(connection)
+        return result
+
     def release(self, connection: ClientConnection) -> None:
         """Return a connection to the pool after a complete response."""
         if connection.opened_at < self._valid_since:
--- a/libs/sidecar/src/verbenamill_sidecar/routing/forwarding.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/forwarding.py
@@ -53,19 +53,13 @@
     data: bytes,
 ) -> Outcome:
     was_reused = not connection.is_new
-    result: ClientResponse | ExchangeFailure = ExchangeFailure.CONNECTION_LOST
-    try:
-        result = await connection.exchange(
-            data,
-            matches_request=_accept_any,
-            is_bodiless=call.method == b'HEAD',
-            max_body=MAX_RESPONSE_BYTES,
-        )
-    finally:
-        if isinstance(result, ClientResponse) and result.is_reusable:
-            peer.pool.release(connection)
-        else:
-            peer.pool.discard(connection)
+    result = await peer.pool.exchange(
+        connection,
+        data,
+        matches_request=_accept_any,
+        is_bodiless=call.method == b'HEAD',
+        max_body=MAX_RESPONSE_BYTES,
+    )
     if isinstance(result, ClientResponse):
         peer.mark_alive()
         outcome = read_outcome(result)
--- a/libs/sidecar/src/verbenamill_sidecar/upstream/cold_start_probe.py
+++ b/libs/sidecar/src/verbenamill_sidecar/upstream/cold_start_probe.py
@@ -111,19 +111,13 @@
         head = encode_request(
             b'GET', path.encode(), [(b'host', self._host)], Framing(0)
         )
-        result = None
-        try:
-            result = await connection.exchange(
-                head,
-                matches_request=self._is_answer,
-                is_bodiless=False,
-                max_body=_MAX_BODY_BYTES,
-            )
-        finally:
-            if isinstance(result, ClientResponse) and result.is_reusable:
-                self._pool.release(connection)
-            else:
-                self._pool.discard(connection)
+        result = await self._pool.exchange(
+            connection,
+            head,
+            matches_request=self._is_answer,
+            is_bodiless=False,
+            max_body=_MAX_BODY_BYTES,
+        )
         return result if isinstance(result, ClientResponse) else None
 
     def _is_answer(self, head: ResponseHead) -> bool:
--- a/libs/sidecar/src/verbenamill_sidecar/upstream/upstream_link.py
+++ b/libs/sidecar/src/verbenamill_sidecar/upstream/upstream_link.py
@@ -57,22 +57,13 @@
         connection: ClientConnection,
     ) -> ClientResponse | ExchangeFailure:
         """Send a request on a connection and read the response."""
-        result: ClientResponse | ExchangeFailure = (
-            ExchangeFailure.CONNECTION_LOST
+        return await self.pool.exchange(
+            connection,
+            self._encode(call, upstream),
+            matches_request=partial(self._matches_request, call.id),
+            is_bodiless=call.method == b'HEAD',
+            max_body=MAX_RESPONSE_BYTES,
         )
-        try:
-            result = await connection.exchange(
-                self._encode(call, upstream),
-                matches_request=partial(self._matches_request, call.id),
-                is_bodiless=call.method == b'HEAD',
-                max_body=MAX_RESPONSE_BYTES,
-            )
-        finally:
-            if isinstance(result, ClientResponse) and result.is_reusable:
-                self.pool.release(connection)
-            else:
-                self.pool.discard(connection)
-        return result
 
     def _encode(self, call: Call, upstream: UpstreamRecord) -> bytes:
         names = self._names
