--- a/libs/sidecar/src/verbenamill_sidecar/routing/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/ingress.py
@@ -143,16 +143,21 @@
         """Make attempts until one has a final outcome or none is left."""
         while True:
             peer = await self._choose_next_owner(call, attempts, budget, race)
+            ended: tuple[Peer, Outcome] | None = None
             if peer is not None:
                 attempts.record_start(peer)
-                race.start(peer, partial(self._attempt, call, peer))
+                attempt = partial(self._attempt, call, peer)
+                if self._context.peers.is_own(peer) and not race.in_progress:
+                    ended = await race.run_alone(peer, attempt)
+                else:
+                    race.start(peer, attempt)
             elif not race.in_progress:
                 return
             elif attempts.answer is not None and race.all_suspected:
                 # A failure was returned, and the owners of the attempts in
                 # progress may never respond.
                 return
-            ended = await race.wait()
+            ended = ended or await race.wait()
             if ended is None:
                 continue
             attempts.record_outcome(*ended)
--- a/libs/sidecar/src/verbenamill_sidecar/routing/racing.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/racing.py
@@ -49,6 +49,16 @@
         self._in_progress[peer.record.vm] = peer
         self._nursery.start_soon(self._run, peer, attempt)
 
+    async def run_alone(
+        self, peer: Peer, attempt: Attempt
+    ) -> tuple[Peer, Outcome]:
+        """Run the only attempt in progress without a task of its own.
+
+        This is for an owner that cannot become suspected: this daemon.
+        """
+        assert not self._in_progress
+        return peer, await attempt(_ignore_suspicion)
+
     async def wait(self) -> tuple[Peer, Outcome] | None:
         """Wait for an attempt that has ended; ``None`` on a new suspicion.
 
@@ -79,6 +89,10 @@
         self._changed.set()
 
 
+def _ignore_suspicion(_: float) -> None:
+    """Ignore a suspicion, which cannot arise."""
+
+
 def _sort_key(ended: tuple[Peer, Outcome]) -> tuple[bool, bool]:
     answer = ended[1].answer
     return (
