Limits: a remembered cold rate is dropped when the daemon restarts

Cause (found by reading): the record that others keep carried the cold rate; a restarted daemon kept it in its own record, as announced, until the next change of the limit. Change: it is dropped, and the probe tells whether the upstream is cold.

--- a/libs/sidecar/src/verbenamill_sidecar/upstream/rate_limiting.py
+++ b/libs/sidecar/src/verbenamill_sidecar/upstream/rate_limiting.py
@@ -82,8 +82,12 @@
         self._limit_tracker = RateLimitTracker()
         self._admission = admission
         self._rate = None
-        if self.limit is not None:
-            self.restore(self.limit)
+        remembered = self.limit
+        if remembered is not None and remembered.is_cold:
+            # Whether it is still cold is found out by a probe.
+            self._upstream_tracker.set_limit(None)
+        elif remembered is not None:
+            self.restore(remembered)
         self.refresh()
 
     def observe(self, signals: UpstreamSignals, *, asked_at: float) -> None:
@@ -115,10 +119,7 @@
         A daemon that has just started has counted no requests and seen no
         response; without the limit it would send as much as the slots allow.
         """
-        if limit.is_cold:
-            # Whether it is still cold is found out by a probe.
-            return
-        if self._limit_tracker.restore(limit.rate):
+        if not limit.is_cold and self._limit_tracker.restore(limit.rate):
             self._upstream_tracker.set_limit(limit)
             self.refresh(LimitSource.MEMORY)
 
