Placement: owners with many free slots are not asked for their load

There, owners have 14 slots, and an answer hardly changes the choice. Change: owners are asked only if the chosen one had three free slots or fewer by its last report. Where upstreams have two slots nothing changes.

--- a/libs/sidecar/src/verbenamill_sidecar/routing/owner_selection.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/owner_selection.py
@@ -16,6 +16,9 @@
 #: Age from which on the load of an owner is asked for, in mean service times
 #: of the route.
 _MAX_LOAD_AGE = 0.3
+#: Number of free slots by the last report up to which an owner may be full by
+#: now.
+_FEW_FREE_SLOTS = 3
 
 
 class OwnerSelector:
@@ -75,9 +78,11 @@
         return zone == self._context.availability_zone
 
     def _should_ask(self, call: Call, peer: Peer) -> bool:
-        """Whether the load of the chosen owner is only guessed."""
+        """Whether the chosen owner may be full, as far as is known."""
         if self._context.peers.is_own(peer):
             return False
+        if peer.owner.slots - peer.owner.load > _FEW_FREE_SLOTS:
+            return False
         age = trio.current_time() - peer.owner.load_reported_at
         mean_time = self._route_statistics.mean_service_time(call.route)
         return age > _MAX_LOAD_AGE * mean_time
--- a/libs/sidecar/tests/test_owner_selection.py
+++ b/libs/sidecar/tests/test_owner_selection.py
@@ -19,9 +19,9 @@
 MEAN_TIME = 0.1
 
 
-def make_peer(index, zone):
+def make_peer(index, zone, slots):
     upstream = UpstreamRecord(
-        f'i{index}', 100, 1, 'entries', 'v1', UpstreamState.READY, SLOTS
+        f'i{index}', 100, 1, 'entries', 'v1', UpstreamState.READY, slots
     )
     return Peer(
         MemberRecord(
@@ -51,11 +51,11 @@
 class Scene:
     """An ingress of zone z1 and owners with given loads in two zones."""
 
-    def __init__(self, loads):
+    def __init__(self, loads, *, slots=SLOTS):
         self.loads = {}
         self.peers = []
         for index, (zone, load) in enumerate(loads):
-            peer = make_peer(index, zone)
+            peer = make_peer(index, zone, slots)
             self.peers.append(peer)
             self.loads[peer] = load
         self.asked = []
@@ -111,3 +111,20 @@
     scene = Scene([('z1', 4), ('z1', 4), ('z2', 4)])
     _, attempts = scene.select()
     assert attempts.found_owners_full
+
+
+def test_large_owners_with_many_free_slots_are_not_asked():
+    """Guards against datagrams whose answer would change nothing."""
+    scene = Scene([('z1', 3), ('z1', 4), ('z2', 0)], slots=14)
+    chosen, _ = scene.select()
+    assert chosen.record.availability_zone == 'z1'
+    assert not scene.asked
+
+
+def test_large_owners_that_are_nearly_full_are_asked():
+    """Guards against a queue at one large owner beside a free one."""
+    scene = Scene([('z1', 14), ('z1', 3)], slots=14)
+    for peer in scene.peers:
+        peer.owner.load = 13.0
+    chosen, _ = scene.select()
+    assert scene.loads[chosen] == 3
