Logs: what a daemon knows to lack, failed fetches, why it reads the store

The logs could not tell its hypotheses apart: VM2010 names the first announcement of something newer and its kind, VM2011 a daemon from which it could not be fetched, VM3009 who reads the store and why. One line a change of state.

--- a/libs/sidecar/src/verbenamill_sidecar/membership/gossip.py
+++ b/libs/sidecar/src/verbenamill_sidecar/membership/gossip.py
@@ -49,6 +49,7 @@
 from verbenamill_sidecar.membership.traffic import Traffic
 from verbenamill_sidecar.quarantine.suspects import SuspectGate
 from verbenamill_sidecar.routing.load_probes import LoadProbes
+from verbenamill_sidecar.state.announcements import Channel
 from verbenamill_sidecar.state.desired_state import DesiredState
 from verbenamill_sidecar.state.distribution import DistributionTree
 from verbenamill_sidecar.state.store_follower import Follower
@@ -327,11 +328,15 @@
         self._mark_alive(message.sender)
         if self._table.get(message.sender) is None:
             self._introduce(message.sender, source)
-        is_behind = self._desired_state.is_older_than(message.stamp)
+        if message.kind is NoticeKind.CHANGED:
+            self._follower.handle_stamp(
+                message.sender, message.stamp, Channel.RUMOR
+            )
+            return
+        is_behind = self._follower.announced.record(
+            message.sender, message.stamp, Channel.NOTICE
+        )
         match message.kind:
-            case NoticeKind.CHANGED:
-                self._follower.handle_stamp(message.sender, message.stamp)
-                return
             case NoticeKind.STALLED:
                 self._tree.note_stalled(message.sender)
             case NoticeKind.CURRENT if not is_behind:
@@ -394,7 +399,9 @@
             self._send(known, self._reconciliation.summarize())
 
     def _handle_summary(self, message: Summary, sender: MemberRecord) -> None:
-        self._follower.handle_stamp(message.sender, message.stamp)
+        self._follower.handle_stamp(
+            message.sender, message.stamp, Channel.COMPARISON
+        )
         if self.own.leaving and not self._desired_state.is_older_than(
             message.stamp
         ):
--- a/libs/sidecar/src/verbenamill_sidecar/state/distribution.py
+++ b/libs/sidecar/src/verbenamill_sidecar/state/distribution.py
@@ -12,6 +12,7 @@
 """
 
 from collections.abc import Iterable
+from enum import Enum, unique
 from heapq import nsmallest
 from zlib import crc32
 
@@ -53,6 +54,22 @@
 BEHIND_TIMEOUT = 0.7
 
 
+@unique
+class ReadingReason(Enum):
+    """Why a daemon reads the store itself.
+
+    ``READER``: it is one of those that always do.
+    ``BEHIND``: it knows of a change that it could not fetch.
+    ``STORE_SILENT``: the store answers no daemon of lower rank.
+    ``NO_NOTICE``: nobody told it lately that it is up to date.
+    """
+
+    READER = 'reader'
+    BEHIND = 'behind'
+    STORE_SILENT = 'store-silent'
+    NO_NOTICE = 'no-notice'
+
+
 class DistributionTree:
     """Position of this daemon in the distribution tree of its zone."""
 
@@ -150,22 +167,37 @@
 
     def must_read(self) -> bool:
         """Whether this daemon has to read the store now."""
+        return self.reading_reason is not None
+
+    @property
+    def reading_reason(self) -> ReadingReason | None:
+        """Why this daemon has to read the store now, if it has to."""
         if self.is_reader:
-            return True
+            return ReadingReason.READER
         now = trio.current_time()
         since = self._behind_since
         if since is not None and now - since > BEHIND_TIMEOUT:
-            return True
+            return ReadingReason.BEHIND
+        return self._reason_to_replace_readers(now)
+
+    def _reason_to_replace_readers(self, now: float) -> ReadingReason | None:
         probers = self._count_probers(now)
         if probers >= PROBERS:
-            return False
+            return None
         if self._rank and self._rank == probers:
             # The store answers no lower rank. Only these daemons may be
             # affected, and not the store.
-            return True
+            return ReadingReason.STORE_SILENT
         place = self._rank or max(self._zone_rank - READING_ZONES, 0)
         patience = NOTICE_TIMEOUT + _STAGGER * min(place, _MAX_STAGGERS)
-        return now - self._notice_at > patience
+        if now - self._notice_at > patience:
+            return ReadingReason.NO_NOTICE
+        return None
+
+    @property
+    def notice_age(self) -> float:
+        """Time since the last notice that this daemon is up to date, in s."""
+        return trio.current_time() - self._notice_at
 
     def _count_probers(self, now: float) -> int:
         """Count the lower ranks that the store does not answer."""
--- a/libs/sidecar/src/verbenamill_sidecar/state/store_follower.py
+++ b/libs/sidecar/src/verbenamill_sidecar/state/store_follower.py
@@ -1,6 +1,7 @@
 """Keeps the desired state current from the store or from other daemons."""
 
 from collections.abc import Callable
+from math import isfinite
 from random import Random
 
 import trio
@@ -10,10 +11,12 @@
 from verbenamill_sidecar.membership.datagrams import NoticeKind
 from verbenamill_sidecar.membership.peers import Peer, Peers
 from verbenamill_sidecar.protocol import PublishedRecords, Store, StoreFault
+from verbenamill_sidecar.state.announcements import AnnouncedStamps, Channel
 from verbenamill_sidecar.state.desired_state import DesiredState, VersionStamp
 from verbenamill_sidecar.state.distribution import (
     NOTICE_PERIOD,
     DistributionTree,
+    ReadingReason,
 )
 from verbenamill_sidecar.state.snapshot_client import fetch_snapshot
 from verbenamill_telemetry import Event, log
@@ -67,6 +70,7 @@
     """Follows the records that operators publish in the store.
 
     :param notify: sends a notice about this daemon's state to others.
+    :ivar announced: what other daemons have announced to have.
     :ivar last_read_at: when the store last answered, on trio's clock.
     """
 
@@ -95,6 +99,8 @@
         self._may_read = trio.Event()
         self._fetching: set[VmId] = set()
         self._nursery: trio.Nursery | None = None
+        self._reading_reason: ReadingReason | None = None
+        self.announced = AnnouncedStamps(desired_state)
         self.last_read_at = float('-inf')
 
     @property
@@ -126,9 +132,11 @@
         """End the wait for the state of neighbours."""
         self._may_read.set()
 
-    def handle_stamp(self, vm: VmId, stamp: VersionStamp) -> None:
+    def handle_stamp(
+        self, vm: VmId, stamp: VersionStamp, channel: Channel
+    ) -> None:
         """Fetch the state of another daemon if its stamp is newer."""
-        if self._desired_state.is_older_than(stamp):
+        if self.announced.record(vm, stamp, channel):
             self.schedule_fetch(vm, stamp, is_parent=False)
         elif self._desired_state.version < 0:
             self._count_uninformed_peer(vm)
@@ -286,6 +294,7 @@
             # thereby keeps the next rank from reading too, and a reader
             # without answers of the store is replaced without delay.
             state = (self._is_reading(), self._is_store_lost)
+            self._log_reading()
             if (
                 has_changed
                 or state != previous
@@ -297,6 +306,18 @@
             previous = state
             await trio.sleep(_NOTICE_CHECK_PERIOD)
 
+    def _log_reading(self) -> None:
+        reason = self._tree.reading_reason
+        if reason is self._reading_reason:
+            return
+        self._reading_reason = reason
+        log(
+            Event.READING_CHANGED,
+            reason='no' if reason is None else reason.value,
+            rank=self._tree.rank,
+            notice_age_ms=_to_ms(self._tree.notice_age),
+        )
+
     def _is_reading(self) -> bool:
         """Whether this daemon reads the store and gets answers from it."""
         return (
@@ -324,8 +345,7 @@
             # If the store has returned something, it returns the rest too.
             is_served = not is_parent and self._desired_state.stamp != before
             if self._desired_state.is_older_than(stamp) and not is_served:
-                with trio.move_on_after(_FETCH_TIMEOUT):
-                    await self._fetch_now(peer)
+                await self._fetch_in_time(peer)
                 if is_parent and not self._desired_state.is_older_than(stamp):
                     self._tree.note_current()
         finally:
@@ -339,14 +359,29 @@
         is_first = is_parent and len(self._fetching) == 1
         return _PARENT_FETCH_DELAY if is_first else _FETCH_DELAY
 
-    async def _fetch_now(self, peer: Peer) -> None:
-        snapshot = await fetch_snapshot(peer.pool)
-        if snapshot is not None:
-            self._desired_state.apply_snapshot(snapshot, peer.record.vm)
-            self._start_informed()
+    async def _fetch_in_time(self, peer: Peer) -> None:
+        began = trio.current_time()
+        snapshot = None
+        with trio.move_on_after(_FETCH_TIMEOUT):
+            snapshot = await fetch_snapshot(peer.pool)
+        if snapshot is None:
+            elapsed = trio.current_time() - began
+            log(
+                Event.STATE_NOT_FETCHED,
+                peer=peer.record.vm,
+                ms=_to_ms(elapsed),
+            )
+            return
+        self._desired_state.apply_snapshot(snapshot, peer.record.vm)
+        self._start_informed()
 
     def _start_informed(self) -> None:
         """Start with a neighbour's state; it will keep sending notices."""
         if not self._may_read.is_set() and self._desired_state.version >= 0:
             self._may_read.set()
             self._tree.note_current()
+
+
+def _to_ms(seconds: float) -> int:
+    """Convert to milliseconds for a log event; -1 if infinite."""
+    return int(seconds * 1000) if isfinite(seconds) else -1
--- a/libs/sidecar/tests/test_gossip.py
+++ b/libs/sidecar/tests/test_gossip.py
@@ -15,6 +15,7 @@
 from verbenamill_policy.quarantine import Quarantine
 from verbenamill_policy.rollouts import Progress
 from verbenamill_policy.routes import Configuration, Limits
+from verbenamill_sidecar.state.announcements import AnnouncedStamps
 from verbenamill_sidecar.state.desired_state import DesiredState
 from verbenamill_sidecar.state.distribution import DistributionTree
 from verbenamill_sidecar.membership.gossip import Gossip
@@ -26,11 +27,11 @@
     """Records which daemons have a newer state."""
 
     def __init__(self, desired_state):
-        self._desired_state = desired_state
+        self.announced = AnnouncedStamps(desired_state)
         self.newer_peers = []
 
-    def handle_stamp(self, vm, stamp):
-        if self._desired_state.is_older_than(stamp):
+    def handle_stamp(self, vm, stamp, channel):
+        if self.announced.record(vm, stamp, channel):
             self.newer_peers.append(vm)
 
     def schedule_fetch(self, vm, stamp, *, is_parent):
--- a/libs/telemetry/src/verbenamill_telemetry/events.py
+++ b/libs/telemetry/src/verbenamill_telemetry/events.py
@@ -165,6 +165,24 @@
         'The record is ignored; the current configuration stays in force.',
         'Find out which program wrote the record.',
     )
+    STATE_BEHIND = EventDefinition(
+        'VM2010',
+        logging.INFO,
+        '{peer} has announced state {newest}, and state {own} is in force',
+        'Another daemon has a newer configuration, order or evacuation. This '
+        'daemon fetches it. `channel` names the kind of message.',
+        'Nothing, unless no VM2003 follows. VM2011 and VM3009 show the cause.',
+        rate=5,
+    )
+    STATE_NOT_FETCHED = EventDefinition(
+        'VM2011',
+        logging.WARNING,
+        'no state from {peer} within {ms} ms',
+        'Another daemon announced a newer state, and it could not be fetched '
+        'from there. The next daemon that has it is asked.',
+        'Nothing for a single daemon. Many at once indicate a network fault.',
+        rate=5,
+    )
     LOG_UNAVAILABLE = EventDefinition(
         'VM3001',
         logging.WARNING,
@@ -229,6 +247,15 @@
         'Reads of the store succeed again.',
         _NO_ACTION,
     )
+    READING_CHANGED = EventDefinition(
+        'VM3009',
+        logging.INFO,
+        'reads the store: {reason}',
+        'Whether this daemon reads the store itself, and why. `notice_age_ms` '
+        'is the time since the last notice that it is up to date.',
+        'Nothing for a few daemons. If whole zones read, check the daemons of '
+        'lowest rank and their network path to the store.',
+    )
     PEER_LOST = EventDefinition(
         'VM4001',
         logging.WARNING,
