--- a/libs/sidecar/tests/test_gossip.py
+++ b/libs/sidecar/tests/test_gossip.py
@@ -1,11 +1,13 @@
 """Gossip between several daemons over real UDP sockets on loopback."""
 
+from functools import partial
 from random import Random
 
 import pytest
 import trio
+from trio.testing import MockClock
 
-from verbenamill_http.addresses import parse_address
+from verbenamill_http.addresses import Address, parse_address
 from verbenamill_model.typing import UpstreamState
 from verbenamill_policy.members import (
     MemberRecord,
@@ -17,7 +19,12 @@
 from verbenamill_policy.routes import Configuration, Limits
 from verbenamill_sidecar.state.announcements import AnnouncedStamps
 from verbenamill_sidecar.state.desired_state import DesiredState
-from verbenamill_sidecar.state.distribution import DistributionTree
+from verbenamill_sidecar.state.distribution import (
+    NOTICE_PERIOD,
+    NOTICE_TIMEOUT,
+    DistributionTree,
+)
+from verbenamill_sidecar.membership.datagrams import Notice, NoticeKind
 from verbenamill_sidecar.membership.gossip import Gossip
 from verbenamill_sidecar.membership.peers import Peers
 from verbenamill_sidecar.quarantine.suspects import SuspectGate
@@ -192,3 +199,78 @@
         services=frozenset(),
         limits=Limits(),
     )
+
+
+#: Time by which a daemon that knows of a change reads the store itself, in
+#: seconds. The rest of the bound of 2 s is left for learning of it, and for
+#: the read.
+READ_BOUND = 1.2
+NEWER_STAMP = (2, -1)
+
+
+def add_members(table, *, zones='wxyz', size=10):
+    """Add daemons of some zones, which are not running."""
+    for number, zone in enumerate(zones, start=1):
+        for place in range(size):
+            table.merge(
+                MemberRecord(
+                    vm=f'{zone}{place}',
+                    incarnation=1,
+                    sequence=0,
+                    availability_zone=zone,
+                    calls=f'127.0.{number}.{place}:1',
+                    gossip=f'127.0.{number}.{place}:2',
+                )
+            )
+
+
+def find_vm_of_rank(rank):
+    table = MemberTable()
+    add_members(table)
+    return next(
+        record.vm
+        for record in table.in_zone('z')
+        if DistributionTree(table, record.vm).rank == rank
+    )
+
+
+@pytest.mark.parametrize('phase', [0.0, 0.1, 0.3, 0.5])
+def test_a_parent_that_lacks_a_change_too_does_not_hide_it(phase, ports):
+    """Guards against a daemon that stays behind although it knows of a change.
+
+    One parent has the change, but it cannot be fetched from there. The other
+    one reports that it is up to date, and is not.
+    """
+    port = next(ports)
+
+    async def send(node, sender, stamp, *, delay):
+        await trio.sleep(delay)
+        while True:
+            notice = Notice(sender, stamp, NoticeKind.CURRENT)
+            node.gossip._handle(notice, Address('127.0.0.1', 1))
+            await trio.sleep(NOTICE_PERIOD)
+
+    async def scene():
+        vm = find_vm_of_rank(5)
+        node = Node(vm, port=port)
+        add_members(node.table)
+        tree = node.gossip._tree
+        tree.await_notice(NOTICE_TIMEOUT)
+        parents = [
+            record.vm for record in node.table.in_zone('z') if record.vm != vm
+        ]
+        async with trio.open_nursery() as nursery:
+            for parent, stamp, delay in zip(
+                parents, ((-1, -1), NEWER_STAMP), (phase, 0), strict=False
+            ):
+                nursery.start_soon(
+                    partial(send, node, parent, stamp, delay=delay)
+                )
+            with trio.move_on_after(READ_BOUND):
+                while not tree.must_read():
+                    await trio.sleep(0.01)
+            nursery.cancel_scope.cancel()
+        node.gossip.close()
+        assert tree.must_read()
+
+    trio.run(scene, clock=MockClock(autojump_threshold=0))
--- a/libs/sidecar/tests/test_store_follower.py
+++ b/libs/sidecar/tests/test_store_follower.py
@@ -35,16 +35,18 @@
         await trio.sleep_forever()
 
 
+def make_configuration(version):
+    return Configuration(
+        version=ConfigVersion(version),
+        routes=(),
+        services=frozenset(),
+        limits=Limits(),
+    )
+
+
 def encode_newest():
     return encode_snapshot(
-        StateSnapshot(
-            configuration=Configuration(
-                version=ConfigVersion(NEWEST_VERSION),
-                routes=(),
-                services=frozenset(),
-                limits=Limits(),
-            ),
-        ),
+        StateSnapshot(configuration=make_configuration(NEWEST_VERSION)),
     )
 
 
@@ -150,3 +152,37 @@
         await scene.wait_until_current()
 
     play(scenario)
+
+
+def test_a_state_that_is_newer_and_still_too_old_is_no_reason_not_to_fetch(
+    play,
+):
+    """Guards against a change that is left out after an earlier one arrived.
+
+    The earlier one comes from elsewhere while the fetch is about to begin.
+    """
+
+    async def scenario(scene):
+        scene.desired_state.apply_configuration(make_configuration(5), 'test')
+        await scene.add('near', serve_snapshot)
+        scene.follower.schedule_fetch('near', NEWEST_STAMP, is_parent=False)
+        await trio.sleep(0.02)
+        scene.desired_state.apply_configuration(make_configuration(6), 'test')
+        await scene.wait_until_current()
+
+    play(scenario)
+
+
+def test_several_hanging_fetches_do_not_delay_a_further_one(play):
+    """Guards against a daemon that waits for others that are cut off."""
+
+    async def scenario(scene):
+        for place in range(4):
+            await scene.add(f'far{place}', serve_nothing)
+        await scene.add('near', serve_snapshot)
+        for vm in ('far0', 'far1', 'far2', 'far3', 'near'):
+            scene.follower.schedule_fetch(vm, NEWEST_STAMP, is_parent=False)
+            await trio.sleep(0.02)
+        await scene.wait_until_current()
+
+    play(scenario)
