Fetches: a congested link or daemons that hang no longer hold back a change

Three fetches ended after 251 ms each, the time in which requests must open a connection, on a link that took longer; the next try came with the next notice, the store's connections timed out too. In the code besides: a fetch was left out when any newer state had come meanwhile, also one that was still too old; three hanging fetches held back all others for 2 s.

Change: StateFetcher keeps what is announced, asks the next daemon after 0.25 s without waiting for the first to give up, repeats, and gives a connection 1.2 s to open. The oldest fetch makes room for a new one.

--- a/libs/http/src/verbenamill_http/client.py
+++ b/libs/http/src/verbenamill_http/client.py
@@ -318,12 +318,15 @@
         self,
         *,
         max_idle: float | None = None,
+        connect_timeout: float | None = None,
     ) -> ClientConnection | None:
         """Take an idle connection, or open one.
 
         :param max_idle: shorter idle time for requests that must not be
             repeated, because the server may close an idle connection at any
             moment.
+        :param connect_timeout: other time limit for opening a connection, in
+            seconds.
         :return: a connection for exclusive use; ``None`` if the limit is
             reached or the server cannot be reached.
         """
@@ -342,7 +345,7 @@
         try:
             sock = await connect(
                 self.address,
-                self._connect_timeout,
+                connect_timeout or self._connect_timeout,
                 user_timeout_ms=self._user_timeout_ms,
             )
         finally:
--- a/libs/sidecar/src/verbenamill_sidecar/daemon.py
+++ b/libs/sidecar/src/verbenamill_sidecar/daemon.py
@@ -16,6 +16,7 @@
     AvailabilityZone,
     ServiceName,
     UpstreamState,
+    VmId,
 )
 from verbenamill_policy.heartbeats import Heartbeat
 from verbenamill_policy.members import (
@@ -39,10 +40,15 @@
 from verbenamill_sidecar.routing.ingress_context import IngressContext
 from verbenamill_sidecar.routing.peer_requests import PeerRequestHandler
 from verbenamill_sidecar.settings import Settings
-from verbenamill_sidecar.state.desired_state import DesiredState
+from verbenamill_sidecar.state.desired_state import (
+    DesiredState,
+    StateSnapshot,
+)
 from verbenamill_sidecar.state.distribution import DistributionTree
 from verbenamill_sidecar.state.own_zone import OwnZone
 from verbenamill_sidecar.state.rollout_controller import RolloutController
+from verbenamill_sidecar.state.snapshot_client import fetch_snapshot
+from verbenamill_sidecar.state.state_fetcher import FETCH_TIMEOUT
 from verbenamill_sidecar.state.store_follower import Follower
 from verbenamill_sidecar.stats import CallStats
 from verbenamill_sidecar.upstream.announcements import Announcements
@@ -150,7 +156,7 @@
         self._follower = Follower(
             store=context.store,
             desired_state=self._desired_state,
-            peers=self._peers,
+            fetch=self._fetch_state,
             random=context.random,
             tree=self._tree,
             notify=lambda kind: self._gossip.notify(kind),
@@ -398,6 +404,13 @@
         shares = self._desired_state.shares(upstream.service)
         return shares.allows(upstream.version)
 
+    async def _fetch_state(self, vm: VmId) -> StateSnapshot | None:
+        """Fetch the state of another daemon; ``None`` if that fails."""
+        peer = self._peers.get(vm)
+        if peer is None:
+            return None
+        return await fetch_snapshot(peer.pool, connect_timeout=FETCH_TIMEOUT)
+
     def _evacuated_zones(self) -> frozenset[AvailabilityZone]:
         return self._desired_state.evacuated_zones
 
--- a/libs/sidecar/src/verbenamill_sidecar/membership/gossip.py
+++ b/libs/sidecar/src/verbenamill_sidecar/membership/gossip.py
@@ -343,10 +343,8 @@
                 self._tree.note_current()
         if is_behind:
             self._tree.note_behind()
-            self._follower.schedule_fetch(
-                message.sender,
-                message.stamp,
-                is_parent=True,
+            self._follower.handle_stamp(
+                message.sender, message.stamp, Channel.NOTICE
             )
 
     def _handle_rumors(self, message: Rumors) -> None:
--- a/libs/sidecar/src/verbenamill_sidecar/state/snapshot_client.py
+++ b/libs/sidecar/src/verbenamill_sidecar/state/snapshot_client.py
@@ -16,12 +16,18 @@
 _MAX_SNAPSHOT_BYTES = 16 * 1024 * 1024
 
 
-async def fetch_snapshot(pool: ConnectionPool) -> StateSnapshot | None:
+async def fetch_snapshot(
+    pool: ConnectionPool, *, connect_timeout: float | None = None
+) -> StateSnapshot | None:
     """Fetch a snapshot; ``None`` if there is no answer or an invalid one.
 
     The connection is closed afterwards.
+
+    :param connect_timeout: time limit for opening a connection, in seconds, if
+        other than that of the pool. Requests give up soon, since other owners
+        can run them; on a congested link no fetch would succeed in that time.
     """
-    connection = await pool.acquire()
+    connection = await pool.acquire(connect_timeout=connect_timeout)
     if connection is None:
         return None
     request = encode_request(
--- a/libs/sidecar/src/verbenamill_sidecar/state/store_follower.py
+++ b/libs/sidecar/src/verbenamill_sidecar/state/store_follower.py
@@ -9,16 +9,19 @@
 
 from verbenamill_model.typing import VmId
 from verbenamill_sidecar.membership.datagrams import NoticeKind
-from verbenamill_sidecar.membership.peers import Peer, Peers
 from verbenamill_sidecar.protocol import PublishedRecords, Store, StoreFault
 from verbenamill_sidecar.state.announcements import AnnouncedStamps, Channel
-from verbenamill_sidecar.state.desired_state import DesiredState, VersionStamp
+from verbenamill_sidecar.state.desired_state import (
+    DesiredState,
+    StateSnapshot,
+    VersionStamp,
+)
 from verbenamill_sidecar.state.distribution import (
     NOTICE_PERIOD,
     DistributionTree,
     ReadingReason,
 )
-from verbenamill_sidecar.state.snapshot_client import fetch_snapshot
+from verbenamill_sidecar.state.state_fetcher import Fetch, StateFetcher
 from verbenamill_telemetry import Event, log
 
 #: Longest time for which the store holds a read open until a record arrives,
@@ -44,12 +47,12 @@
 #: recovered.
 MIN_RETRY_PAUSE = 0.1
 MAX_RETRY_PAUSE = 1.0
-#: Time for which a daemon that is behind another one waits for its own read
-#: before it fetches the change, in seconds.
-_FETCH_DELAY = 0.4
-#: The same if the other daemon is its parent. During a burst of changes the
-#: daemon fetches once per this interval.
-_PARENT_FETCH_DELAY = 0.05
+#: Time for which a daemon that reads the store waits for its own read before
+#: it fetches what another daemon has announced, in seconds.
+_READER_FETCH_DELAY = 0.4
+#: The same for other daemons. During a burst of changes a daemon fetches once
+#: per this interval.
+_FETCH_DELAY = 0.05
 #: Interval at which a daemon that does not read checks whether it must, in
 #: seconds.
 _READER_CHECK_PERIOD = 0.1
@@ -60,15 +63,12 @@
 _ENOUGH_UNINFORMED_PEERS = 2
 #: Interval between checks for something to notify the children of, in seconds.
 _NOTICE_CHECK_PERIOD = 0.05
-#: Longest wait for the answer of another daemon, in seconds.
-_FETCH_TIMEOUT = 2.0
-#: Concurrent fetches; a fetch from a parent may exceed this number.
-_MAX_FETCHES = 3
 
 
 class Follower:
     """Follows the records that operators publish in the store.
 
+    :param fetch: fetches the state of another daemon.
     :param notify: sends a notice about this daemon's state to others.
     :ivar announced: what other daemons have announced to have.
     :ivar last_read_at: when the store last answered, on trio's clock.
@@ -79,7 +79,7 @@
         *,
         store: Store,
         desired_state: DesiredState,
-        peers: Peers,
+        fetch: Fetch,
         random: Random,
         tree: DistributionTree,
         notify: Callable[[NoticeKind], None],
@@ -88,7 +88,6 @@
         self._notify = notify
         self._store = store
         self._desired_state = desired_state
-        self._peers = peers
         self._random = random
         self._position: int | None = None
         self._is_store_lost = False
@@ -97,9 +96,13 @@
         self._was_not_reader = False
         self._uninformed_peers: set[VmId] = set()
         self._may_read = trio.Event()
-        self._fetching: set[VmId] = set()
-        self._nursery: trio.Nursery | None = None
         self._reading_reason: ReadingReason | None = None
+        self._fetcher = StateFetcher(
+            desired_state=desired_state,
+            fetch=fetch,
+            on_fetched=self._apply_fetched,
+            choose_delay=self._choose_fetch_delay,
+        )
         self.announced = AnnouncedStamps(desired_state)
         self.last_read_at = float('-inf')
 
@@ -115,8 +118,8 @@
             the first read of the store, in seconds.
         """
         async with trio.open_nursery() as nursery:
-            self._nursery = nursery
             nursery.start_soon(self._send_notices)
+            nursery.start_soon(self._fetcher.run)
             with trio.move_on_after(patience):
                 await self._may_read.wait()
             pause = MIN_RETRY_PAUSE
@@ -137,33 +140,10 @@
     ) -> None:
         """Fetch the state of another daemon if its stamp is newer."""
         if self.announced.record(vm, stamp, channel):
-            self.schedule_fetch(vm, stamp, is_parent=False)
+            self._fetcher.offer(vm, stamp)
         elif self._desired_state.version < 0:
             self._count_uninformed_peer(vm)
 
-    def schedule_fetch(
-        self, vm: VmId, stamp: VersionStamp, *, is_parent: bool
-    ) -> None:
-        """Fetch the state of another daemon that is newer than this one's.
-
-        One fetch from each daemon runs at a time, and only a few in total: a
-        fetch that hangs, for example from a zone that was just cut off, must
-        not block fetches from others, and more than a few would all return
-        the same state.
-
-        :param stamp: version stamp of the other daemon.
-        :param is_parent: whether the other daemon is a parent of this one,
-            which then need not wait for a read of its own.
-        """
-        if self._nursery is None or vm in self._fetching:
-            return
-        if len(self._fetching) >= _MAX_FETCHES and not is_parent:
-            return
-        peer = self._peers.get(vm)
-        if peer is not None:
-            self._fetching.add(vm)
-            self._nursery.start_soon(self._fetch, peer, stamp, is_parent)
-
     def _count_uninformed_peer(self, vm: VmId) -> None:
         """Count a neighbour without a configuration during the start.
 
@@ -335,44 +315,15 @@
         if has_changed and self._tree.must_read():
             self._notify(NoticeKind.CHANGED)
 
-    async def _fetch(
-        self, peer: Peer, stamp: VersionStamp, is_parent: bool
-    ) -> None:
-        """Fetch from another daemon what the store did not return in time."""
-        try:
-            before = self._desired_state.stamp
-            await trio.sleep(self._fetch_delay(is_parent))
-            # If the store has returned something, it returns the rest too.
-            is_served = not is_parent and self._desired_state.stamp != before
-            if self._desired_state.is_older_than(stamp) and not is_served:
-                await self._fetch_in_time(peer)
-                if is_parent and not self._desired_state.is_older_than(stamp):
-                    self._tree.note_current()
-        finally:
-            self._fetching.discard(peer.record.vm)
-
-    def _fetch_delay(self, is_parent: bool) -> float:
+    def _choose_fetch_delay(self) -> float:
         if self._desired_state.version < 0:
             return 0
-        # Both parents send the same notice at about the same time. The second
-        # one is asked only if the first does not answer.
-        is_first = is_parent and len(self._fetching) == 1
-        return _PARENT_FETCH_DELAY if is_first else _FETCH_DELAY
-
-    async def _fetch_in_time(self, peer: Peer) -> None:
-        began = trio.current_time()
-        snapshot = None
-        with trio.move_on_after(_FETCH_TIMEOUT):
-            snapshot = await fetch_snapshot(peer.pool)
-        if snapshot is None:
-            elapsed = trio.current_time() - began
-            log(
-                Event.STATE_NOT_FETCHED,
-                peer=peer.record.vm,
-                ms=_to_ms(elapsed),
-            )
-            return
-        self._desired_state.apply_snapshot(snapshot, peer.record.vm)
+        return _READER_FETCH_DELAY if self._is_reading() else _FETCH_DELAY
+
+    def _apply_fetched(self, snapshot: StateSnapshot, vm: VmId) -> None:
+        self._desired_state.apply_snapshot(snapshot, vm)
+        if self.announced.behind_since is None:
+            self._tree.note_current()
         self._start_informed()
 
     def _start_informed(self) -> None:
--- a/libs/sidecar/tests/test_gossip.py
+++ b/libs/sidecar/tests/test_gossip.py
@@ -41,9 +41,6 @@
         if self.announced.record(vm, stamp, channel):
             self.newer_peers.append(vm)
 
-    def schedule_fetch(self, vm, stamp, *, is_parent):
-        self.newer_peers.append(vm)
-
 
 class Node:
     """The gossip of one daemon, without its other parts."""
--- a/libs/sidecar/tests/test_store_follower.py
+++ b/libs/sidecar/tests/test_store_follower.py
@@ -9,7 +9,8 @@
 from verbenamill_model.typing import ConfigVersion
 from verbenamill_policy.members import MemberRecord, MemberTable
 from verbenamill_policy.routes import Configuration, Limits
-from verbenamill_sidecar.state import store_follower
+from verbenamill_sidecar.state import state_fetcher
+from verbenamill_sidecar.state.announcements import Channel
 from verbenamill_sidecar.state.desired_state import (
     DesiredState,
     StateSnapshot,
@@ -17,6 +18,7 @@
 )
 from verbenamill_sidecar.state.distribution import DistributionTree
 from verbenamill_sidecar.membership.peers import Peers
+from verbenamill_sidecar.state.snapshot_client import fetch_snapshot
 from verbenamill_sidecar.state.store_follower import Follower
 
 NEWEST_VERSION = 7
@@ -77,12 +79,16 @@
         self.follower = Follower(
             store=CutStore(),
             desired_state=self.desired_state,
-            peers=self.peers,
+            fetch=self._fetch,
             random=Random(1),
             tree=DistributionTree(self._table, 'own'),
             notify=lambda kind: None,
         )
 
+    async def _fetch(self, vm):
+        pool = self.peers.get(vm).pool
+        return await fetch_snapshot(pool, connect_timeout=1)
+
     def _add_record(self, vm, port):
         self._table.merge(
             MemberRecord(
@@ -110,7 +116,7 @@
 def play(monkeypatch):
     # No fetch times out within a test, so the awaited state can only come from
     # another daemon than the one whose fetch hangs.
-    monkeypatch.setattr(store_follower, '_FETCH_TIMEOUT', 1000)
+    monkeypatch.setattr(state_fetcher, 'FETCH_TIMEOUT', 1000)
 
     def run(scenario):
         async def main():
@@ -134,9 +140,9 @@
     async def scenario(scene):
         await scene.add('far', serve_nothing)
         await scene.add('parent', serve_snapshot)
-        scene.follower.schedule_fetch('far', NEWEST_STAMP, is_parent=False)
+        scene.follower.handle_stamp('far', NEWEST_STAMP, Channel.NOTICE)
         await trio.sleep(0.6)
-        scene.follower.schedule_fetch('parent', NEWEST_STAMP, is_parent=True)
+        scene.follower.handle_stamp('parent', NEWEST_STAMP, Channel.NOTICE)
         await scene.wait_until_current()
 
     play(scenario)
@@ -146,9 +152,9 @@
     async def scenario(scene):
         await scene.add('far', serve_nothing)
         await scene.add('near', serve_snapshot)
-        scene.follower.schedule_fetch('far', NEWEST_STAMP, is_parent=False)
-        scene.follower.schedule_fetch('far', NEWEST_STAMP, is_parent=False)
-        scene.follower.schedule_fetch('near', NEWEST_STAMP, is_parent=False)
+        scene.follower.handle_stamp('far', NEWEST_STAMP, Channel.NOTICE)
+        scene.follower.handle_stamp('far', NEWEST_STAMP, Channel.NOTICE)
+        scene.follower.handle_stamp('near', NEWEST_STAMP, Channel.NOTICE)
         await scene.wait_until_current()
 
     play(scenario)
@@ -165,7 +171,7 @@
     async def scenario(scene):
         scene.desired_state.apply_configuration(make_configuration(5), 'test')
         await scene.add('near', serve_snapshot)
-        scene.follower.schedule_fetch('near', NEWEST_STAMP, is_parent=False)
+        scene.follower.handle_stamp('near', NEWEST_STAMP, Channel.NOTICE)
         await trio.sleep(0.02)
         scene.desired_state.apply_configuration(make_configuration(6), 'test')
         await scene.wait_until_current()
@@ -181,7 +187,7 @@
             await scene.add(f'far{place}', serve_nothing)
         await scene.add('near', serve_snapshot)
         for vm in ('far0', 'far1', 'far2', 'far3', 'near'):
-            scene.follower.schedule_fetch(vm, NEWEST_STAMP, is_parent=False)
+            scene.follower.handle_stamp(vm, NEWEST_STAMP, Channel.NOTICE)
             await trio.sleep(0.02)
         await scene.wait_until_current()
 
