Notices: a parent that lacks a change no longer hides it

Cause: a notice said "I have all that you have" and counted as "you have all that there is". It began the wait anew each time, and carried no age.

Change: what was announced by anybody is kept, and only a state that contains it, or a read of the store begun later, ends the wait. A notice carries how long ago the reader that it goes back to was heard of, and is passed on at once. The new field of a notice is read as 0 from daemons that do not send it, and they skip it.

test_distribution.py: its fleet passed notices on that no reader stood behind; it follows the product now, with the same assertions.

--- a/libs/sidecar/src/verbenamill_sidecar/membership/datagrams.py
+++ b/libs/sidecar/src/verbenamill_sidecar/membership/datagrams.py
@@ -88,7 +88,7 @@
 
     ``CURRENT``: the sender is up to date, and the receiver need not read.
     ``STALLED``: the sender reads the store but gets no answer.
-    ``CHANGED``: the sender, in another zone, has just applied a change.
+    ``CHANGED``: the sender has just applied a change.
     """
 
     CURRENT = 0
@@ -101,11 +101,14 @@
 
     :param stamp: version of the configuration, and number of the newest order
         or evacuation.
+    :param age_ms: for how long the reader that ``CURRENT`` goes back to has
+        not been heard of, in milliseconds.
     """
 
     sender: VmId
     stamp: tuple[int, int]
     kind: NoticeKind = NoticeKind.CURRENT
+    age_ms: int = 0
 
 
 class Ask(Struct, tag='a', array_like=True):
--- a/libs/sidecar/src/verbenamill_sidecar/membership/gossip.py
+++ b/libs/sidecar/src/verbenamill_sidecar/membership/gossip.py
@@ -44,6 +44,7 @@
 )
 from verbenamill_sidecar.membership.dissemination import Dissemination
 from verbenamill_sidecar.membership.liveness import LivenessMonitor
+from verbenamill_sidecar.membership.notices import Notices
 from verbenamill_sidecar.membership.peers import Peer, Peers
 from verbenamill_sidecar.membership.reconciliation import Reconciliation
 from verbenamill_sidecar.membership.traffic import Traffic
@@ -144,6 +145,14 @@
             send=self._send,
             quarantine=gate.quarantine,
         )
+        self._notices = Notices(
+            own.vm,
+            desired_state=desired_state,
+            follower=follower,
+            tree=tree,
+            neighbours=self._neighbours,
+            send=self._send,
+        )
         self._liveness = LivenessMonitor(
             peers,
             availability_zone=own.availability_zone,
@@ -240,11 +249,7 @@
 
     def notify(self, kind: NoticeKind) -> None:
         """Send a notice about this daemon's view of the store to others."""
-        notice = Notice(self.own.vm, self._desired_state.stamp, kind)
-        is_change = kind is NoticeKind.CHANGED
-        to = self._tree.zone_contacts if is_change else self._tree.children
-        for record in to:
-            self._send(record, notice)
+        self._notices.notify(kind)
 
     def send_tally(self, peer: Peer, tally: Tally) -> None:
         """Send a tally of this daemon to the decider of a move."""
@@ -257,6 +262,7 @@
         while True:
             await trio.sleep(RUMOR_PERIOD)
             self._dissemination.next_round()
+            self._notices.next_round()
 
     async def _compare(self) -> None:
         while True:
@@ -328,24 +334,7 @@
         self._mark_alive(message.sender)
         if self._table.get(message.sender) is None:
             self._introduce(message.sender, source)
-        if message.kind is NoticeKind.CHANGED:
-            self._follower.handle_stamp(
-                message.sender, message.stamp, Channel.RUMOR
-            )
-            return
-        is_behind = self._follower.announced.record(
-            message.sender, message.stamp, Channel.NOTICE
-        )
-        match message.kind:
-            case NoticeKind.STALLED:
-                self._tree.note_stalled(message.sender)
-            case NoticeKind.CURRENT if not is_behind:
-                self._tree.note_current()
-        if is_behind:
-            self._tree.note_behind()
-            self._follower.handle_stamp(
-                message.sender, message.stamp, Channel.NOTICE
-            )
+        self._notices.handle(message)
 
     def _handle_rumors(self, message: Rumors) -> None:
         self._dissemination.merge_members(message.members, spread=True)
@@ -397,9 +386,7 @@
             self._send(known, self._reconciliation.summarize())
 
     def _handle_summary(self, message: Summary, sender: MemberRecord) -> None:
-        self._follower.handle_stamp(
-            message.sender, message.stamp, Channel.COMPARISON
-        )
+        self._notices.record(message.sender, message.stamp, Channel.COMPARISON)
         if self.own.leaving and not self._desired_state.is_older_than(
             message.stamp
         ):
--- a/libs/sidecar/src/verbenamill_sidecar/state/announcements.py
+++ b/libs/sidecar/src/verbenamill_sidecar/state/announcements.py
@@ -28,6 +28,7 @@
     def __init__(self, desired_state: DesiredState) -> None:
         self._desired_state = desired_state
         self._newest: VersionStamp = (-1, -1)
+        self._raised_at = float('-inf')
         self._behind_since: float | None = None
 
     @property
@@ -56,9 +57,10 @@
         if newest == self._newest:
             return is_behind
         self._newest = newest
+        self._raised_at = trio.current_time()
         if is_behind:
             if not was_behind:
-                self._behind_since = trio.current_time()
+                self._behind_since = self._raised_at
             log(
                 Event.STATE_BEHIND,
                 peer=vm,
@@ -67,3 +69,14 @@
                 channel=channel.value,
             )
         return is_behind
+
+    def confirm(self, read_at: float) -> None:
+        """Record that the own state has everything that the store has.
+
+        A stamp that is newer than the store, as of a daemon whose state comes
+        from a store that was replaced, then no longer counts.
+
+        :param read_at: when the read of the store began, on trio's clock.
+        """
+        if read_at >= self._raised_at:
+            self._newest = self._desired_state.stamp
--- a/libs/sidecar/src/verbenamill_sidecar/state/distribution.py
+++ b/libs/sidecar/src/verbenamill_sidecar/state/distribution.py
@@ -9,6 +9,10 @@
 daemon that receives no notice for a while reads the store itself and then
 notifies others; low ranks start first. While the store answers nobody, only a
 few daemons keep asking it.
+
+A notice that a daemon need not read carries the age of what it goes back to: a
+daemon that answers the question "is anything newer?" only knows as much as the
+reader behind it.
 """
 
 from collections.abc import Iterable
@@ -28,7 +32,8 @@
 #: Readers in each zone if there are fewer than :data:`_ENOUGH_ZONES` zones.
 READERS_WITH_FEW_ZONES = 3
 _ENOUGH_ZONES = 3
-#: Daemons of a zone that keep asking a store which answers nobody.
+#: Daemons of a zone that ask at a time while the store answers nobody: the
+#: ones of lowest rank.
 PROBERS = 2
 #: Children of a daemon in the tree; bounds the load on its network link.
 TREE_FANOUT = 4
@@ -88,6 +93,8 @@
         self._later_zone_contacts: list[MemberRecord] = []
         self._notice_at = float('-inf')
         self._stalled_at: dict[VmId, float] = {}
+        self._stall_began = float('-inf')
+        self._is_answered = False
         self._behind_since: float | None = None
 
     @property
@@ -145,26 +152,61 @@
         now = trio.current_time()
         self._notice_at = max(self._notice_at, now + patience - NOTICE_TIMEOUT)
 
+    def note_notice(self, age: float) -> None:
+        """Record a notice that this daemon need not read.
+
+        :param age: for how long the reader that the notice goes back to has
+            not been heard of, in seconds. Without it, daemons that all lack a
+            change could tell each other that they are up to date.
+        """
+        self._notice_at = max(self._notice_at, trio.current_time() - age)
+
     def note_current(self) -> None:
         """Record that this daemon has everything that a parent has applied."""
-        self._notice_at = trio.current_time()
+        self.note_notice(0)
+        self.note_caught_up()
+
+    def note_caught_up(self) -> None:
+        """Record that this daemon has everything that was announced."""
         self._behind_since = None
 
     def note_stalled(self, sender: VmId) -> None:
         """Record that the store does not answer another daemon that reads."""
-        self._stalled_at[sender] = trio.current_time()
+        now = trio.current_time()
+        was_stalled = self._is_stalled(now)
+        self._stalled_at[sender] = now
+        if self._is_stalled(now) and not was_stalled:
+            self._stall_began = now
+            self._is_answered = False
+
+    def note_answered(self, *, is_answered: bool) -> None:
+        """Record whether the store answered the last read of this daemon."""
+        self._is_answered = is_answered
 
     def note_behind(self) -> None:
-        """Record that a parent has applied a change that is missing here.
+        """Record that another daemon has something that is missing here.
 
-        Notices of a parent may arrive while nothing can be fetched from it,
-        for example if its port for requests is unreachable. If such a notice
-        counted as up to date, this daemon would never read the store itself
-        and would stay behind.
+        Notices may arrive while nothing can be fetched, for example if the
+        port for requests of the other daemon is unreachable. If such a notice
+        ended the wait, this daemon would never read the store itself and would
+        stay behind.
         """
         if self._behind_since is None:
             self._behind_since = trio.current_time()
 
+    @property
+    def is_stalled(self) -> bool:
+        """Whether the store answers none of those that should read first."""
+        self._refresh()
+        return self._is_stalled(trio.current_time())
+
+    @property
+    def is_informed(self) -> bool:
+        """Whether a daemon that the store answers was heard of lately."""
+        if self.is_stalled and self._notice_at <= self._stall_began:
+            return False
+        return self.notice_age <= NOTICE_TIMEOUT
+
     def must_read(self) -> bool:
         """Whether this daemon has to read the store now."""
         return self.reading_reason is not None
@@ -181,31 +223,42 @@
         return self._reason_to_replace_readers(now)
 
     def _reason_to_replace_readers(self, now: float) -> ReadingReason | None:
-        probers = self._count_probers(now)
-        if probers >= PROBERS:
+        if self._is_stalled(now):
+            if self._replaces_stalled_readers():
+                return ReadingReason.STORE_SILENT
             return None
-        if self._rank and self._rank == probers:
-            # The store answers no lower rank. Only these daemons may be
-            # affected, and not the store.
-            return ReadingReason.STORE_SILENT
         place = self._rank or max(self._zone_rank - READING_ZONES, 0)
         patience = NOTICE_TIMEOUT + _STAGGER * min(place, _MAX_STAGGERS)
         if now - self._notice_at > patience:
             return ReadingReason.NO_NOTICE
         return None
 
+    def _replaces_stalled_readers(self) -> bool:
+        """Whether this daemon asks the store, which answers no reader."""
+        if self.is_informed:
+            return False
+        if not self._rank or self._is_answered:
+            return True
+        return self._rank < PROBERS
+
     @property
     def notice_age(self) -> float:
         """Time since the last notice that this daemon is up to date, in s."""
         return trio.current_time() - self._notice_at
 
-    def _count_probers(self, now: float) -> int:
-        """Count the lower ranks that the store does not answer."""
-        return sum(
-            now - at <= NOTICE_TIMEOUT
-            and self._ranks.get(vm, self._rank) < self._rank
+    def _is_stalled(self, now: float) -> bool:
+        """Whether the store answers none of those that should read first."""
+        stalled = [
+            self._ranks.get(vm)
             for vm, at in self._stalled_at.items()
-        )
+            if now - at <= NOTICE_TIMEOUT
+        ]
+        if self._rank:
+            return any(
+                rank is not None and rank < self._rank for rank in stalled
+            )
+        # Only daemons of other zones notify the lowest rank.
+        return len(stalled) >= READING_ZONES
 
     def _refresh(self) -> None:
         if self._table_version == self._table.version:
--- a/libs/sidecar/src/verbenamill_sidecar/state/store_follower.py
+++ b/libs/sidecar/src/verbenamill_sidecar/state/store_follower.py
@@ -61,8 +61,11 @@
 PEER_STATE_WAIT = 0.2
 #: Neighbours without a configuration that end this wait.
 _ENOUGH_UNINFORMED_PEERS = 2
-#: Interval between checks for something to notify the children of, in seconds.
+#: Interval between checks for something to notify others of, in seconds.
 _NOTICE_CHECK_PERIOD = 0.05
+#: Shortest interval at which a daemon that does not read passes notices on, in
+#: seconds. A notice travels the whole tree within one notice period.
+_RELAY_PERIOD = 0.8 * NOTICE_PERIOD
 
 
 class Follower:
@@ -96,6 +99,7 @@
         self._was_not_reader = False
         self._uninformed_peers: set[VmId] = set()
         self._may_read = trio.Event()
+        self._has_changed = trio.Event()
         self._reading_reason: ReadingReason | None = None
         self._fetcher = StateFetcher(
             desired_state=desired_state,
@@ -169,20 +173,27 @@
             # requests, and a settled order would appear to be running.
             return await self._read_verdicts()
         if self._position is None:
-            return self._apply(await self._store.read_newest())
+            began = trio.current_time()
+            return self._apply(await self._store.read_newest(), began)
+        return await self._read_next(self._position)
+
+    async def _read_next(self, position: int) -> StoreFault | None:
+        """Wait for the next records and apply them."""
         await trio.sleep_until(self._coalesce_until)
-        found = await self._read_next(self._position)
+        began = trio.current_time()
+        found = await self._poll(position)
         match found:
             case Failure(StoreFault.EXPIRED):
                 # The records in between have expired. The store keeps the
                 # newest record of each kind, and no others are needed.
                 self._position = None
                 return None
-        return self._apply(found)
+        return self._apply(found, began)
 
-    async def _read_next(
+    async def _poll(
         self, position: int
     ) -> Result[PublishedRecords, StoreFault]:
+        """Wait for the next records."""
         found = await self._store.read_from(
             position, self._choose_long_poll_timeout()
         )
@@ -206,10 +217,13 @@
     def _apply(
         self,
         found: Result[PublishedRecords, StoreFault],
+        began: float,
     ) -> StoreFault | None:
         match found:
             case Success(published):
                 self._apply_published(published)
+                self.announced.confirm(began)
+                self._note_applied()
                 return None
             case Failure(fault):
                 return self._note_failure(fault)
@@ -246,13 +260,21 @@
                 return self._note_failure(fault)
         raise AssertionError('a result is a success or a failure')
 
+    def _note_applied(self) -> None:
+        """Tell others at once, and end the wait for what was missing."""
+        if self.announced.behind_since is None:
+            self._tree.note_caught_up()
+        self._has_changed.set()
+
     def _note_success(self) -> None:
         self.last_read_at = trio.current_time()
+        self._tree.note_answered(is_answered=True)
         if self._is_store_lost:
             self._is_store_lost = False
             log(Event.STORE_RECOVERED, calls=self._store.calls.total())
 
     def _note_failure(self, fault: StoreFault) -> StoreFault:
+        self._tree.note_answered(is_answered=False)
         if not self._is_store_lost:
             self._is_store_lost = True
             log(
@@ -266,25 +288,41 @@
         """Notify others of each change and, regularly, of this state."""
         sent_stamp = self._desired_state.stamp
         sent_at = float('-inf')
-        previous = (False, False)
+        previous = (False, False, False)
         while True:
             now = trio.current_time()
             has_changed = self._desired_state.stamp != sent_stamp
             # A change of role is sent at once: a daemon that replaces a reader
             # thereby keeps the next rank from reading too, and a reader
             # without answers of the store is replaced without delay.
-            state = (self._is_reading(), self._is_store_lost)
+            state = (
+                self._is_reading(),
+                self._is_store_lost,
+                self._tree.is_stalled,
+            )
             self._log_reading()
             if (
                 has_changed
                 or state != previous
-                or now - sent_at >= NOTICE_PERIOD
+                or now - sent_at >= self._choose_notice_period(now - sent_at)
             ):
                 sent_stamp = self._desired_state.stamp
                 sent_at = now
                 self._send_notice(has_changed=has_changed)
             previous = state
-            await trio.sleep(_NOTICE_CHECK_PERIOD)
+            self._has_changed = trio.Event()
+            with trio.move_on_after(_NOTICE_CHECK_PERIOD):
+                await self._has_changed.wait()
+
+    def _choose_notice_period(self, elapsed: float) -> float:
+        """Choose when the next notice is due, in seconds after the last one.
+
+        A daemon that does not read passes each notice on as soon as it comes,
+        so that notices reach the end of the tree within one period.
+        """
+        if not self._tree.must_read() and self._tree.notice_age < elapsed:
+            return _RELAY_PERIOD
+        return NOTICE_PERIOD
 
     def _log_reading(self) -> None:
         reason = self._tree.reading_reason
@@ -308,11 +346,16 @@
         )
 
     def _send_notice(self, *, has_changed: bool) -> None:
-        if not self._tree.must_read() or self._is_reading():
+        if self._is_reading():
+            self._notify(NoticeKind.CURRENT)
+        elif self._tree.must_read():
+            if self._is_store_lost:
+                self._notify(NoticeKind.STALLED)
+        elif self._tree.is_informed:
             self._notify(NoticeKind.CURRENT)
-        elif self._is_store_lost:
+        elif self._tree.is_stalled:
             self._notify(NoticeKind.STALLED)
-        if has_changed and self._tree.must_read():
+        if has_changed:
             self._notify(NoticeKind.CHANGED)
 
     def _choose_fetch_delay(self) -> float:
@@ -322,8 +365,7 @@
 
     def _apply_fetched(self, snapshot: StateSnapshot, vm: VmId) -> None:
         self._desired_state.apply_snapshot(snapshot, vm)
-        if self.announced.behind_since is None:
-            self._tree.note_current()
+        self._note_applied()
         self._start_informed()
 
     def _start_informed(self) -> None:
--- a/libs/sidecar/tests/test_distribution.py
+++ b/libs/sidecar/tests/test_distribution.py
@@ -84,18 +84,30 @@
         }
 
     def deliver_notices(self):
-        """Deliver one round of notices."""
-        for vm, tree in self.trees.items():
+        """Deliver one round of notices, and the answers of the store.
+
+        A notice is passed on as soon as it arrives.
+        """
+        by_zone = {zone: place for place, zone in enumerate(self.zones)}
+        for vm, tree in sorted(
+            self.trees.items(),
+            key=lambda pair: (by_zone[pair[0][0]], pair[1].rank),
+        ):
             if vm in self.down:
                 continue
-            stalls = tree.must_read() and vm in self.cut
+            is_answered = tree.must_read() and vm not in self.cut
+            tree.note_answered(is_answered=is_answered)
+            is_informed = is_answered or (
+                not tree.must_read() and tree.is_informed
+            )
             for child in tree.children:
                 if child.vm in self.down:
                     continue
-                if stalls:
+                if is_informed:
+                    age = 0 if is_answered else tree.notice_age
+                    self.trees[child.vm].note_notice(age)
+                elif tree.must_read() or tree.is_stalled:
                     self.trees[child.vm].note_stalled(vm)
-                else:
-                    self.trees[child.vm].note_current()
 
     async def run(self, seconds):
         """Run for some seconds.
--- a/libs/sidecar/tests/test_store_follower.py
+++ b/libs/sidecar/tests/test_store_follower.py
@@ -36,6 +36,9 @@
     async def read_verdicts(self):
         await trio.sleep_forever()
 
+    async def is_reachable(self):
+        return False
+
 
 def make_configuration(version):
     return Configuration(
