Fetches: a further one no longer ends those over a congested link

A fetch now runs for a second before it makes room, and only a fetch that ends by itself lets the next one begin at once.

The test failed before.

--- a/libs/sidecar/src/verbenamill_sidecar/protocol.py
+++ b/libs/sidecar/src/verbenamill_sidecar/protocol.py
@@ -190,6 +190,9 @@
     ) -> Result[None, StoreFault]:
         """Save the record of one daemon, in addition to that of its zone."""
 
+    async def is_reachable(self) -> bool:
+        """Find out whether a connection can be opened, without a call."""
+
     async def close(self) -> None:
         """Close all connections."""
 
--- a/libs/sidecar/src/verbenamill_sidecar/state/state_fetcher.py
+++ b/libs/sidecar/src/verbenamill_sidecar/state/state_fetcher.py
@@ -12,13 +12,15 @@
 )
 from verbenamill_telemetry import Event, log
 
-#: Longest wait for the state of another daemon, in seconds. It covers the
-#: opening of a connection over a congested link.
-FETCH_TIMEOUT = 1.2
+#: Longest wait for the state of another daemon, in seconds. Over a congested
+#: link, opening a connection alone may take half a second.
+FETCH_TIMEOUT = 2.0
 #: Time without a result after which another daemon is asked too, in seconds.
 HEDGE_DELAY = 0.25
 #: Concurrent fetches; more of them would return the same state.
-MAX_FETCHES = 3
+MAX_FETCHES = 4
+#: Time for which a fetch is not ended in favour of another one, in seconds.
+_MIN_FETCH_TIME = 1.0
 #: Attempts to fetch from a daemon that has announced something once.
 _MAX_ATTEMPTS = 3
 
@@ -40,6 +42,14 @@
         return self.attempts, -version, -record
 
 
+class _Running:
+    """A fetch in progress."""
+
+    def __init__(self) -> None:
+        self.began = trio.current_time()
+        self.scope = trio.CancelScope(deadline=self.began + FETCH_TIMEOUT)
+
+
 class StateFetcher:
     """Asks the daemons that have announced something newer, in turn.
 
@@ -65,7 +75,7 @@
         self._on_fetched = on_fetched
         self._choose_delay = choose_delay
         self._offers: dict[VmId, _Offer] = {}
-        self._running: dict[VmId, trio.CancelScope] = {}
+        self._running: dict[VmId, _Running] = {}
         self._has_offers = trio.Event()
         self._has_ended = trio.Event()
 
@@ -85,10 +95,9 @@
                 if not self._running:
                     await trio.sleep(self._choose_delay())
                 offer = self._choose_offer()
-                if offer is not None:
-                    self._make_room()
+                if offer is not None and self._make_room():
                     nursery.start_soon(self._run_fetch, offer)
-                    await self._wait_for_end()
+                await self._wait_for_end()
 
     def _choose_offer(self) -> _Offer | None:
         """Choose whom to ask next; ``None`` if nothing can be fetched now."""
@@ -104,11 +113,19 @@
         ]
         return min(usable, key=_Offer.sort_key, default=None)
 
-    def _make_room(self) -> None:
-        """End the oldest fetch if there are too many."""
-        if len(self._running) >= MAX_FETCHES:
-            vm = next(iter(self._running))
-            self._running.pop(vm).cancel()
+    def _make_room(self) -> bool:
+        """End the oldest fetch if there are too many.
+
+        :returns: whether another one may begin.
+        """
+        if len(self._running) < MAX_FETCHES:
+            return True
+        vm, oldest = next(iter(self._running.items()))
+        if trio.current_time() - oldest.began < _MIN_FETCH_TIME:
+            return False
+        self._running.pop(vm)
+        oldest.scope.cancel()
+        return True
 
     async def _wait_for_end(self) -> None:
         self._has_ended = trio.Event()
@@ -117,25 +134,24 @@
 
     async def _run_fetch(self, offer: _Offer) -> None:
         offer.attempts += 1
-        began = trio.current_time()
-        scope = trio.CancelScope(deadline=began + FETCH_TIMEOUT)
-        self._running[offer.vm] = scope
+        running = _Running()
+        self._running[offer.vm] = running
         snapshot = None
-        with scope:
+        with running.scope:
             snapshot = await self._fetch(offer.vm)
-        if self._running.get(offer.vm) is scope:
-            self._running.pop(offer.vm)
         if snapshot is not None:
             self._on_fetched(snapshot, offer.vm)
         elif self._desired_state.is_older_than(offer.stamp):
-            elapsed = trio.current_time() - began
+            elapsed = trio.current_time() - running.began
             log(Event.STATE_NOT_FETCHED, peer=offer.vm, ms=int(elapsed * 1000))
-        self._has_ended.set()
-        self._has_offers.set()
+        if self._running.get(offer.vm) is running:
+            self._running.pop(offer.vm)
+            self._has_ended.set()
+            self._has_offers.set()
         self._end_superfluous()
 
     def _end_superfluous(self) -> None:
         """End the other fetches once nothing is missing here."""
         if self._choose_offer() is None and not self._offers:
-            for scope in self._running.values():
-                scope.cancel()
+            for running in self._running.values():
+                running.scope.cancel()
--- a/libs/sidecar/tests/test_store_follower.py
+++ b/libs/sidecar/tests/test_store_follower.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 import trio.testing
+from trio.testing import MockClock
 
 from verbenamill_model.typing import ConfigVersion
 from verbenamill_policy.members import MemberRecord, MemberTable
@@ -22,6 +23,8 @@
 from verbenamill_sidecar.state.store_follower import Follower
 
 NEWEST_VERSION = 7
+#: Time within which a change must be in force, in seconds.
+APPLY_BOUND = 2.0
 NEWEST_STAMP = (NEWEST_VERSION, -1)
 
 
@@ -121,7 +124,7 @@
     # another daemon than the one whose fetch hangs.
     monkeypatch.setattr(state_fetcher, 'FETCH_TIMEOUT', 1000)
 
-    def run(scenario):
+    def run(scenario, *, clock=None):
         async def main():
             async with trio.open_nursery() as nursery:
                 scene = Scene(nursery)
@@ -130,7 +133,7 @@
                 await scenario(scene)
                 nursery.cancel_scope.cancel()
 
-        trio.run(main)
+        trio.run(main, clock=clock)
 
     return run
 
@@ -195,3 +198,27 @@
         await scene.wait_until_current()
 
     play(scenario)
+
+
+def test_fetches_over_a_congested_link_are_not_ended_by_further_ones(play):
+    """Guards against fetches that end each other before any can succeed."""
+
+    async def serve_late(stream):
+        async with stream:
+            await stream.receive_some(65536)
+            await trio.sleep(0.8)
+            body = encode_newest()
+            head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body)
+            await stream.send_all(head + body)
+
+    async def scenario(scene):
+        vms = [f'near{place}' for place in range(12)]
+        for vm in vms:
+            await scene.add(vm, serve_late)
+        began = trio.current_time()
+        for vm in vms:
+            scene.follower.handle_stamp(vm, NEWEST_STAMP, Channel.RUMOR)
+        await scene.wait_until_current()
+        assert trio.current_time() - began < APPLY_BOUND
+
+    play(scenario, clock=MockClock(autojump_threshold=0.01))
