Store: a path that fails in silence is noticed, and all daemons get a turn

Cause, two faults. A read that is held open hangs for up to 4 s when its path fails; until then its reader reports that nothing is new. And while the store answered two daemons of a zone nothing, the others did not ask, for as long as those went on.

Change: while a read is open, its daemon opens a connection to the store four times a second, without a call; one that does not open in 0.4 s counts as no answer, and the read begins anew when the path is back. While no reader gets answers, the daemons of a zone ask in turn, 0.4 s each, until one is answered; still two at a time, so calls stay as they were. That the readers are stalled is passed down the tree, so daemons further down do not start to read on their own.

--- a/libs/sidecar/src/verbenamill_sidecar/state/distribution.py
+++ b/libs/sidecar/src/verbenamill_sidecar/state/distribution.py
@@ -7,8 +7,8 @@
 its children, and they fetch it from there. Readers also notify each other, so
 a reader that is cut off from the store gets changes from another reader. A
 daemon that receives no notice for a while reads the store itself and then
-notifies others; low ranks start first. While the store answers nobody, only a
-few daemons keep asking it.
+notifies others; low ranks start first. While the store answers no reader, the
+others ask it in turn, a few at a time.
 
 A notice that a daemon need not read carries the age of what it goes back to: a
 daemon that answers the question "is anything newer?" only knows as much as the
@@ -33,8 +33,11 @@
 READERS_WITH_FEW_ZONES = 3
 _ENOUGH_ZONES = 3
 #: Daemons of a zone that ask at a time while the store answers nobody: the
-#: ones of lowest rank.
+#: one of lowest rank, and another one in turn.
 PROBERS = 2
+#: Time for which each of the others may ask then, in seconds. The store may
+#: answer some of them, so all get a turn.
+PROBER_TURN = 0.4
 #: Children of a daemon in the tree; bounds the load on its network link.
 TREE_FANOUT = 4
 #: Number of lowest ranks that replace a failed reader in turn. A reader
@@ -224,7 +227,7 @@
 
     def _reason_to_replace_readers(self, now: float) -> ReadingReason | None:
         if self._is_stalled(now):
-            if self._replaces_stalled_readers():
+            if self._replaces_stalled_readers(now):
                 return ReadingReason.STORE_SILENT
             return None
         place = self._rank or max(self._zone_rank - READING_ZONES, 0)
@@ -233,13 +236,19 @@
             return ReadingReason.NO_NOTICE
         return None
 
-    def _replaces_stalled_readers(self) -> bool:
-        """Whether this daemon asks the store, which answers no reader."""
+    def _replaces_stalled_readers(self, now: float) -> bool:
+        """Whether this daemon asks the store, which answers no reader.
+
+        Only some daemons may be affected, and not the store. So the others
+        take turns, until one gets an answer and notifies those behind it.
+        """
         if self.is_informed:
             return False
         if not self._rank or self._is_answered:
             return True
-        return self._rank < PROBERS
+        others = max(len(self._ranks) - 1, 1)
+        turn = int((now - self._stall_began) / PROBER_TURN)
+        return self._rank == 1 + turn % others
 
     @property
     def notice_age(self) -> float:
--- a/libs/sidecar/src/verbenamill_sidecar/state/store_follower.py
+++ b/libs/sidecar/src/verbenamill_sidecar/state/store_follower.py
@@ -66,6 +66,12 @@
 #: Shortest interval at which a daemon that does not read passes notices on, in
 #: seconds. A notice travels the whole tree within one notice period.
 _RELAY_PERIOD = 0.8 * NOTICE_PERIOD
+#: Interval between checks of the path to the store while a read is held open,
+#: in seconds. A path that fails in silence is noticed long before the read is
+#: overdue.
+PATH_CHECK_PERIOD = 0.25
+#: Time within which a connection to the store must open, in seconds.
+PATH_CHECK_TIMEOUT = 0.4
 
 
 class Follower:
@@ -94,6 +100,8 @@
         self._random = random
         self._position: int | None = None
         self._is_store_lost = False
+        self._is_path_lost = False
+        self._open_read: trio.CancelScope | None = None
         self._coalesce_until = float('-inf')
         self._changed_at = trio.current_time()
         self._was_not_reader = False
@@ -124,6 +132,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._send_notices)
             nursery.start_soon(self._fetcher.run)
+            nursery.start_soon(self._check_path)
             with trio.move_on_after(patience):
                 await self._may_read.wait()
             pause = MIN_RETRY_PAUSE
@@ -183,6 +192,8 @@
         began = trio.current_time()
         found = await self._poll(position)
         match found:
+            case None:
+                return None
             case Failure(StoreFault.EXPIRED):
                 # The records in between have expired. The store keeps the
                 # newest record of each kind, and no others are needed.
@@ -192,17 +203,23 @@
 
     async def _poll(
         self, position: int
-    ) -> Result[PublishedRecords, StoreFault]:
-        """Wait for the next records."""
-        found = await self._store.read_from(
-            position, self._choose_long_poll_timeout()
-        )
+    ) -> Result[PublishedRecords, StoreFault] | None:
+        """Wait for the next records; ``None`` if the read was given up."""
+        found = None
+        with trio.CancelScope() as scope:
+            self._open_read = scope
+            found = await self._store.read_from(
+                position, self._choose_long_poll_timeout()
+            )
+        self._open_read = None
         now = trio.current_time()
         match found:
             case Success(published) if published.next_position == position:
                 return found
             case Success(_):
                 self._coalesce_until = now + COALESCING_PAUSE
+            case None:
+                return None
         self._changed_at = now
         return found
 
@@ -284,6 +301,39 @@
             )
         return fault
 
+    async def _check_path(self) -> None:
+        """Notice a path to the store that fails while a read is open.
+
+        Such a read hangs until it is overdue, and others take this daemon for
+        up to date until then. Opening a connection is no call.
+        """
+        while True:
+            await trio.sleep(PATH_CHECK_PERIOD)
+            if self._open_read is None:
+                self._is_path_lost = False
+                continue
+            is_reachable = False
+            with trio.move_on_after(PATH_CHECK_TIMEOUT):
+                is_reachable = await self._store.is_reachable()
+            if self._open_read is not None:
+                self._note_path(self._open_read, is_reachable=is_reachable)
+
+    def _note_path(
+        self, open_read: trio.CancelScope, *, is_reachable: bool
+    ) -> None:
+        if self._is_path_lost is not is_reachable:
+            return
+        self._is_path_lost = not is_reachable
+        if is_reachable:
+            # What was lost meanwhile may not be sent again for long.
+            open_read.cancel()
+            return
+        log(
+            Event.STORE_LOST,
+            fault='no connection opens',
+            version=self._desired_state.version,
+        )
+
     async def _send_notices(self) -> None:
         """Notify others of each change and, regularly, of this state."""
         sent_stamp = self._desired_state.stamp
@@ -297,7 +347,7 @@
             # without answers of the store is replaced without delay.
             state = (
                 self._is_reading(),
-                self._is_store_lost,
+                self._lacks_answers(),
                 self._tree.is_stalled,
             )
             self._log_reading()
@@ -342,14 +392,18 @@
             self._tree.must_read()
             and self._position is not None
             and not self._was_not_reader
-            and not self._is_store_lost
+            and not self._lacks_answers()
         )
 
+    def _lacks_answers(self) -> bool:
+        """Whether the store does not answer, or cannot be reached."""
+        return self._is_store_lost or self._is_path_lost
+
     def _send_notice(self, *, has_changed: bool) -> None:
         if self._is_reading():
             self._notify(NoticeKind.CURRENT)
         elif self._tree.must_read():
-            if self._is_store_lost:
+            if self._lacks_answers():
                 self._notify(NoticeKind.STALLED)
         elif self._tree.is_informed:
             self._notify(NoticeKind.CURRENT)
