--- a/libs/sidecar/tests/test_store_follower.py
+++ b/libs/sidecar/tests/test_store_follower.py
@@ -215,10 +215,18 @@
         vms = [f'near{place}' for place in range(12)]
         for vm in vms:
             await scene.add(vm, serve_late)
+
+        async def announce(vm):
+            while True:
+                scene.follower.handle_stamp(vm, NEWEST_STAMP, Channel.RUMOR)
+                await trio.sleep(0.1)
+
         began = trio.current_time()
-        for vm in vms:
-            scene.follower.handle_stamp(vm, NEWEST_STAMP, Channel.RUMOR)
-        await scene.wait_until_current()
+        async with trio.open_nursery() as nursery:
+            for vm in vms:
+                nursery.start_soon(announce, vm)
+            await scene.wait_until_current()
+            nursery.cancel_scope.cancel()
         assert trio.current_time() - began < APPLY_BOUND
 
     play(scenario, clock=MockClock(autojump_threshold=0.01))
