Requests carry what daemons know; an owner refuses an outdated choice

Cause: daemons learned of changes by notices only, however many requests they exchanged; an owner ran whatever was sent to it.

Change: a request between daemons and its answer carry the version stamps of their senders, and the one behind fetches. An owner whose newer configuration has met requests for half a second refuses, as not run, what no route of it sends to that service. The fields are new and optional, so older daemons skip them. A few bytes a request, no calls.

--- a/deploy/tests/test_suspicion.py
+++ b/deploy/tests/test_suspicion.py
@@ -252,7 +252,7 @@
     def call(*script, vms=3):
         tried = []
 
-        async def answer(call, peer, upstream, *, sender, on_suspect):
+        async def answer(call, peer, upstream, *, on_suspect, **_):
             tried.append(peer.record.vm)
             return await script[min(len(tried), len(script)) - 1](on_suspect)
 
--- a/libs/sidecar/src/verbenamill_sidecar/daemon.py
+++ b/libs/sidecar/src/verbenamill_sidecar/daemon.py
@@ -263,6 +263,8 @@
                 gate=self._gate,
                 origin=context.settings.vm.service,
                 sender=f'{own.vm}/{own.incarnation}',
+                stamp=lambda: self._desired_state.stamp,
+                record_stamp=self._gossip.record_stamp,
                 availability_zone=context.settings.vm.availability_zone,
                 random=context.random,
                 load_probes=self._gossip.load_probes,
@@ -272,7 +274,8 @@
         peer_requests = PeerRequestHandler(
             self._own_upstream,
             context.names,
-            lambda: self._desired_state.snapshot,
+            self._desired_state,
+            self._gossip.record_stamp,
         )
         announcements = Announcements(
             self._own_upstream,
--- a/libs/sidecar/src/verbenamill_sidecar/membership/gossip.py
+++ b/libs/sidecar/src/verbenamill_sidecar/membership/gossip.py
@@ -51,7 +51,7 @@
 from verbenamill_sidecar.quarantine.suspects import SuspectGate
 from verbenamill_sidecar.routing.load_probes import LoadProbes
 from verbenamill_sidecar.state.announcements import Channel
-from verbenamill_sidecar.state.desired_state import DesiredState
+from verbenamill_sidecar.state.desired_state import DesiredState, VersionStamp
 from verbenamill_sidecar.state.distribution import DistributionTree
 from verbenamill_sidecar.state.store_follower import Follower
 from verbenamill_telemetry import Event, log
@@ -251,6 +251,11 @@
         """Send a notice about this daemon's view of the store to others."""
         self._notices.notify(kind)
 
+    def record_stamp(self, vm: VmId, stamp: VersionStamp) -> None:
+        """Record what a daemon has with which a request was exchanged."""
+        if self._desired_state.is_older_than(stamp):
+            self._notices.record(vm, stamp, Channel.REQUEST)
+
     def send_tally(self, peer: Peer, tally: Tally) -> None:
         """Send a tally of this daemon to the decider of a move."""
         self._send(peer.record, Tallies([tally]))
--- a/libs/sidecar/src/verbenamill_sidecar/routing/call.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/call.py
@@ -11,6 +11,7 @@
 from verbenamill_policy.limits import RateLimit
 from verbenamill_policy.quarantine import CrashId
 from verbenamill_policy.routes import Route
+from verbenamill_sidecar.state.desired_state import NO_STAMP, VersionStamp
 
 #: Response statuses after which the request may be retried elsewhere.
 RETRIABLE_STATUSES = frozenset((500, 502, 503, 504))
@@ -95,6 +96,7 @@
         neither.
     :param pause: time until the limit admits such a request, in seconds.
     :param has_left: whether the upstream has announced that it ends.
+    :param stamp: version stamp of the owner's desired state.
     """
 
     execution: ExecutionStatus
@@ -113,6 +115,7 @@
     knows_limit: bool = False
     pause: float = 0
     has_left: bool = False
+    stamp: VersionStamp = NO_STAMP
 
 
 def not_run(
--- a/libs/sidecar/src/verbenamill_sidecar/routing/forwarding.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/forwarding.py
@@ -12,6 +12,7 @@
 from verbenamill_sidecar.membership.peers import Peer, SuspicionCallback
 from verbenamill_sidecar.routing.call import Call, Outcome, not_run, unknown
 from verbenamill_sidecar.routing.hop import HopCall, encode_hop, read_outcome
+from verbenamill_sidecar.state.desired_state import VersionStamp
 from verbenamill_sidecar.upstream.upstream_link import MAX_RESPONSE_BYTES
 
 
@@ -21,6 +22,7 @@
     upstream: UpstreamRecord,
     *,
     sender: str,
+    stamp: VersionStamp,
     on_suspect: SuspicionCallback,
 ) -> Outcome:
     """Have another daemon run a request on its upstream.
@@ -28,6 +30,7 @@
     :param upstream: the upstream that the request is meant for; the daemon
         refuses the request if it has another upstream by now.
     :param sender: identifies this daemon and its incarnation to other daemons.
+    :param stamp: version stamp of this daemon's desired state.
     :param on_suspect: called while the other daemon is suspected.
     """
     if peer.pool.is_full:
@@ -42,7 +45,7 @@
         peer.mark_unreachable('it takes no connection')
         return not_run('the owner cannot be reached')
     with peer.awaiting_answer(on_suspect):
-        data = _encode_call(call, peer, upstream, sender)
+        data = _encode_call(call, peer, upstream, sender, stamp)
         return await _exchange(call, peer, connection, data)
 
 
@@ -82,6 +85,7 @@
     peer: Peer,
     upstream: UpstreamRecord,
     sender: str,
+    stamp: VersionStamp,
 ) -> bytes:
     now = trio.current_time()
     hop = HopCall(
@@ -101,6 +105,7 @@
         is_alone=call.is_alone,
         born=upstream.born,
         limit=peer.limit_of(upstream),
+        stamp=stamp,
     )
     head = encode_request(
         call.method,
--- a/libs/sidecar/src/verbenamill_sidecar/routing/hop.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/hop.py
@@ -21,6 +21,7 @@
 from verbenamill_policy.quarantine import CrashId
 from verbenamill_policy.routes import RouteKind
 from verbenamill_sidecar.routing.call import ExecutionStatus, Outcome
+from verbenamill_sidecar.state.desired_state import NO_STAMP, VersionStamp
 
 CALL_HEADER = b'verbenamill-call'
 OWNER_HEADER = b'verbenamill-owner'
@@ -43,6 +44,7 @@
     :param born: start of that upstream, Unix time in milliseconds.
     :param limit: the upstream's limit as known to the sender. A daemon that
         was restarted since then may have lost it.
+    :param stamp: version stamp of the sender's desired state.
     """
 
     id: str
@@ -61,6 +63,7 @@
     is_alone: bool = False
     born: int = 0
     limit: RateLimit | None = None
+    stamp: VersionStamp = NO_STAMP
 
 
 class OwnerReport(Struct, kw_only=True, array_like=True):
@@ -76,6 +79,7 @@
     :param knows_limit: whether the owner knows if the upstream has a limit.
     :param pause: time until the limit admits such a request, in milliseconds.
     :param has_left: whether the upstream has announced that it ends.
+    :param stamp: version stamp of the owner's desired state.
     """
 
     load: int
@@ -92,6 +96,7 @@
     pause: int = 0
     has_left: bool = False
     knows_limit: bool = False
+    stamp: VersionStamp = NO_STAMP
 
 
 _call_decoder = msgspec.json.Decoder(HopCall)
@@ -115,8 +120,13 @@
         return None
 
 
-def encode_outcome(outcome: Outcome) -> Response:
-    """Encode an owner's response to a forwarded request."""
+def encode_outcome(
+    outcome: Outcome, stamp: VersionStamp = NO_STAMP
+) -> Response:
+    """Encode an owner's response to a forwarded request.
+
+    :param stamp: version stamp of the owner's desired state.
+    """
     service_time = outcome.service_time
     mean_service_time = outcome.mean_service_time
     report = OwnerReport(
@@ -136,6 +146,7 @@
         pause=math.ceil(outcome.pause * 1000),
         has_left=outcome.has_left,
         knows_limit=outcome.knows_limit,
+        stamp=stamp,
     )
     report_header = (OWNER_HEADER, _encoder.encode(report))
     answer = outcome.answer
@@ -178,6 +189,7 @@
         pause=report.pause / 1000,
         has_left=report.has_left,
         knows_limit=report.knows_limit,
+        stamp=report.stamp,
     )
     if report.execution is ExecutionStatus.ANSWERED:
         answer.headers = end_to_end_headers(answer.headers)
--- a/libs/sidecar/src/verbenamill_sidecar/routing/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/ingress.py
@@ -267,8 +267,10 @@
                 peer,
                 upstream,
                 sender=self._context.sender,
+                stamp=self._context.stamp(),
                 on_suspect=on_suspect,
             )
+            self._context.record_stamp(peer.record.vm, outcome.stamp)
         if outcome.knows_limit:
             peer.record_limit(upstream, outcome.limit)
         if outcome.has_left:
--- a/libs/sidecar/src/verbenamill_sidecar/routing/ingress_context.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/ingress_context.py
@@ -9,6 +9,7 @@
     AvailabilityZone,
     RegionName,
     ServiceName,
+    VmId,
 )
 from verbenamill_policy.rollouts import Shares
 from verbenamill_policy.routes import RouteTable
@@ -16,6 +17,7 @@
 from verbenamill_sidecar.protocol import HeaderNames
 from verbenamill_sidecar.quarantine.suspects import SuspectGate
 from verbenamill_sidecar.routing.load_probes import LoadProbes
+from verbenamill_sidecar.state.desired_state import VersionStamp
 from verbenamill_sidecar.stats import CallStats
 from verbenamill_sidecar.upstream.local_upstream import LocalUpstream
 
@@ -30,6 +32,8 @@
     :param regions: region of each zone; zones of unknown regions are absent.
     :param origin: service of this VM.
     :param sender: identifies this daemon and its incarnation to other daemons.
+    :param stamp: returns the version stamp of the desired state.
+    :param record_stamp: called with the version stamp of each owner.
     """
 
     names: HeaderNames
@@ -41,6 +45,8 @@
     gate: SuspectGate
     origin: ServiceName
     sender: str
+    stamp: Callable[[], VersionStamp]
+    record_stamp: Callable[[VmId, VersionStamp], None]
     availability_zone: AvailabilityZone
     random: Random
     load_probes: LoadProbes
--- a/libs/sidecar/src/verbenamill_sidecar/routing/peer_requests.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/peer_requests.py
@@ -7,6 +7,7 @@
 
 from verbenamill_http.messages import end_to_end_headers, get_header
 from verbenamill_http.server import Request, Response
+from verbenamill_model.typing import VmId
 from verbenamill_policy.routes import Route, Split
 from verbenamill_policy.transit import TransitTimes
 from verbenamill_sidecar.protocol import HeaderNames
@@ -25,28 +26,38 @@
 )
 from verbenamill_sidecar.routing.responses import error_response
 from verbenamill_sidecar.state.desired_state import (
-    StateSnapshot,
+    DesiredState,
+    VersionStamp,
     encode_snapshot,
 )
 from verbenamill_sidecar.upstream.local_upstream import LocalUpstream
 from verbenamill_telemetry import Event, log
 
-Snapshot = Callable[[], StateSnapshot]
+#: Time after a change in which requests that were chosen before it still run,
+#: in seconds. A daemon whose configuration is older for longer is behind.
+_CHANGE_GRACE = 0.5
 
 
 class PeerRequestHandler:
-    """Serves the port for requests of other daemons."""
+    """Serves the port for requests of other daemons.
+
+    :param record_stamp: called with the version stamp of each sender.
+    """
 
     def __init__(
         self,
         local_upstream: LocalUpstream,
         names: HeaderNames,
-        snapshot: Snapshot,
+        desired_state: DesiredState,
+        record_stamp: Callable[[VmId, VersionStamp], None],
     ) -> None:
         self._local_upstream = local_upstream
         self._names = names
-        self._snapshot = snapshot
+        self._desired_state = desired_state
+        self._record_stamp = record_stamp
         self._transit = TransitTimes()
+        self._version = -1
+        self._version_since = float('-inf')
 
     async def handle(self, request: Request) -> Response:
         """Run a forwarded request on the local upstream, or refuse it."""
@@ -54,6 +65,9 @@
         hop = read_hop(headers)
         if hop is None:
             return self._handle_other(request)
+        self._record_stamp(VmId(hop.sender.partition('/')[0]), hop.stamp)
+        if self._is_outdated(request, hop):
+            return self._refuse_outdated(hop)
         call = self._make_call(request, hop)
         if hop.limit is not None:
             self._local_upstream.restore_limit(
@@ -71,14 +85,42 @@
                 self._log_cancelled(hop, call)
         if outcome.execution is not ExecutionStatus.ANSWERED:
             self._log_refusal(hop, outcome)
-        return encode_outcome(outcome)
+        return encode_outcome(outcome, self._desired_state.stamp)
+
+    def _refuse_outdated(self, hop: HopCall) -> Response:
+        outcome = not_run('a newer configuration does not allow it')
+        outcome.load = self._local_upstream.load
+        self._log_refusal(hop, outcome)
+        return encode_outcome(outcome, self._desired_state.stamp)
+
+    def _measure_version_age(self) -> float:
+        """Measure for how long requests have met this configuration, in s."""
+        now = trio.current_time()
+        if self._version != self._desired_state.version:
+            self._version = self._desired_state.version
+            self._version_since = now
+        return now - self._version_since
+
+    def _is_outdated(self, request: Request, hop: HopCall) -> bool:
+        """Whether a newer configuration here sends the request elsewhere."""
+        table = self._desired_state.table
+        version, _ = hop.stamp
+        if table is None or not 0 <= version < self._desired_state.version:
+            return False
+        if self._measure_version_age() < _CHANGE_GRACE:
+            return False
+        host = get_header(request.head.headers, b'host') or b''
+        route = table.find(host, request.head.target)
+        return route is None or all(
+            split.service != hop.service for split in route.splits
+        )
 
     def _handle_other(self, request: Request) -> Response:
         headers = request.head.headers
         if get_header(headers, FETCH_HEADER) is not None:
             return Response(
                 status=HTTPStatus.OK,
-                body=encode_snapshot(self._snapshot()),
+                body=encode_snapshot(self._desired_state.snapshot),
             )
         if get_header(headers, CALL_HEADER) is not None:
             # The sender is a daemon with another version of the software.
--- a/libs/sidecar/src/verbenamill_sidecar/state/announcements.py
+++ b/libs/sidecar/src/verbenamill_sidecar/state/announcements.py
@@ -5,7 +5,11 @@
 import trio
 
 from verbenamill_model.typing import VmId
-from verbenamill_sidecar.state.desired_state import DesiredState, VersionStamp
+from verbenamill_sidecar.state.desired_state import (
+    NO_STAMP,
+    DesiredState,
+    VersionStamp,
+)
 from verbenamill_telemetry import Event, log
 
 
@@ -16,6 +20,7 @@
     NOTICE = 'notice'
     RUMOR = 'rumor'
     COMPARISON = 'comparison'
+    REQUEST = 'request'
 
 
 class AnnouncedStamps:
@@ -27,7 +32,7 @@
 
     def __init__(self, desired_state: DesiredState) -> None:
         self._desired_state = desired_state
-        self._newest: VersionStamp = (-1, -1)
+        self._newest = NO_STAMP
         self._raised_at = float('-inf')
         self._behind_since: float | None = None
 
--- a/libs/sidecar/src/verbenamill_sidecar/state/desired_state.py
+++ b/libs/sidecar/src/verbenamill_sidecar/state/desired_state.py
@@ -28,6 +28,8 @@
 
 #: Version of the configuration, and number of the newest order or evacuation.
 VersionStamp = tuple[int, int]
+#: Stamp of a daemon that knows nothing yet.
+NO_STAMP: VersionStamp = (-1, -1)
 
 
 class StateSnapshot(Struct, kw_only=True):
