--- a/libs/policy/src/verbenamill_policy/rumors.py
+++ b/libs/policy/src/verbenamill_policy/rumors.py
@@ -128,6 +128,15 @@
         self._refresh()
         return self._pick(self._near, count)
 
+    def pick_any_near(self, count: int) -> list[MemberRecord]:
+        """Choose some daemons of the own zone, suspects like all others.
+
+        A daemon behind a congested link appears to be unreachable for
+        connections, and still receives datagrams.
+        """
+        self._refresh()
+        return self._random.sample(self._near, min(count, len(self._near)))
+
     def pick_far(self, zone: AvailabilityZone) -> list[MemberRecord]:
         """Choose a daemon of another zone."""
         self._refresh()
--- a/libs/sidecar/src/verbenamill_sidecar/membership/notices.py
+++ b/libs/sidecar/src/verbenamill_sidecar/membership/notices.py
@@ -74,7 +74,7 @@
         if self._rounds_left <= 0:
             return
         self._rounds_left -= 1
-        self._send_change(self._neighbours.pick_near(FANOUT))
+        self._send_change(self._neighbours.pick_any_near(FANOUT))
 
     def _announce_change(self) -> None:
         self._rounds_left = ROUNDS
