Stalled readers: the turn is counted from the first notice of any

It had heard that another one was stalled while its own rank was the lowest, so no turn had begun, and then the ranks changed. Messages tell when the path to the store is back.

--- a/libs/sidecar/src/verbenamill_sidecar/state/distribution.py
+++ b/libs/sidecar/src/verbenamill_sidecar/state/distribution.py
@@ -176,11 +176,12 @@
     def note_stalled(self, sender: VmId) -> None:
         """Record that the store does not answer another daemon that reads."""
         now = trio.current_time()
-        was_stalled = self._is_stalled(now)
-        self._stalled_at[sender] = now
-        if self._is_stalled(now) and not was_stalled:
+        if not any(
+            now - at <= NOTICE_TIMEOUT for at in self._stalled_at.values()
+        ):
             self._stall_began = now
             self._is_answered = False
+        self._stalled_at[sender] = now
 
     def note_answered(self, *, is_answered: bool) -> None:
         """Record whether the store answered the last read of this daemon."""
--- a/libs/sidecar/src/verbenamill_sidecar/state/state_fetcher.py
+++ b/libs/sidecar/src/verbenamill_sidecar/state/state_fetcher.py
@@ -95,7 +95,9 @@
                 if not self._running:
                     await trio.sleep(self._choose_delay())
                 offer = self._choose_offer()
-                if offer is not None and self._make_room():
+                if offer is None:
+                    continue
+                if self._make_room():
                     nursery.start_soon(self._run_fetch, offer)
                 await self._wait_for_end()
 
--- a/libs/sidecar/src/verbenamill_sidecar/state/store_follower.py
+++ b/libs/sidecar/src/verbenamill_sidecar/state/store_follower.py
@@ -321,18 +321,20 @@
     def _note_path(
         self, open_read: trio.CancelScope, *, is_reachable: bool
     ) -> None:
-        if self._is_path_lost is not is_reachable:
+        is_lost = not is_reachable
+        if is_lost == self._is_path_lost:
             return
-        self._is_path_lost = not is_reachable
-        if is_reachable:
-            # What was lost meanwhile may not be sent again for long.
-            open_read.cancel()
+        self._is_path_lost = is_lost
+        if is_lost:
+            log(
+                Event.STORE_LOST,
+                fault='no connection opens',
+                version=self._desired_state.version,
+            )
             return
-        log(
-            Event.STORE_LOST,
-            fault='no connection opens',
-            version=self._desired_state.version,
-        )
+        log(Event.STORE_RECOVERED, calls=self._store.calls.total())
+        # What was lost meanwhile may not be sent again for long.
+        open_read.cancel()
 
     async def _send_notices(self) -> None:
         """Notify others of each change and, regularly, of this state."""
--- a/libs/sidecar/tests/test_distribution.py
+++ b/libs/sidecar/tests/test_distribution.py
@@ -347,3 +347,32 @@
             assert len(parents[fleet.vm_at(rank)]) == 2
 
     play(scene)
+
+
+def test_a_daemon_of_lower_rank_that_joins_may_have_stalled_before():
+    """Guards against a daemon that ends when the ranks change in an outage.
+
+    Its own rank was the lowest when it heard that the other one had stalled.
+    """
+
+    async def scene():
+        fleet = Fleet(10)
+        first, second = (fleet.vm_at(rank) for rank in range(2))
+        table = make_table(10, leaving=(first,), zones='abcd')
+        tree = DistributionTree(table, second)
+        assert tree.rank == 0
+        tree.note_stalled(first)
+        table.merge(
+            MemberRecord(
+                vm=first,
+                incarnation=2,
+                sequence=0,
+                availability_zone=first[0],
+                calls=f'{first}:1',
+                gossip=f'{first}:2',
+            )
+        )
+        assert tree.rank == 1
+        assert tree.must_read()
+
+    play(scene)
