--- a/libs/sidecar/src/verbenamill_sidecar/state/state_fetcher.py
+++ b/libs/sidecar/src/verbenamill_sidecar/state/state_fetcher.py
@@ -19,8 +19,8 @@
 HEDGE_DELAY = 0.25
 #: Concurrent fetches; more of them would return the same state.
 MAX_FETCHES = 4
-#: Time for which a fetch is not ended in favour of another one, in seconds. Over
-#: a congested link, a fetch crosses it twice.
+#: Time for which a fetch is not ended in favour of another one, in seconds.
+#: Over a congested link, a fetch crosses it twice.
 _MIN_FETCH_TIME = 1.5
 #: Attempts to fetch from a daemon that has announced something once.
 _MAX_ATTEMPTS = 3
