--- a/libs/model/src/verbenamill_model/typing.py
+++ b/libs/model/src/verbenamill_model/typing.py
@@ -10,6 +10,7 @@
 ServiceName = NewType('ServiceName', str)
 VersionName = NewType('VersionName', str)
 RouteName = NewType('RouteName', str)
+OrganisationName = NewType('OrganisationName', str)
 RequestId = NewType('RequestId', str)
 TicketNumber = NewType('TicketNumber', int)
 #: Position of a record in a stream of the log.
--- a/libs/policy/src/verbenamill_policy/routes.py
+++ b/libs/policy/src/verbenamill_policy/routes.py
@@ -11,6 +11,7 @@
     ServiceName,
 )
 from verbenamill_policy.cold_starts import ColdStartLimit
+from verbenamill_policy.organisations import Organisation, OrganisationIndex
 
 
 @unique
@@ -42,6 +43,7 @@
     :param splits: services of the route, at least one, with weights
         above 0.
     :param homes: regions whose upstreams may run the requests; empty for all.
+    :param is_public: whether callers need no key.
     """
 
     name: RouteName
@@ -54,6 +56,7 @@
     max_attempts: int
     splits: tuple[Split, ...]
     homes: frozenset[RegionName] = frozenset()
+    is_public: bool = False
 
     @property
     def is_idempotent(self) -> bool:
@@ -85,6 +88,8 @@
 
     :param version: increases with each accepted change.
     :param properties: properties of the services that have any.
+    :param organisations: the organisations whose keys callers must send;
+        ``None`` if no keys are required.
     """
 
     version: ConfigVersion
@@ -92,6 +97,7 @@
     services: frozenset[ServiceName]
     limits: Limits
     properties: dict[ServiceName, ServiceProperties] = {}
+    organisations: tuple[Organisation, ...] | None = None
 
     def properties_of(self, service: ServiceName) -> ServiceProperties:
         """Properties of the upstreams of a service."""
@@ -102,10 +108,19 @@
 
 
 class RouteTable:
-    """Finds routes by host and longest path prefix."""
+    """Finds routes by host and longest path prefix.
+
+    :ivar organisations: the organisations of the configuration; ``None`` if
+        callers need no keys.
+    """
 
     def __init__(self, configuration: Configuration) -> None:
         self.configuration = configuration
+        self.organisations = (
+            None
+            if configuration.organisations is None
+            else OrganisationIndex(configuration.organisations)
+        )
         self._hosts: dict[bytes, dict[bytes, Route]] = {}
         for route in configuration.routes:
             host = self._hosts.setdefault(route.host.lower().encode(), {})
--- a/libs/sidecar/src/verbenamill_sidecar/routing/call.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/call.py
@@ -6,7 +6,7 @@
 
 from verbenamill_http.client import ClientResponse
 from verbenamill_http.messages import Header, get_header
-from verbenamill_model.typing import ServiceName
+from verbenamill_model.typing import OrganisationName, ServiceName
 from verbenamill_policy.fingerprints import Fingerprint, compute_fingerprint
 from verbenamill_policy.limits import RateLimit
 from verbenamill_policy.quarantine import CrashId
@@ -30,6 +30,9 @@
         request ran; 0 if none failed.
     :param is_alone: whether the request is suspected of crashes, so that the
         same daemon runs no other copy of it at that time.
+    :param organisation: the organisation of the caller; empty if none.
+    :param organisation_priority: priority that the organisation gives its
+        requests instead of that of the route; ``None`` if it gives none.
     """
 
     id: bytes
@@ -46,6 +49,15 @@
     is_nested: bool = False
     nested_status: int = 0
     is_alone: bool = False
+    organisation: OrganisationName = OrganisationName('')
+    organisation_priority: int | None = None
+
+    @property
+    def priority(self) -> int:
+        """Priority in queues; 0 is served first."""
+        if self.organisation_priority is None:
+            return self.route.priority
+        return self.organisation_priority
 
     @property
     def is_idempotent(self) -> bool:
--- a/libs/sidecar/src/verbenamill_sidecar/routing/forwarding.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/forwarding.py
@@ -92,7 +92,7 @@
         id=call.id.decode('latin-1'),
         route=call.route.name,
         kind=call.route.kind,
-        priority=call.route.priority,
+        priority=call.priority,
         service=call.service,
         version=upstream.version,
         instance=upstream.instance,
--- a/libs/sidecar/src/verbenamill_sidecar/routing/owner_selection.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/owner_selection.py
@@ -92,9 +92,7 @@
         if peer.record.vm in attempts.tried_vms:
             return False
         owner = peer.owner
-        ready_at = max(
-            owner.down_until, owner.limit_ready_at(call.route.priority)
-        )
+        ready_at = max(owner.down_until, owner.limit_ready_at(call.priority))
         return (
             ready_at <= trio.current_time()
             and not self._context.peers.is_own(peer)
--- a/libs/sidecar/src/verbenamill_sidecar/routing/route_statistics.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/route_statistics.py
@@ -62,7 +62,7 @@
             time_to_objective=max(call.objective - now, time_left / 2),
             time_to_deadline=time_left,
             byte_count=len(call.body) + self._sizes.get(route.name, 0),
-            priority=route.priority,
+            priority=call.priority,
         )
 
     def record(
@@ -104,7 +104,7 @@
         owner.clear_limit()
         return
     owner.record_limit_result(
-        call.route.priority,
+        call.priority,
         outcome.pause,
         now,
         taken=outcome.execution is not ExecutionStatus.NOT_RUN,
--- a/libs/sidecar/src/verbenamill_sidecar/upstream/local_upstream.py
+++ b/libs/sidecar/src/verbenamill_sidecar/upstream/local_upstream.py
@@ -224,7 +224,7 @@
         outcome.limit = self.limits.limit
         outcome.knows_limit = self.limits.is_known
         outcome.pause = self._admission.rate_limit_wait(
-            call.route.priority,
+            call.priority,
             trio.current_time(),
         )
         return outcome
@@ -340,7 +340,7 @@
         admission_request = AdmissionRequest(
             route=call.route.name,
             latency_objective=call.route.objective,
-            priority=call.route.priority,
+            priority=call.priority,
             arrived=now,
             due=call.objective,
             # If a nested call is refused, its parent fails after it has held
--- a/libs/sidecar/tests/test_owner_selection.py
+++ b/libs/sidecar/tests/test_owner_selection.py
@@ -75,7 +75,7 @@
 
     def select(self):
         attempts = Attempts()
-        call = SimpleNamespace(route=SimpleNamespace(priority=1))
+        call = SimpleNamespace(route=SimpleNamespace(), priority=1)
 
         async def main():
             # Nothing has been heard of any owner for a while.
