Read organisations and public routes from the configuration

The stand-in of the upstream records all header fields of each request, and every test of the site checks that no upstream was handed a key or a forged organisation. HeaderNames has two more names, so test_in_band sets them too. test_adapter looks for the new names outside the adapter as well.

--- a/deploy/tests/conftest.py
+++ b/deploy/tests/conftest.py
@@ -35,6 +35,7 @@
     'maxAttempts',
     'trafficSplit',
 ]
+TENANT_COLUMNS = ['name', 'apiKeys', 'priority', 'ratePerS', 'burst']
 SETTINGS = """
 [vm]
 id = "{vm}"
@@ -78,7 +79,29 @@
 ]
 
 
-def document(version, rows=ROWS):
+#: Text in each key, and in each name of an organisation that a caller forges.
+KEY_MARK = 'test-key'
+FORGED = 'forged'
+
+
+def document(version, rows=ROWS, tenants=None, public=()):
+    """Make a configuration.
+
+    :param tenants: rows of organisations, or ``None`` for no such table.
+    :param public: names of routes that need no key.
+    """
+    made = make_document(version, rows)
+    if tenants is not None:
+        made['tenants'] = {'columns': [*TENANT_COLUMNS], 'rows': tenants}
+    if public:
+        routes = made['routes']
+        routes['columns'] = [*COLUMNS, 'public']
+        routes['rows'] = [[*one, one[0] in public] for one in rows]
+    return made
+
+
+def make_document(version, rows):
+    """Make a configuration without organisations."""
     return {
         'version': f'{version:08x}',
         'routes': {'columns': COLUMNS, 'rows': rows},
@@ -290,6 +313,18 @@
                 with suppress(OSError, trio.BrokenResourceError):
                     await vm.send_heartbeat()
 
+    def check_credentials(self):
+        """Check that no upstream was handed a key or a forged organisation."""
+        for vm in self.vms:
+            for arrival in vm.upstream.arrivals:
+                fields = arrival.header_fields
+                names = [name for name, _ in fields]
+                assert 'api-key' not in names, arrival.id
+                assert names.count('x-tenant') <= 1, arrival.id
+                text = repr(fields)
+                assert KEY_MARK not in text, arrival.id
+                assert FORGED not in text, arrival.id
+
     async def wait_until(self, condition):
         """Wait until a condition holds, for at most 15 seconds."""
         with trio.fail_after(15):
@@ -357,6 +392,7 @@
                 if configured:
                     site.store.write_as_operator('config', document(1))
                 await scenario(site)
+                site.check_credentials()
 
         trio.run(main, clock=clock)
 
@@ -374,5 +410,7 @@
     namespace.row = row
     namespace.rows = ROWS
     namespace.document = document
+    namespace.key_mark = KEY_MARK
+    namespace.forged = FORGED
     namespace.encode = encode
     return namespace
--- a/deploy/tests/test_adapter.py
+++ b/deploy/tests/test_adapter.py
@@ -30,6 +30,7 @@
     r'Caller-Service|Not-Executed|Instance-Id|Server-Load)|'
     r'Server-(Limit|Leaving)|'
     r'keyed\.(op|status|servers)|log-(append|read|newest|join|commit|trim)|'
+    r'Api-Key|X-Tenant|apiKeys|ratePerS|'
     r'routeType|pathPrefix|trafficSplit|heartbeatAddr|coldRemainingMs|'
     r'targetLatencyMs',
     re.IGNORECASE,
--- a/libs/policy/src/verbenamill_policy/organisations.py
+++ b/libs/policy/src/verbenamill_policy/organisations.py
@@ -12,7 +12,12 @@
 #: appear in no log, error or snapshot.
 KeyDigest = NewType('KeyDigest', bytes)
 
+#: First 64 bits of the digest of a key; 0 if no key was sent.
+KeyFingerprint = NewType('KeyFingerprint', int)
+NO_KEY = KeyFingerprint(0)
+
 _DIGEST_BYTES = 16
+_FINGERPRINT_BYTES = 8
 
 
 def digest_key(key: bytes) -> KeyDigest:
@@ -20,6 +25,11 @@
     return KeyDigest(blake2b(key, digest_size=_DIGEST_BYTES).digest())
 
 
+def compute_fingerprint(key: KeyDigest) -> KeyFingerprint:
+    """Compute the part of a digest that daemons send with each request."""
+    return KeyFingerprint(int.from_bytes(key[:_FINGERPRINT_BYTES], 'big'))
+
+
 class Quota(Struct, frozen=True):
     """Limit on the requests of an organisation over all daemons.
 
@@ -52,11 +62,21 @@
         self._by_key = {
             key: one for one in self._by_name.values() for key in one.keys
         }
+        self._by_fingerprint = {
+            compute_fingerprint(key): one.name
+            for key, one in self._by_key.items()
+        }
 
     def find(self, key: KeyDigest) -> Organisation | None:
         """Find the organisation that holds a key."""
         return self._by_key.get(key)
 
+    def holds(
+        self, name: OrganisationName, fingerprint: KeyFingerprint
+    ) -> bool:
+        """Whether an organisation has the key with this fingerprint."""
+        return bool(name) and self._by_fingerprint.get(fingerprint) == name
+
     def get(self, name: OrganisationName) -> Organisation | None:
         """Return the organisation of a name."""
         return self._by_name.get(name)
--- a/libs/sidecar/src/verbenamill_sidecar/protocol.py
+++ b/libs/sidecar/src/verbenamill_sidecar/protocol.py
@@ -38,6 +38,10 @@
     :param cold: on the answer to a health check, how long the upstream stays
         cold, in milliseconds.
     :param instance_id: on the answer to a health check, the upstream itself.
+    :param key: on a request of a caller, the key of its organisation; never
+        forwarded.
+    :param organisation: on a request to an upstream, the name of the
+        organisation that the caller belongs to.
     """
 
     request_id: bytes
@@ -51,6 +55,8 @@
     leaving: bytes
     cold: bytes
     instance_id: bytes
+    key: bytes
+    organisation: bytes
 
 
 @unique
--- a/libs/sidecar/tests/test_in_band.py
+++ b/libs/sidecar/tests/test_in_band.py
@@ -18,6 +18,8 @@
     leaving=b'leaving',
     cold=b'cold',
     instance_id=b'instance-id',
+    key=b'key',
+    organisation=b'organisation',
 )
 SEAL = (b'seal', b's')
 
