Momentary pace of upstreams, kept apart from persistent service times

Upstreams on a VM that is slow for 600 ms at a time take 2.5 times as long. Owners took these times for the persistent speed of the upstream, and ingresses knew nothing of them.

The owner now records the fourth figure of the load header with each response and with each health check that it makes anyway. Service times are learned divided by the pace at which they ran; the expected time of a request is the learned time multiplied by the pace. The pace goes to ingresses in the header verbenamill-pace and as a third element of the answer to a load probe, with its age, unless the figure was 100 throughout the last second. Former daemons ignore both. A probe round no longer ends with an idle owner that is slow.

The times that count as evidence on a version are divided by a slow pace for up to two seconds; a slowness that lasts longer counts in full, since the version that reports it may have caused it. An abandoned request shows that an upstream is slow only if it ran twice as long as expected at its pace.

--- a/libs/policy/src/verbenamill_policy/admission.py
+++ b/libs/policy/src/verbenamill_policy/admission.py
@@ -5,6 +5,7 @@
 
 from verbenamill_model.typing import RouteName
 from verbenamill_policy.cold_starts import ColdStartTracker
+from verbenamill_policy.pace import MomentaryPace
 from verbenamill_policy.pacing import TokenBucket
 from verbenamill_policy.service_times import ServiceTimes, is_hopeless
 
@@ -136,12 +137,15 @@
     that cannot be served in time is refused as soon as that is known, so that
     its caller can try another upstream while there is time.
 
+    :ivar times: service times at the upstream's usual pace.
+    :ivar pace: its pace at this moment.
     :ivar cold_starts: counts the requests to an upstream that may turn cold.
     """
 
     def __init__(self, *, slots: int) -> None:
         self.slots = slots
         self.times = ServiceTimes()
+        self.pace = MomentaryPace()
         self._other_times = ServiceTimes()
         self._is_cold = False
         self.cold_starts: ColdStartTracker | None = None
@@ -227,7 +231,7 @@
         """Request a slot; ``None`` means that the request waits for one."""
         request.expected = self.times.expect(
             request.route, objective=request.latency_objective
-        )
+        ) * self.pace.factor(now)
         if not self._waiting and self._may_start(now):
             self._start(request, now)
             return AdmissionResult.ADMITTED
@@ -250,8 +254,8 @@
     ) -> None:
         """Release the slot or the queue position of a request.
 
-        :param took: service time in seconds; ``None`` if it is not
-            representative, as for a cancelled request.
+        :param took: service time at the usual pace, in seconds; ``None`` if
+            it is not representative, as for a cancelled request.
         """
         if request in self._running:
             self._running.discard(request)
--- a/libs/policy/src/verbenamill_policy/placement.py
+++ b/libs/policy/src/verbenamill_policy/placement.py
@@ -9,6 +9,7 @@
 
 from verbenamill_model.typing import AvailabilityZone, VmId
 from verbenamill_policy.admission import SERVICE_TIME_MARGIN, is_worth_waiting
+from verbenamill_policy.pace import MomentaryPace
 from verbenamill_policy.service_times import (
     INITIAL_LOG_DEVIATION,
     probability_within,
@@ -88,7 +89,9 @@
 class OwnerEstimate:
     """An ingress's estimate of one daemon and its upstream.
 
-    :ivar relative_time: service time relative to the mean of its service.
+    :ivar relative_time: service time at its usual pace, relative to the mean
+        of its service.
+    :ivar pace: its pace at this moment.
     :ivar load: number of requests running and queued there.
     """
 
@@ -97,6 +100,7 @@
         'availability_zone',
         'slots',
         'relative_time',
+        'pace',
         'load',
         'load_reported_at',
         'answered_at',
@@ -119,6 +123,7 @@
         self.availability_zone = availability_zone
         self.slots = max(slots, 1)
         self.relative_time = _INITIAL_RELATIVE_TIME
+        self.pace = MomentaryPace()
         self.load = float(0)
         self.load_reported_at = float(0)
         self.answered_at = float(0)
@@ -311,6 +316,7 @@
         1 + (owner.relative_time - 1) * confidence
     )
     service_time *= 1 + _FULL_SLOWDOWN * min(load / slots, 1)
+    service_time *= owner.pace.factor(now)
     queue_wait = max(load + 1 - slots, 0) * service_time / slots
     return Forecast(
         wait=max(queue_wait, owner.limit_ready_at(request.priority) - now),
--- a/libs/sidecar/src/verbenamill_sidecar/daemon.py
+++ b/libs/sidecar/src/verbenamill_sidecar/daemon.py
@@ -173,6 +173,7 @@
             on_tally=self._rollout_controller.record_tally,
             gate=self._gate,
             own_load=lambda: self._own_upstream.load,
+            own_pace=lambda: self._own_upstream.pace,
         )
         self._gate.publish = self._gossip.publish_suspect
         self._registrar = Registrar(
--- a/libs/sidecar/src/verbenamill_sidecar/membership/datagrams.py
+++ b/libs/sidecar/src/verbenamill_sidecar/membership/datagrams.py
@@ -10,6 +10,7 @@
 
 from verbenamill_model.typing import AvailabilityZone, VmId
 from verbenamill_policy.members import MemberRecord
+from verbenamill_policy.pace import PaceReport
 from verbenamill_policy.quarantine import Suspect
 from verbenamill_policy.rollouts import Progress, SettledOrder
 from verbenamill_policy.tallies import Tally
@@ -126,10 +127,20 @@
 
     :param load: number of requests running and queued, if it was asked for;
         otherwise -1.
+    :param pace: pace of the upstream; ``None``, and not sent, if it is the
+        usual one.
     """
 
     sender: VmId
     load: int = -1
+    pace: PaceReport | None = None
+
+
+class _ShortAlive(Struct, tag='l', array_like=True):
+    """An answer without a pace, as it is sent."""
+
+    sender: VmId
+    load: int
 
 
 class Tallies(Struct, tag='t', array_like=True):
@@ -165,4 +176,6 @@
 
 def encode_message(message: Message) -> bytes:
     """Encode a datagram."""
+    if isinstance(message, Alive) and message.pace is None:
+        return _encoder.encode(_ShortAlive(message.sender, message.load))
     return _encoder.encode(message)
--- a/libs/sidecar/src/verbenamill_sidecar/membership/gossip.py
+++ b/libs/sidecar/src/verbenamill_sidecar/membership/gossip.py
@@ -22,6 +22,7 @@
     MemberTable,
     UpstreamRecord,
 )
+from verbenamill_policy.pace import PaceReport
 from verbenamill_policy.quarantine import Suspect
 from verbenamill_policy.rollouts import Progress, SettledOrder
 from verbenamill_policy.rumors import Neighbours
@@ -90,6 +91,7 @@
     :param on_tally: called with each tally of another owner.
     :param gate: holds the requests that are suspected of crashing upstreams.
     :param own_load: returns the number of requests running and queued here.
+    :param own_pace: returns the pace of the own upstream.
     :ivar load_probes: asks other daemons for their load.
     :ivar peer_state_received: set once another daemon has sent its state, or
         :data:`PEER_STATE_TIMEOUT` after the start.
@@ -110,8 +112,10 @@
         on_tally: Callable[[Tally], None],
         gate: SuspectGate,
         own_load: Callable[[], int],
+        own_pace: Callable[[], PaceReport | None] = lambda: None,
     ) -> None:
         self._own_load = own_load
+        self._own_pace = own_pace
         self.load_probes = LoadProbes(self._ask_for_load, random)
         self._table = table
         self._peers = peers
@@ -315,8 +319,7 @@
                     )
                     self._introduce(message.sender, source)
                 else:
-                    load = self._own_load() if message.wants_load else -1
-                    self._send(sender, Alive(self.own.vm, load))
+                    self._send(sender, self._answer_probe(message))
             case Alive():
                 self._mark_alive(message.sender)
                 self._record_load(message)
@@ -325,6 +328,11 @@
             case _:
                 self._handle_comparison(message, source)
 
+    def _answer_probe(self, probe: Ask) -> Alive:
+        if probe.wants_load:
+            return Alive(self.own.vm, self._own_load(), self._own_pace())
+        return Alive(self.own.vm)
+
     def _mark_alive(self, vm: VmId) -> None:
         peer = self._peers.get(vm)
         if peer is not None:
@@ -333,7 +341,7 @@
     def _record_load(self, message: Alive) -> None:
         peer = self._peers.get(message.sender)
         if peer is not None and message.load >= 0:
-            self.load_probes.record(peer, message.load)
+            self.load_probes.record(peer, message.load, message.pace)
 
     def _handle_notice(self, message: Notice, source: Address) -> None:
         self._mark_alive(message.sender)
--- a/libs/sidecar/src/verbenamill_sidecar/routing/call.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/call.py
@@ -9,6 +9,7 @@
 from verbenamill_model.typing import OrganisationName, ServiceName
 from verbenamill_policy.fingerprints import Fingerprint, compute_fingerprint
 from verbenamill_policy.limits import RateLimit
+from verbenamill_policy.pace import PaceReport
 from verbenamill_policy.quarantine import CrashId
 from verbenamill_policy.routes import Route
 from verbenamill_sidecar.state.desired_state import NO_STAMP, VersionStamp
@@ -97,9 +98,11 @@
     :param wait: expected time until there is room, in seconds.
     :param reached: whether an upstream got the request.
     :param everywhere: whether other owners would have the same outcome.
-    :param service_time: time at the upstream, in seconds.
-    :param mean_service_time: mean of this route at this upstream, in seconds.
+    :param service_time: time at the upstream, in seconds at its usual pace.
+    :param mean_service_time: mean of this route at this upstream, in seconds
+        at its usual pace.
     :param load: number of requests running and queued at the owner.
+    :param pace: pace of the upstream; ``None`` if it is the usual one.
     :param crash: the crash of the upstream during the request, if any.
     :param blocked: whether the request is refused because of crashes under it.
     :param limit: the limit that the upstream names, if it names one.
@@ -121,6 +124,7 @@
     service_time: float | None = None
     mean_service_time: float | None = None
     load: int = -1
+    pace: PaceReport | None = None
     crash: CrashId | None = None
     blocked: bool = False
     limit: RateLimit | None = None
--- a/libs/sidecar/src/verbenamill_sidecar/routing/hop.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/hop.py
@@ -18,6 +18,7 @@
     VersionName,
 )
 from verbenamill_policy.limits import RateLimit
+from verbenamill_policy.pace import PaceReport
 from verbenamill_policy.quarantine import CrashId
 from verbenamill_policy.routes import RouteKind
 from verbenamill_sidecar.routing.call import ExecutionStatus, Outcome
@@ -25,6 +26,8 @@
 
 CALL_HEADER = b'verbenamill-call'
 OWNER_HEADER = b'verbenamill-owner'
+#: On a response, the pace of the upstream: the figure and its age.
+PACE_HEADER = b'verbenamill-pace'
 #: Requests the configuration that a daemon runs.
 FETCH_HEADER = b'verbenamill-fetch'
 
@@ -101,6 +104,7 @@
 
 _call_decoder = msgspec.json.Decoder(HopCall)
 _report_decoder = msgspec.json.Decoder(OwnerReport)
+_pace_decoder = msgspec.json.Decoder(PaceReport)
 _encoder = msgspec.json.Encoder()
 
 
@@ -148,15 +152,17 @@
         knows_limit=outcome.knows_limit,
         stamp=stamp,
     )
-    report_header = (OWNER_HEADER, _encoder.encode(report))
+    report_headers = [(OWNER_HEADER, _encoder.encode(report))]
+    if outcome.pace is not None:
+        report_headers.append((PACE_HEADER, _encoder.encode(outcome.pace)))
     answer = outcome.answer
     if answer is None:
         refused = outcome.execution is ExecutionStatus.NOT_RUN
         status = _NOT_RUN_STATUS if refused else _UNKNOWN_STATUS
-        return Response(status=status, headers=[report_header])
+        return Response(status=status, headers=report_headers)
     return Response(
         status=answer.status,
-        headers=[*end_to_end_headers(answer.headers), report_header],
+        headers=[*end_to_end_headers(answer.headers), *report_headers],
         body=answer.body,
     )
 
@@ -183,6 +189,7 @@
         if report.mean_service_time < 0
         else report.mean_service_time / 1000,
         load=report.load,
+        pace=_read_pace(answer.headers),
         crash=CrashId(report.crash) if report.crash else None,
         blocked=report.blocked,
         limit=report.limit,
@@ -195,3 +202,13 @@
         answer.headers = end_to_end_headers(answer.headers)
         outcome.answer = answer
     return outcome
+
+
+def _read_pace(headers: list[Header]) -> PaceReport | None:
+    encoded = get_header(headers, PACE_HEADER)
+    if encoded is None:
+        return None
+    try:
+        return _pace_decoder.decode(encoded)
+    except msgspec.MsgspecError:
+        return None
--- a/libs/sidecar/src/verbenamill_sidecar/routing/load_probes.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/load_probes.py
@@ -6,6 +6,7 @@
 import trio
 
 from verbenamill_model.typing import VmId
+from verbenamill_policy.pace import PaceReport
 from verbenamill_sidecar.membership.peers import Peer
 
 #: Number of owners asked for one request. With the best of a few random ones,
@@ -23,10 +24,10 @@
         self._missing = asked
         self.decided = trio.Event()
 
-    def record(self, vm: VmId, load: int) -> None:
+    def record(self, vm: VmId, *, is_idle: bool) -> None:
         """Record an answer; the first idle owner decides."""
         self._missing.discard(vm)
-        if not load or not self._missing:
+        if is_idle or not self._missing:
             self.decided.set()
 
 
@@ -64,8 +65,17 @@
             self._rounds.discard(current)
         return asked
 
-    def record(self, peer: Peer, load: int) -> None:
-        """Record the load that an owner has answered with."""
-        peer.owner.observe_load(load, trio.current_time())
+    def record(
+        self, peer: Peer, load: int, pace: PaceReport | None = None
+    ) -> None:
+        """Record the load and the pace that an owner has answered with.
+
+        An idle owner that is slow at the moment may be slower than one of
+        those that have not answered yet.
+        """
+        now = trio.current_time()
+        peer.owner.observe_load(load, now)
+        peer.owner.pace.record_report(pace, now)
+        is_idle = not load and peer.owner.pace.factor(now) <= 1
         for current in self._rounds:
-            current.record(peer.record.vm, load)
+            current.record(peer.record.vm, is_idle=is_idle)
--- a/libs/sidecar/src/verbenamill_sidecar/routing/owner_selection.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/owner_selection.py
@@ -111,6 +111,7 @@
         own = context.peers.own
         if own is not None and own.owner in by_owner:
             own.owner.observe_load(context.own.load, now)
+            own.owner.pace.record_report(context.own.pace, now)
         else:
             own = None
         owner = choose_owner(
--- a/libs/sidecar/src/verbenamill_sidecar/routing/route_statistics.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/route_statistics.py
@@ -70,6 +70,7 @@
     ) -> None:
         """Update the statistics with the outcome of a request at an owner."""
         now = trio.current_time()
+        owner.pace.record_report(outcome.pace, now)
         if outcome.load >= 0:
             owner.record_load(outcome.load, now)
         if outcome.knows_limit:
--- a/libs/sidecar/src/verbenamill_sidecar/upstream/cold_start_probe.py
+++ b/libs/sidecar/src/verbenamill_sidecar/upstream/cold_start_probe.py
@@ -19,6 +19,7 @@
 from verbenamill_policy.cold_starts import ColdStartTracker
 from verbenamill_policy.members import UpstreamRecord
 from verbenamill_sidecar.protocol import HeaderNames
+from verbenamill_sidecar.upstream.in_band import read_pace
 
 #: Longest wait for the answer to a probe, in seconds.
 _TIMEOUT = 0.3
@@ -39,6 +40,7 @@
     :param health_path: returns the path of its health check; empty if there
         is none.
     :param on_sign: called after each answer that shows whether it is cold.
+    :param on_pace: called with the figure of its pace, if an answer has one.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         current: Callable[[], UpstreamRecord | None],
         health_path: Callable[[UpstreamRecord], str],
         on_sign: Callable[[], None],
+        on_pace: Callable[[float], None],
     ) -> None:
         self.count = 0
         self._host = str(address).encode()
@@ -60,6 +63,7 @@
         self._current = current
         self._health_path = health_path
         self._on_sign = on_sign
+        self._on_pace = on_pace
         self._wanted = trio.Event()
 
     async def run(self) -> None:
@@ -130,6 +134,9 @@
         instance = get_header(answer.headers, self._names.instance_id)
         if instance is not None and instance != upstream.instance.encode():
             return None
+        pace = read_pace(answer.headers, self._names)
+        if pace is not None and self._is_current(upstream):
+            self._on_pace(pace)
         cold_ms = get_header(answer.headers, self._names.cold)
         if cold_ms is None:
             return 0 if answer.status == _OK else None
--- a/libs/sidecar/src/verbenamill_sidecar/upstream/exchange.py
+++ b/libs/sidecar/src/verbenamill_sidecar/upstream/exchange.py
@@ -12,6 +12,7 @@
 from verbenamill_policy.heartbeats import UpstreamTracker
 from verbenamill_policy.members import UpstreamRecord
 from verbenamill_policy.nested_calls import NestedCallTracker
+from verbenamill_policy.pace import mean_pace
 from verbenamill_policy.quarantine import CrashId
 from verbenamill_policy.tallies import UpstreamCounts
 from verbenamill_sidecar.protocol import HeaderNames
@@ -176,14 +177,16 @@
             if was_sent:
                 admission.record_resend(sent_at)
             self._limits.counts.sent += admission.is_paced
+            pace = admission.pace.factor(sent_at)
             result = await self._link.exchange(call, upstream, connection)
             service_time = trio.current_time() - sent_at
             was_reused = not connection.is_new
             if isinstance(result, ClientResponse):
                 self.crashes.record_response(sent_at)
-                self._observe_response(upstream, result, sent_at)
+                self._observe_response(upstream, result, sent_at, admission)
+                pace = mean_pace(pace, admission.pace.factor(sent_at))
                 return self._make_outcome(
-                    call, upstream, result, service_time, admission
+                    call, upstream, result, service_time, pace, admission
                 )
             # A reused connection may have been closed by the upstream without
             # notice, so that the request did not run. A request that isn't
@@ -209,14 +212,17 @@
         upstream: UpstreamRecord,
         answer: ClientResponse,
         asked_at: float,
+        admission: Admission,
     ) -> None:
-        """Apply what a response says of the upstream's limit and leave."""
+        """Apply what a response says of the upstream's state."""
         current = self._register.current
         start_id = (upstream.instance, upstream.born)
         if current is None or (current.instance, current.born) != start_id:
             return
         signals = read_signals(answer, self._names)
         self._limits.observe(signals, asked_at=asked_at)
+        if signals.pace is not None:
+            admission.pace.record(signals.pace, trio.current_time())
         if signals.is_leaving and self._register.leave_in_band(*start_id):
             log(Event.UPSTREAM_LEAVING, instance=upstream.instance)
             self._context.on_change()
@@ -241,6 +247,7 @@
         upstream: UpstreamRecord,
         answer: ClientResponse,
         service_time: float,
+        pace: float,
         admission: Admission,
     ) -> Outcome:
         names = self._names
@@ -272,6 +279,7 @@
                 call,
                 failed=failed,
                 service_time=None if failed else service_time,
+                excuse=admission.pace.excuse(pace, trio.current_time()),
             )
         return Outcome(
             execution=ExecutionStatus.ANSWERED,
@@ -283,20 +291,31 @@
             ),
             # Another upstream would make the same nested call and fail too.
             everywhere=is_excused and call.nested_status == _UNAVAILABLE,
-            service_time=service_time,
+            service_time=service_time / pace,
         )
 
     def count(
-        self, call: Call, *, failed: bool, service_time: float | None
+        self,
+        call: Call,
+        *,
+        failed: bool,
+        service_time: float | None,
+        excuse: float = 1,
     ) -> None:
-        """Count a result for the evidence on the upstream's version."""
+        """Count a result for the evidence on the upstream's version.
+
+        :param excuse: factor of the service time that is not due to the
+            version.
+        """
         # The time of a cold start is no property of the version.
         began_at = trio.current_time() - (service_time or 0)
         is_cold = self._context.is_cold(began_at)
         self._counts.add(
             call.route.name,
             failed=failed,
-            took=None if is_cold else service_time,
+            took=None
+            if is_cold or service_time is None
+            else service_time / excuse,
         )
 
     def _refuse_unreachable(self, upstream: UpstreamRecord) -> Outcome:
--- a/libs/sidecar/src/verbenamill_sidecar/upstream/local_upstream.py
+++ b/libs/sidecar/src/verbenamill_sidecar/upstream/local_upstream.py
@@ -29,6 +29,7 @@
 from verbenamill_policy.limits import RateLimit
 from verbenamill_policy.members import UpstreamRecord
 from verbenamill_policy.nested_calls import NestedCall, NestedCallTracker
+from verbenamill_policy.pace import PaceReport, mean_pace
 from verbenamill_policy.routes import ServiceProperties
 from verbenamill_policy.tallies import UpstreamCounts
 from verbenamill_sidecar.protocol import HeaderNames, LeaveAnnouncement
@@ -132,6 +133,7 @@
             current=self._find_ready,
             health_path=lambda _: self._properties().health_path,
             on_sign=self._apply_cold_sign,
+            on_pace=self._record_pace,
         )
 
     @property
@@ -149,6 +151,11 @@
         """Number of requests in the queue."""
         return self._admission.waiting
 
+    @property
+    def pace(self) -> PaceReport | None:
+        """Pace of the upstream; ``None`` while it is the usual one."""
+        return self._admission.pace.report(trio.current_time())
+
     def handle_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatResult:
         """Apply a heartbeat; a draining upstream gets no further requests."""
         result = self.register.update(heartbeat)
@@ -221,6 +228,7 @@
             upstream,
         )
         outcome.load = self.load
+        outcome.pace = self.pace
         outcome.limit = self.limits.limit
         outcome.knows_limit = self.limits.is_known
         outcome.pause = self._admission.rate_limit_wait(
@@ -301,6 +309,9 @@
         self.limits.refresh()
         self._admission.admit(trio.current_time())
 
+    def _record_pace(self, figure: float) -> None:
+        self._admission.pace.record(figure, trio.current_time())
+
     def _properties(self) -> ServiceProperties:
         upstream = self.register.current
         if upstream is None:
@@ -356,6 +367,7 @@
         result = admission.acquire(admission_request, now)
         started: float | None = None
         service_time: float | None = None
+        pace = float(1)
         try:
             if result is None:
                 await _wait_for_result(admission, admission_request, event)
@@ -372,13 +384,14 @@
                 admission.record_unsent(trio.current_time())
                 return _refuse_blocked(blocked_for)
             started = trio.current_time()
+            pace = admission.pace.factor(started)
             self.probe.request_if_needed()
             outcome = await self.exchange.send(call, upstream, admission)
             service_time = outcome.service_time
             return outcome
         finally:
             self._release(
-                admission, admission_request, call, started, service_time
+                admission, admission_request, call, started, pace, service_time
             )
 
     def _release(
@@ -387,14 +400,21 @@
         admission_request: AdmissionRequest,
         call: Call,
         started: float | None,
+        pace: float,
         service_time: float | None,
     ) -> None:
         now = trio.current_time()
         if started is not None and service_time is None:
             elapsed = now - started
-            if _is_slow(admission, call, elapsed):
-                service_time = elapsed
-                self.exchange.count(call, failed=False, service_time=elapsed)
+            pace = mean_pace(pace, admission.pace.factor(now))
+            if _is_slow(admission, call, elapsed / pace):
+                service_time = elapsed / pace
+                self.exchange.count(
+                    call,
+                    failed=False,
+                    service_time=elapsed,
+                    excuse=admission.pace.excuse(pace, now),
+                )
         admission.release(admission_request, now, took=service_time)
 
     def _is_withdrawn(self, upstream: UpstreamRecord) -> bool:
@@ -420,7 +440,10 @@
 
 
 def _is_slow(admission: Admission, call: Call, elapsed: float) -> bool:
-    """Whether an abandoned request shows that the upstream is slow."""
+    """Whether an abandoned request shows that the upstream is slow.
+
+    :param elapsed: for how long it ran, in seconds at the usual pace.
+    """
     mean_service_time = admission.times.expect(
         call.route.name,
         objective=call.route.objective,
--- a/libs/sidecar/tests/test_in_band.py
+++ b/libs/sidecar/tests/test_in_band.py
@@ -59,3 +59,23 @@
 def test_only_one_value_announces_a_leave(value):
     assert not read_response(SEAL, (b'leaving', value)).is_leaving
     assert read_response(SEAL, (b'leaving', b'1')).is_leaving
+
+
+@pytest.mark.parametrize(
+    ('value', 'pace'),
+    [
+        (b'3,0,9,250', 250),
+        (b'3, 0, 9, 97.5', 97.5),
+        (b'3 0 9 100 7', 100),
+        (b'3,0,9', None),
+        (b'3,0,9,', None),
+        (b'3,0,9,nan', None),
+        (b'3,0,9,inf', None),
+        (b'3,0,9,-250', None),
+        (b'', None),
+    ],
+)
+def test_the_fourth_figure_of_the_load_is_the_pace(value, pace):
+    """Guards against a malformed figure that is taken for a pace."""
+    assert read_response(SEAL, (b'load', value)).pace == pace
+    assert read_response((b'load', value)).pace is None
