Count the grace period of a change from the first request at the owner

It began with the first request from a daemon that is behind, so an owner ran at least one request of each kind that its configuration no longer allows, however long it had that configuration. Any request starts it now.

test_outdated_requests and test_organisations pass.

--- a/libs/sidecar/src/verbenamill_sidecar/routing/peer_requests.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/peer_requests.py
@@ -77,6 +77,7 @@
         if hop is None or claim is None:
             return self._handle_other(request)
         self._record_stamp(VmId(hop.sender.partition('/')[0]), hop.stamp)
+        self._note_version()
         if self._is_behind(hop):
             reason = self._find_outdated(request, hop, claim)
             if reason is not None:
@@ -106,20 +107,18 @@
         self._log_refusal(hop, outcome)
         return encode_outcome(outcome, self._desired_state.stamp)
 
-    def _measure_version_age(self) -> float:
-        """Measure for how long requests have met this configuration, in s."""
-        now = trio.current_time()
+    def _note_version(self) -> None:
+        """Note since when requests have met this configuration."""
         if self._version != self._desired_state.version:
             self._version = self._desired_state.version
-            self._version_since = now
-        return now - self._version_since
+            self._version_since = trio.current_time()
 
     def _is_behind(self, hop: HopCall) -> bool:
         """Whether the sender lacks this configuration although it is known."""
         version, _ = hop.stamp
         if not 0 <= version < self._desired_state.version:
             return False
-        return self._measure_version_age() >= _CHANGE_GRACE
+        return trio.current_time() - self._version_since >= _CHANGE_GRACE
 
     def _find_outdated(
         self, request: Request, hop: HopCall, claim: OrganisationClaim
