Show organisations and refused keys to operators

fleet organisations lists priority, quota and number of keys of each, and at how many daemons exactly that is in force. VM6022 is logged for a refused key, at most once a second for each reason; event definitions have a burst for that. A counter has the reasons.

--- a/deploy/tests/test_fleet.py
+++ b/deploy/tests/test_fleet.py
@@ -1,16 +1,20 @@
 """Reports to operators: daemons that are in step, behind or unreachable."""
 
+import base64
 import re
 from functools import partial
 
+import msgspec
 import trio
 from trio.testing import MockClock
 
 from verbenamill_cli.errors import ExitCode
 from verbenamill_cli.fleet import report_fleet_status, report_moves
+from verbenamill_cli.organisations import report_organisations
 from verbenamill_http.addresses import parse_address
 from verbenamill_platform import PlatformStore
 from verbenamill_platform_standins.operators import evacuate
+from verbenamill_policy.organisations import digest_key
 
 
 def open_store(site):
@@ -73,6 +77,53 @@
     run_scenario(scenario)
 
 
+def test_organisations_are_reported_without_their_keys(run_scenario, factories):
+    """Guards against a revoked key that a report calls gone too early."""
+
+    async def scenario(site):
+        tenants = [
+            ['acme', ['test-key-1', 'test-key-2'], 0, 5, 2.5],
+            ['gone', ['test-key-3'], None, None, None],
+        ]
+        document = factories.document(2, tenants=tenants)
+        site.store.write_as_operator('config', document)
+        vm = await site.add_vm('vm1')
+        await site.add_vm('vm2', zone='z2')
+        await site.wait_until_converged()
+        await site.wait_until_saved()
+        await site.wait_until_configured(2)
+        vm.daemon._follower._desired_state.apply_configuration = lambda *_: (
+            False
+        )
+        tenants = [['acme', ['test-key-1'], None, None, None]]
+        document = factories.document(3, tenants=tenants)
+        site.store.write_as_operator('config', document)
+
+        async def is_applied():
+            return site.vms[1].daemon._desired_state.version == 3
+
+        await site.wait_until(is_applied)
+        report = (await report_organisations(open_store(site))).unwrap()
+        assert report.code is ExitCode.LAGGING
+        assert report.lines[:2] == (
+            'configuration published: 3, in force at 1 of 2 daemons',
+            'keys required: yes',
+        )
+        rows = [re.split('  +', line.strip()) for line in report.lines[3:]]
+        assert rows == [
+            ['acme', 'of the route', 'none', '1', '1 of 2'],
+            ['gone', '-', '-', 'removed', '1 of 2'],
+        ]
+        printed = repr(report.lines) + msgspec.json.encode(report.data).decode()
+        assert factories.key_mark not in printed
+        # Neither are the digests of keys.
+        assert base64.b64encode(digest_key(b'test-key-1')).decode() not in (
+            printed
+        )
+
+    run_scenario(scenario)
+
+
 def test_moves_are_reported_with_and_without_a_verdict(run_scenario):
     async def scenario(site):
         site.store.write_as_operator(
--- a/deploy/tests/test_organisations.py
+++ b/deploy/tests/test_organisations.py
@@ -72,8 +72,11 @@
     run(run_scenario, scenario)
 
 
-def test_a_request_without_one_known_key_does_not_run(run_scenario, factories):
+def test_a_request_without_one_known_key_does_not_run(
+    run_scenario, factories, caplog
+):
     """Guards against service without a key, also between pipelined requests."""
+    caplog.set_level(logging.DEBUG)
 
     async def scenario(site):
         publish(site, factories, 1, *ROWS)
@@ -87,8 +90,19 @@
         assert statuses == [401, 200] * 4
         assert names_at(owner) == ['b'] * 4
         assert (await ingress.call('/none/')).status == 404
+        assert (await ingress.call('/lookup/1', id='r1.n')).status == 503
+        health = await ingress.connect(4)
+        await health.send(factories.encode('/metrics'))
+        metrics = (await health.answer()).body.decode()
+        for reason in ('missing', 'empty', 'repeated', 'unknown', 'orphaned'):
+            label = f'refused_keys_total{{reason="{reason}"}} 1.0'
+            assert label in metrics
+        assert factories.key_mark not in metrics
 
     run(run_scenario, scenario)
+    lines = repr([record.__dict__ for record in caplog.records])
+    assert lines.count("'outcome': 'unknown'") == 1
+    assert factories.key_mark not in lines
 
 
 def test_a_revoked_key_is_refused_on_an_open_connection(
--- a/libs/cli/src/verbenamill_cli/fleet.py
+++ b/libs/cli/src/verbenamill_cli/fleet.py
@@ -15,7 +15,9 @@
 from verbenamill_policy.evacuations import Evacuation
 from verbenamill_policy.limits import RateLimit
 from verbenamill_policy.members import MemberRecord
+from verbenamill_policy.organisations import Organisation
 from verbenamill_policy.rollouts import Order, SettledOrder
+from verbenamill_policy.routes import Configuration
 from verbenamill_sidecar.state.desired_state import StateSnapshot
 from verbenamill_sidecar.protocol import PublishedRecords, Store, StoreFault
 from verbenamill_sidecar.state.snapshot_client import fetch_snapshot
@@ -43,11 +45,13 @@
     :param version: version of the configuration that the daemon runs;
         ``None`` if it did not answer, -1 if it has no configuration yet.
     :param evacuated: zones that it sends no requests to.
+    :param organisations: the organisations in its configuration.
     """
 
     record: MemberRecord
     version: int | None
     evacuated: frozenset[AvailabilityZone] = frozenset()
+    organisations: tuple[Organisation, ...] = ()
 
 
 async def report_fleet_status(store: Store) -> Result[Report, CliError]:
@@ -56,7 +60,7 @@
     saved = await store.read_saved_state()
     match published, saved:
         case Success(records), Success(state):
-            daemons = await _query_daemons(state.members)
+            daemons = await query_daemons(state.members)
             return Success(_format_fleet(records, daemons))
         case (Failure(fault), _) | (_, Failure(fault)):
             return Failure(store_unavailable(fault))
@@ -75,9 +79,10 @@
     raise AssertionError('unreachable: neither Success nor Failure')
 
 
-async def _query_daemons(
+async def query_daemons(
     records: Iterable[MemberRecord],
 ) -> list[DaemonInFleet]:
+    """Ask daemons for what they run; the result is ordered by VM."""
     daemons: list[DaemonInFleet] = []
     limiter = trio.CapacityLimiter(_MAX_CONCURRENT_REQUESTS)
 
@@ -89,6 +94,9 @@
                 record=record,
                 version=_version_of(snapshot),
                 evacuated=_evacuated_zones_of(snapshot),
+                organisations=organisations_of(
+                    None if snapshot is None else snapshot.configuration
+                ),
             )
         )
 
@@ -117,6 +125,15 @@
     return -1 if configuration is None else configuration.version
 
 
+def organisations_of(
+    configuration: Configuration | None,
+) -> tuple[Organisation, ...]:
+    """Return the organisations of a configuration; empty if it has none."""
+    if configuration is None:
+        return ()
+    return configuration.organisations or ()
+
+
 def _evacuated_zones_of(
     snapshot: StateSnapshot | None,
 ) -> frozenset[AvailabilityZone]:
--- a/libs/cli/src/verbenamill_cli/fleet_commands.py
+++ b/libs/cli/src/verbenamill_cli/fleet_commands.py
@@ -12,6 +12,7 @@
 from verbenamill_cli.errors import CliError, ExitCode
 from verbenamill_cli.fleet import report_fleet_status, report_moves
 from verbenamill_cli.options import AsJson, ReportResult, environment_of
+from verbenamill_cli.organisations import report_organisations
 from verbenamill_cli.output import print_and_exit
 from verbenamill_cli.quarantine import list_blocked_requests, unblock_request
 from verbenamill_http.addresses import parse_address
@@ -63,6 +64,22 @@
     )
 
 
+@app.command('organisations')
+def _organisations(
+    context: typer.Context,
+    store: StoreAddress = '',
+    as_json: AsJson = False,
+) -> None:
+    """Show each organisation, and at how many daemons its keys are in force.
+
+    Exits with code 6 if any daemon lacks the newest configuration.
+    """
+    print_and_exit(
+        _run_with_store(environment_of(context), store, report_organisations),
+        as_json=as_json,
+    )
+
+
 @app.command('blocked')
 def _blocked(
     context: typer.Context,
--- a/libs/cli/src/verbenamill_cli/request_trace.py
+++ b/libs/cli/src/verbenamill_cli/request_trace.py
@@ -14,7 +14,7 @@
 from verbenamill_cli.output import Report
 
 #: Codes of events that end a request at the daemon that accepted it.
-_FINAL_CODES = frozenset(('VM6008', 'VM6009', 'VM6010'))
+_FINAL_CODES = frozenset(('VM6008', 'VM6009', 'VM6010', 'VM6022'))
 #: Codes of events that change the state of a daemon, and the name of that state
 #: in the trace. The last line of each name before the end of the request is
 #: shown with its age.
--- a/libs/cli/tests/test_fleet_commands.py
+++ b/libs/cli/tests/test_fleet_commands.py
@@ -50,7 +50,9 @@
     assert '--store HOST:PORT' in result.stderr
 
 
-@pytest.mark.parametrize('command', ['status', 'moves', 'blocked'])
+@pytest.mark.parametrize(
+    'command', ['status', 'moves', 'organisations', 'blocked']
+)
 def test_an_empty_store_is_no_error(command):
     store = EmptyStore()
     result = run_fleet(command, '--store', '10.0.0.1:80', opened=Success(store))
--- a/libs/sidecar/src/verbenamill_sidecar/metrics.py
+++ b/libs/sidecar/src/verbenamill_sidecar/metrics.py
@@ -52,6 +52,7 @@
         yield self._store_calls()
         yield from self._datagrams()
         yield self._outcomes()
+        yield self._refused_keys()
         yield self._latencies()
         for name, (help_text, value) in self._gauges.read().items():
             yield GaugeMetricFamily(
@@ -109,6 +110,16 @@
             family.add_metric([service, outcome], count)
         return family
 
+    def _refused_keys(self) -> Metric:
+        family = CounterMetricFamily(
+            'verbenamill_calls_refused_keys',
+            'Requests refused for their key, by reason.',
+            labels=['reason'],
+        )
+        for reason, count in self._stats.refused_keys.items():
+            family.add_metric([reason], count)
+        return family
+
     def _latencies(self) -> Metric:
         family = HistogramMetricFamily(
             'verbenamill_call_seconds',
--- a/libs/sidecar/src/verbenamill_sidecar/routing/call_reader.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/call_reader.py
@@ -80,7 +80,7 @@
                 is_public=route.is_public,
             )
             if isinstance(found, KeyFault):
-                return self._refuse_key(head, found)
+                return self._refuse_key(head, id, found)
             identity = found
             headers = remove_credentials(headers, names)
         if parent is not None and identity.is_nested:
@@ -138,10 +138,20 @@
             return None
         return int(deadline_ms[:12])
 
-    def _refuse_key(self, head: RequestHead, fault: KeyFault) -> Response:
+    def _refuse_key(
+        self, head: RequestHead, id: bytes, fault: KeyFault
+    ) -> Response:
         """Make the response to a request without an organisation."""
         reason = REASONS[fault]
-        self._reject(head, reason)
+        stats = self._context.stats
+        stats.count(ServiceName(''), 'rejected')
+        stats.refused_keys[fault.value] += 1
+        log(
+            Event.KEY_REFUSED,
+            request=id.decode('latin-1'),
+            outcome=fault.value,
+            configuration=self._context.version,
+        )
         if fault.is_temporary:
             response = retry_later_response(reason, 0, self._context.random)
         else:
--- a/libs/sidecar/src/verbenamill_sidecar/stats.py
+++ b/libs/sidecar/src/verbenamill_sidecar/stats.py
@@ -1,6 +1,7 @@
 """Counters of calls and histograms of their latencies."""
 
 from bisect import bisect_left
+from collections import Counter
 
 from verbenamill_model.typing import ServiceName
 
@@ -32,6 +33,7 @@
     """Counters of the calls that a daemon gets from its callers.
 
     :ivar outcomes: calls that failed or were refused, by service and outcome.
+    :ivar refused_keys: calls without a valid key, by reason.
     """
 
     def __init__(self) -> None:
@@ -40,6 +42,7 @@
         self.late = 0
         self.retries = 0
         self.outcomes: dict[tuple[ServiceName, str], int] = {}
+        self.refused_keys: Counter[str] = Counter()
         self.latencies = Latencies()
 
     def count(self, service: ServiceName, outcome: str) -> None:
--- a/libs/telemetry/src/verbenamill_telemetry/events.py
+++ b/libs/telemetry/src/verbenamill_telemetry/events.py
@@ -15,6 +15,11 @@
 from msgspec import Struct
 
 
+#: Size of a burst: how many events of one code may be written at once, unless
+#: its definition allows fewer.
+BURST_EVENTS = 20
+
+
 class EventDefinition(Struct, frozen=True):
     """Definition of an event.
 
@@ -24,6 +29,7 @@
     :param meaning: cause of the event, for the catalogue.
     :param action: what an operator should do, for the catalogue.
     :param rate: maximum number of lines per second after a burst.
+    :param burst: maximum number of lines at once.
     """
 
     code: str
@@ -32,6 +38,7 @@
     meaning: str
     action: str
     rate: float = 1
+    burst: int = BURST_EVENTS
 
     @property
     def chapter(self) -> str:
@@ -530,6 +537,18 @@
         _NO_ACTION,
         rate=5,
     )
+    KEY_REFUSED = EventDefinition(
+        'VM6022',
+        logging.INFO,
+        'request {request} refused, key {outcome}',
+        'A request had no valid key: `outcome` is `missing`, `empty`, '
+        '`repeated` or `unknown`, and the caller got 401. After `orphaned` and '
+        '`exhausted` it got 503: a nested call whose parent is not in flight '
+        'here, or one too many of its parent. Keys are never logged.',
+        'If the key should be known, compare `configuration` with the '
+        'published version: `verbenamill fleet organisations`.',
+        burst=1,
+    )
     INVARIANT_BROKEN = EventDefinition(
         'VM9001',
         logging.CRITICAL,
--- a/libs/telemetry/src/verbenamill_telemetry/logs.py
+++ b/libs/telemetry/src/verbenamill_telemetry/logs.py
@@ -10,11 +10,9 @@
 import msgspec
 from msgspec import Struct
 
-from verbenamill_telemetry.events import Event
+from verbenamill_telemetry.events import Event, EventDefinition
 from verbenamill_telemetry.log_settings import LogFormat, LogSettings, Sink
 
-#: Size of a burst: how many events of one code may be written at once.
-BURST_EVENTS = 20
 #: Interval in which an event regains as many lines as its ``rate`` says.
 REFILL_INTERVAL = timedelta(seconds=1)
 #: Largest number of pairs of event and outcome that are limited separately.
@@ -166,8 +164,10 @@
         outcome = record.__dict__['fields'].get('outcome')
         if len(self._buckets) >= MAX_BUCKETS:
             outcome = None
-        bucket = self._buckets.setdefault((event, outcome), _TokenBucket(now))
-        if not bucket.take(now, event.definition.rate):
+        bucket = self._buckets.setdefault(
+            (event, outcome), _TokenBucket(now, event.definition)
+        )
+        if not bucket.take(now):
             bucket.suppressed += 1
             return False
         if bucket.suppressed:
@@ -182,21 +182,20 @@
 class _TokenBucket:
     """Token bucket of one event; each line that is written takes a token."""
 
-    def __init__(self, now: timedelta) -> None:
+    def __init__(self, now: timedelta, definition: EventDefinition) -> None:
         self.suppressed = 0
-        self._tokens = float(BURST_EVENTS)
+        self._rate = definition.rate
+        self._burst = definition.burst
+        self._tokens = float(definition.burst)
         self._refilled_at = now
 
-    def take(self, now: timedelta, rate: float) -> bool:
-        """Take a token if one is available.
-
-        :param rate: tokens that are added in each ``REFILL_INTERVAL``.
-        """
-        refilled = self._tokens + rate * (
+    def take(self, now: timedelta) -> bool:
+        """Take a token if one is available."""
+        refilled = self._tokens + self._rate * (
             (now - self._refilled_at) / REFILL_INTERVAL
         )
         self._refilled_at = now
-        self._tokens = min(refilled, BURST_EVENTS)
+        self._tokens = min(refilled, self._burst)
         if self._tokens < 1:
             return False
         self._tokens -= 1
--- a/libs/telemetry/tests/test_logs.py
+++ b/libs/telemetry/tests/test_logs.py
@@ -8,8 +8,12 @@
 
 import pytest
 
-from verbenamill_telemetry.events import Event, render_catalogue
-from verbenamill_telemetry.logs import BURST_EVENTS, log, set_up_logs
+from verbenamill_telemetry.events import (
+    BURST_EVENTS,
+    Event,
+    render_catalogue,
+)
+from verbenamill_telemetry.logs import log, set_up_logs
 from verbenamill_runtime.settings import LogFormat, LoggingSettings
 
 CATALOGUE = Path(__file__).parents[3] / 'docs/operators/events.md'
@@ -83,6 +87,16 @@
     assert last['fields']['request'] == 'the one'
 
 
+def test_refused_keys_have_one_line_per_second_and_reason(configure_logs):
+    """Guards against a log that callers without keys fill."""
+    stream, clock = configure_logs(LogFormat.JSON)
+    for _ in range(2):
+        for outcome in ('missing', 'unknown') * 30:
+            log(Event.KEY_REFUSED, request='r', outcome=outcome)
+        clock[0] += timedelta(seconds=1)
+    assert len(stream.getvalue().splitlines()) == 4
+
+
 def test_codes_are_unique_and_in_order():
     codes = [event.definition.code for event in Event]
     assert codes == sorted(set(codes))
