Soak: callers with keys, and a key revoked in each run

All callers of the soak send a key. One more caller on each VM tries keys of the newest versions, each of which revokes the key before. Each plan has one early change more, so that a key is revoked in every run.

test_guarantees: its arrivals have the name that the checker now expects.

--- a/libs/soak/src/verbenamill_soak/callers.py
+++ b/libs/soak/src/verbenamill_soak/callers.py
@@ -24,6 +24,18 @@
 MEAN_PAUSE_S = 0.04
 #: Share of the requests that are not idempotent.
 _FEE_SHARE = 0.4
+#: The organisation of most callers, and its key, which all configurations have.
+MEMBER = 'Mitglieder für Tests'
+MEMBER_KEY = 'key-of-members'
+#: The organisation of the callers whose keys are revoked, and its keys.
+GUEST = 'guests'
+#: Part of the ids of their requests.
+GUEST_MARK = '-guest-'
+_GUEST_KEY = 'key-of-guests-{0}'
+#: Text that all keys have in common, and no other header of a request.
+KEY_MARK = 'key-of-'
+#: Number of newest versions whose keys these callers try.
+_TRIED_KEYS = 6
 #: Path shared by many harmless requests, and the interval of request numbers
 #: at which a lookup uses it.
 POPULAR = '/lookup/popular'
@@ -57,6 +69,8 @@
 
     :param daemon_start: number of the daemon start that received the request.
     :param is_fee: whether the request is not idempotent.
+    :param guest_version: version of the configuration that brought the key of
+        a guest; 0 for a key that all configurations have.
     """
 
     id: str
@@ -71,6 +85,19 @@
     status: int = 0
     body: bytes = b''
     seal: bytes = b''
+    guest_version: int = 0
+
+    @property
+    def key(self) -> str:
+        """The key that the caller sends."""
+        if self.guest_version:
+            return make_guest_key(self.guest_version)
+        return MEMBER_KEY
+
+
+def make_guest_key(version: int) -> str:
+    """Return the key that a version of the configuration brings to guests."""
+    return _GUEST_KEY.format(version)
 
 
 class Caller:
@@ -113,13 +140,16 @@
         *,
         is_fee: bool,
         is_unique: bool = True,
+        guest_version: int = 0,
     ) -> RequestRecord:
         """Send one request and return its record.
 
         :param is_unique: whether the request ID is part of the path, so that
             no other request has the same path.
+        :param guest_version: version whose key for guests is sent, if any.
         """
         record = self._add_record(path, is_fee=is_fee, is_unique=is_unique)
+        record.guest_version = guest_version
         try:
             await self._send_and_receive(record)
         except (OSError, trio.BrokenResourceError, h11.ProtocolError):
@@ -161,7 +191,9 @@
             target=record.target,
             headers=[
                 ('Host', SERVICE_HOST),
-                *request_headers(record.id, deadline=DEADLINE_S),
+                *request_headers(
+                    record.id, deadline=DEADLINE_S, key=record.key
+                ),
                 ('Content-Length', '0'),
             ],
         )
@@ -206,3 +238,22 @@
         if self._stream is not None:
             await trio.aclose_forcefully(self._stream)
         self._stream = None
+
+
+class GuestCaller(Caller):
+    """A caller that tries keys which are valid for some versions only."""
+
+    def __init__(self, node: Node, random: Random) -> None:
+        super().__init__(node, 0, random)
+        self._name = f'{node.name}{GUEST_MARK.rstrip("-")}'
+
+    async def run(self, versions: Callable[[], list[int]]) -> None:
+        """Send requests with keys of the newest versions until cancelled.
+
+        :param versions: returns the published configuration versions, the
+            newest last.
+        """
+        while True:
+            await trio.sleep(self._random.expovariate(1 / MEAN_PAUSE_S))
+            version = self._random.choice(versions()[-_TRIED_KEYS:])
+            await self.call('/lookup/', is_fee=False, guest_version=version)
--- a/libs/soak/src/verbenamill_soak/cluster.py
+++ b/libs/soak/src/verbenamill_soak/cluster.py
@@ -10,7 +10,15 @@
 
 from verbenamill_platform_standins import StoreStandIn
 from verbenamill_platform_standins.operators import order_rollout, publish
-from verbenamill_soak.callers import SERVICE_HOST, Caller
+from verbenamill_soak.callers import (
+    GUEST,
+    MEMBER,
+    MEMBER_KEY,
+    SERVICE_HOST,
+    Caller,
+    GuestCaller,
+    make_guest_key,
+)
 from verbenamill_soak.nodes import Node
 from verbenamill_soak.pipelining import PipeliningCaller
 from verbenamill_soak.timeline import Timeline
@@ -19,6 +27,8 @@
 #: Number of versions whose routes a configuration has besides the permanent
 #: routes.
 ROUTE_VERSIONS_KEPT = 6
+#: Number of versions that have the key that one of them brings to guests.
+GUEST_KEY_VERSIONS = 1
 #: Time that a rollout may take.
 _ROLLOUT_WINDOW_S = 6.0
 #: Time for a daemon to start on a busy machine.
@@ -39,6 +49,16 @@
     return {'lookup': True, 'fee': False} | newest
 
 
+def make_organisations(version: int) -> dict[str, list[str]]:
+    """Return the organisations and their keys.
+
+    Each version adds one key for guests and revokes one.
+    """
+    first_version = max(1, version - GUEST_KEY_VERSIONS + 1)
+    guest_keys = map(make_guest_key, range(first_version, version + 1))
+    return {MEMBER: [MEMBER_KEY], GUEST: list(guest_keys)}
+
+
 class RolloutOrder(Struct, frozen=True):
     """An order to roll out a version, and whether that version fails."""
 
@@ -99,15 +119,22 @@
             self.timeline.add_violation('all daemons come up', f'{vms} VMs')
 
     def start_callers(self, callers: int) -> None:
-        """Start callers on each VM, and one more that pipelines requests."""
+        """Start callers on each VM.
+
+        One more pipelines requests, and another one is a guest.
+        """
         for node in self.nodes:
             for index in range(callers + 1):
                 caller_class = PipeliningCaller if index == callers else Caller
                 caller = caller_class(
                     node, index, Random(self._random.random())
                 )
-                self.callers.append(caller)
-                self._nursery.start_soon(caller.run, self.get_versions)
+                self._start(caller)
+            self._start(GuestCaller(node, Random(f'guest {node.name}')))
+
+    def _start(self, caller: Caller) -> None:
+        self.callers.append(caller)
+        self._nursery.start_soon(caller.run, self.get_versions)
 
     async def wait_until(
         self,
@@ -136,6 +163,7 @@
             host=SERVICE_HOST,
             service=SERVICE,
             routes=make_routes(version),
+            organisations=make_organisations(version),
         )
         self.published[version] = trio.current_time()
         self.timeline.add_event(f'configuration {version} is published')
--- a/libs/soak/src/verbenamill_soak/guarantees.py
+++ b/libs/soak/src/verbenamill_soak/guarantees.py
@@ -20,6 +20,7 @@
     DeadlyRequestMonitor,
 )
 from verbenamill_soak.in_band_signals import InBandSignalChecker
+from verbenamill_soak.keys import KeyChecker
 from verbenamill_soak.nodes import Node
 from verbenamill_soak.upstreams import DEADLY_PATH, DRAIN_TIME_S, Upstream
 
@@ -60,6 +61,7 @@
         self._abandoned_requests = AbandonedRequests()
         self._deadly_request = DeadlyRequestMonitor(cluster)
         self._in_band_signals = InBandSignalChecker(cluster)
+        self._keys = KeyChecker(cluster)
         self._fees: dict[str, RequestRecord] = {}
         self._refused: dict[str, RequestRecord] = {}
         self._observed_configurations: dict[
@@ -79,6 +81,8 @@
         """Check the records added since the last call."""
         self._check_executions()
         self._in_band_signals.collect_arrivals()
+        for id, text in self._keys.check_arrivals():
+            self._report_violation('upstreams get no key', id, text)
         for caller in self._cluster.callers:
             ended = [
                 finished for finished in caller.records if finished.ended_at
@@ -189,6 +193,7 @@
         if abandoned:
             self._report_violation('no work is given up', record.id, abandoned)
         self._check_configuration(record)
+        self._check_key(record)
         for text in self._in_band_signals.check_request(
             record, self._get_node(record)
         ):
@@ -196,6 +201,18 @@
                 'who leaves in band gets no work', record.id, text
             )
 
+    def _check_key(self, record: RequestRecord) -> None:
+        """Check that a request was served or refused as its key demands."""
+        ingress = self._get_node(record)
+        refused = self._keys.find_refused(record, ingress)
+        if refused:
+            self._report_violation('a known key is good', record.id, refused)
+        accepted = self._keys.find_accepted(record, ingress)
+        if accepted:
+            self._report_violation(
+                'a revoked key is refused', record.id, accepted
+            )
+
     def _check_lost_connection(self, record: RequestRecord) -> None:
         """Check that each executed request was answered, also at planned stops.
 
--- a/libs/soak/src/verbenamill_soak/pipelining.py
+++ b/libs/soak/src/verbenamill_soak/pipelining.py
@@ -102,7 +102,7 @@
 
 
 def _encode_request(record: RequestRecord) -> bytes:
-    headers = request_headers(record.id, deadline=DEADLINE_S)
+    headers = request_headers(record.id, deadline=DEADLINE_S, key=record.key)
     lines = [
         f'GET {record.target} HTTP/1.1',
         f'Host: {SERVICE_HOST}',
--- a/libs/soak/src/verbenamill_soak/plan.py
+++ b/libs/soak/src/verbenamill_soak/plan.py
@@ -87,6 +87,8 @@
 _LIMIT_DURATION_S = (8.0, 12.0)
 #: Limits start in this first part of a run.
 _IN_BAND_START_SHARE = 0.25
+#: A key is revoked in this first part of a run.
+_REVOCATION_SHARE = 0.5
 #: Number of deadly requests, and the pause between two of them.
 _DEADLY_REQUEST_COUNT = (10, 30)
 _DEADLY_REQUEST_GAP_S = (0.1, 1.0)
@@ -149,6 +151,7 @@
     plan.extend(_generate_deadly_requests(seed, vms, seconds))
     plan.extend(_generate_crashes(seed, vms, seconds))
     plan.extend(_generate_in_band_signals(seed, vms, seconds))
+    plan.append(_generate_revocation(seed, seconds))
     return sorted(plan, key=lambda fault: fault.at)
 
 
@@ -231,6 +234,16 @@
     )
 
 
+def _generate_revocation(seed: int, seconds: float) -> Fault:
+    """Generate a change of the configuration early in the run.
+
+    Each change revokes a key, and most runs would have none in time otherwise.
+    """
+    random = Random(f'revocation {seed}')
+    at = random.uniform(0, seconds * _REVOCATION_SHARE)
+    return _make_fault(at, FaultKind.CONFIGURE, -1, 0, random)
+
+
 def _make_fault(
     at: float,
     kind: FaultKind,
--- a/libs/soak/tests/test_guarantees.py
+++ b/libs/soak/tests/test_guarantees.py
@@ -14,9 +14,21 @@
     write_status,
 )
 from verbenamill_platform_standins.upstream import Arrival, Execution
-from verbenamill_soak.callers import DEADLINE_S, Outcome, RequestRecord
-from verbenamill_soak.cluster import SERVICE, RolloutOrder
+from verbenamill_soak.callers import (
+    DEADLINE_S,
+    GUEST,
+    MEMBER,
+    MEMBER_KEY,
+    Outcome,
+    RequestRecord,
+)
+from verbenamill_soak.cluster import (
+    GUEST_KEY_VERSIONS,
+    SERVICE,
+    RolloutOrder,
+)
 from verbenamill_soak.guarantees import ROLLBACK_LIMIT_S, GuaranteeChecker
+from verbenamill_soak.keys import KEY_LIMIT_S
 from verbenamill_soak.relays import LinkControl, LinkMode
 from verbenamill_soak.timeline import Timeline
 from verbenamill_soak.upstreams import DEADLY_PATH, DRAIN_TIME_S, Upstream
@@ -535,7 +547,9 @@
     for number in range(count):
         at = since + number * interval
         id = f'vm1-{born}-{since}-{number}'
-        upstream.arrivals.append(Arrival(id, at, born, **signals))
+        fields = [('x-tenant', MEMBER)]
+        arrival = Arrival(id, at, born, header_fields=fields, **signals)
+        upstream.arrivals.append(arrival)
         cluster.record(id, vm='vm1', sent_at=at, ended_at=at + 0.01)
 
 
@@ -602,3 +616,58 @@
         deliver(cluster, 1, since=since, born=born, signals_leaving=True)
 
     assert not find_violations(scenario)
+
+
+@pytest.mark.parametrize(
+    ('id', 'fields', 'is_good'),
+    [
+        ('vm0-1-0', [('x-tenant', MEMBER)], True),
+        ('vm0-guest-0', [('x-tenant', GUEST)], True),
+        ('vm0-guest-0', [('x-tenant', MEMBER)], False),
+        ('vm0-1-0', [('x-tenant', MEMBER), ('x-tenant', GUEST)], False),
+        ('vm0-1-0', [], False),
+        ('vm0-1-0', [('x-tenant', MEMBER), ('api-key', MEMBER_KEY)], False),
+        ('vm0-1-0', [('x-tenant', MEMBER), ('x', f'a {MEMBER_KEY}')], False),
+    ],
+)
+def test_an_upstream_that_gets_a_key_or_a_wrong_name(
+    find_violations, id, fields, is_good
+):
+    def scenario(cluster):
+        arrival = Arrival(id, 1.0, 100, header_fields=fields)
+        cluster.nodes[0].upstreams[0].arrivals.append(arrival)
+
+    expected = [] if is_good else ['upstreams get no key']
+    assert find_violations(scenario) == expected
+
+
+@pytest.mark.parametrize(
+    ('status', 'version', 'sent_at', 'promise'),
+    [
+        (401, 0, 1.0, 'a known key is good'),
+        (401, 1, KEY_LIMIT_S + 0.1, 'a known key is good'),
+        (401, 1, KEY_LIMIT_S - 0.1, None),
+        (401, 1, 10.1, None),
+        (200, 1, 10 + KEY_LIMIT_S - 0.1, None),
+        (200, 1, 10 + KEY_LIMIT_S + 0.1, 'a revoked key is refused'),
+        (503, 1, 10 + KEY_LIMIT_S + 0.1, None),
+    ],
+)
+@pytest.mark.parametrize('fault_free', [True, False])
+def test_a_key_that_is_known_too_late_or_too_long(
+    find_violations, status, version, sent_at, promise, fault_free
+):
+    def scenario(cluster):
+        cluster.fault_free = fault_free
+        cluster.published = {1: 0.0, 1 + GUEST_KEY_VERSIONS: 10.0}
+        cluster.record(
+            'vm0-1-0',
+            status=status,
+            sent_at=sent_at,
+            ended_at=sent_at + 0.1,
+            guest_version=version,
+        )
+
+    is_excused = not fault_free and version
+    expected = [promise] if promise and not is_excused else []
+    assert find_violations(scenario) == expected
--- a/libs/soak/tests/test_seeded_runs.py
+++ b/libs/soak/tests/test_seeded_runs.py
@@ -23,3 +23,5 @@
     report = trio.run(run, options, tmp_path)
     assert report.verdict == 'kept', report.broken
     assert report.requests['200'] > 0
+    # Keys were revoked during the run.
+    assert report.requests['401'] > 0
