Daemon: requests within the quotas of organisations

Quotas had no effect. The ingress now takes a token from QuotaGate before it chooses an owner, answers 429 with Retry-After over the quota, returns the token of a request that did not run and takes another one before a second attempt after a run. Two new datagrams carry reports with token requests, and grants; none is sent unless the configuration has a quota.

--- a/libs/sidecar/src/verbenamill_sidecar/daemon.py
+++ b/libs/sidecar/src/verbenamill_sidecar/daemon.py
@@ -36,6 +36,7 @@
     Store,
 )
 from verbenamill_sidecar.quarantine.suspects import SuspectGate
+from verbenamill_sidecar.quotas.gate import QuotaGate, QuotaGateContext
 from verbenamill_sidecar.routing.ingress import Ingress
 from verbenamill_sidecar.routing.ingress_context import IngressContext
 from verbenamill_sidecar.routing.peer_requests import PeerRequestHandler
@@ -173,6 +174,7 @@
             on_tally=self._rollout_controller.record_tally,
             gate=self._gate,
             own_load=lambda: self._own_upstream.load,
+            on_quota_message=lambda message: self._quotas.handle(message),
         )
         self._gate.publish = self._gossip.publish_suspect
         self._registrar = Registrar(
@@ -185,6 +187,18 @@
             on_no_members=self._follower.start_reading,
             quarantine=self._gate.quarantine,
         )
+        self._quotas = QuotaGate(
+            QuotaGateContext(
+                own=self._gossip.own,
+                table=lambda: self._desired_state.table,
+                members=self._table,
+                knows_members=self._knows_members,
+                is_suspect=self._peers.is_suspect,
+                send=self._gossip.send_quota_message,
+                margin=settings.quota.margin,
+                random=context.random,
+            ),
+        )
         self._is_stopping = False
         self._servers = self._make_servers()
 
@@ -205,6 +219,7 @@
             nursery.start_soon(self._rollout_controller.run, self._gossip)
             nursery.start_soon(self._sweep)
             nursery.start_soon(self._own_upstream.probe.run)
+            nursery.start_soon(self._quotas.run)
             log(
                 Event.STARTED,
                 id=settings.vm.id,
@@ -261,6 +276,7 @@
                 own=self._own_upstream,
                 stats=self._stats,
                 gate=self._gate,
+                quotas=self._quotas,
                 origin=context.settings.vm.service,
                 sender=f'{own.vm}/{own.incarnation}',
                 stamp=lambda: self._desired_state.stamp,
@@ -351,6 +367,7 @@
             self._own_zone.refresh()
             self._own_upstream.sweep()
             self._gate.sweep()
+            self._quotas.refresh()
 
     async def _stop(self) -> None:
         grace = self._context.settings.stop.grace / 1000
@@ -358,6 +375,7 @@
         self._is_stopping = True
         self._own_upstream.stop()
         self._gossip.update_own(upstream=self._current_upstream(), leaving=True)
+        self._quotas.leave()
         for server in self._servers:
             server.is_stopping = True
         # Callers are sent elsewhere once two health checks have failed. Until
@@ -391,6 +409,10 @@
             and self._own_upstream.exchange.find_parent(id) is not None
         )
 
+    def _knows_members(self) -> bool:
+        """Whether the number of daemons in the fleet is known."""
+        return self._registrar.has_read_members or self._gossip.knows_peers
+
     def _publish_upstream(self) -> None:
         self._gossip.update_own(
             upstream=self._current_upstream(),
@@ -449,7 +471,10 @@
             self._context.store.calls, self._gossip.traffic
         )
         return render_metrics(
-            self._stats, Gauges(self._read_gauges), coordination
+            self._stats,
+            Gauges(self._read_gauges),
+            coordination,
+            self._quotas.count_verdicts(),
         )
 
     def _read_gauges(self) -> dict[str, tuple[str, float]]:
--- a/libs/sidecar/src/verbenamill_sidecar/membership/datagrams.py
+++ b/libs/sidecar/src/verbenamill_sidecar/membership/datagrams.py
@@ -11,6 +11,7 @@
 from verbenamill_model.typing import AvailabilityZone, VmId
 from verbenamill_policy.members import MemberRecord
 from verbenamill_policy.quarantine import Suspect
+from verbenamill_policy.quotas.messages import TokenGrant, TokenRequest
 from verbenamill_policy.rollouts import Progress, SettledOrder
 from verbenamill_policy.tallies import Tally
 
@@ -149,6 +150,8 @@
     | Ask
     | Alive
     | Tallies
+    | TokenRequest
+    | TokenGrant
 )
 
 _decoder = msgspec.msgpack.Decoder(Message)
--- a/libs/sidecar/src/verbenamill_sidecar/membership/gossip.py
+++ b/libs/sidecar/src/verbenamill_sidecar/membership/gossip.py
@@ -23,6 +23,7 @@
     UpstreamRecord,
 )
 from verbenamill_policy.quarantine import Suspect
+from verbenamill_policy.quotas.messages import TokenGrant, TokenRequest
 from verbenamill_policy.rollouts import Progress, SettledOrder
 from verbenamill_policy.rumors import Neighbours
 from verbenamill_policy.tallies import Tally
@@ -81,6 +82,10 @@
 _address_of = lru_cache(maxsize=1024)(parse_address)
 
 
+def _ignore_quota_message(_: TokenRequest | TokenGrant) -> None:
+    """Ignore a message about quotas."""
+
+
 class Gossip:
     """Replicates the member table and the state of moves to all daemons.
 
@@ -90,6 +95,7 @@
     :param on_tally: called with each tally of another owner.
     :param gate: holds the requests that are suspected of crashing upstreams.
     :param own_load: returns the number of requests running and queued here.
+    :param on_quota_message: called with messages about quotas.
     :ivar load_probes: asks other daemons for their load.
     :ivar peer_state_received: set once another daemon has sent its state, or
         :data:`PEER_STATE_TIMEOUT` after the start.
@@ -110,7 +116,11 @@
         on_tally: Callable[[Tally], None],
         gate: SuspectGate,
         own_load: Callable[[], int],
+        on_quota_message: Callable[
+            [TokenRequest | TokenGrant], None
+        ] = _ignore_quota_message,
     ) -> None:
+        self._on_quota_message = on_quota_message
         self._own_load = own_load
         self.load_probes = LoadProbes(self._ask_for_load, random)
         self._table = table
@@ -260,6 +270,12 @@
         """Send a tally of this daemon to the decider of a move."""
         self._send(peer.record, Tallies([tally]))
 
+    def send_quota_message(
+        self, to: MemberRecord, message: TokenRequest | TokenGrant
+    ) -> None:
+        """Send a message about quotas to a daemon."""
+        self._send(to, message)
+
     def _ask_for_load(self, peer: Peer) -> None:
         self._send(peer.record, Ask(self.own.vm, wants_load=True))
 
@@ -322,6 +338,9 @@
                 self._record_load(message)
             case Notice():
                 self._handle_notice(message, source)
+            case TokenRequest() | TokenGrant():
+                self._mark_alive(message.sender)
+                self._on_quota_message(message)
             case _:
                 self._handle_comparison(message, source)
 
--- a/libs/sidecar/src/verbenamill_sidecar/membership/registration.py
+++ b/libs/sidecar/src/verbenamill_sidecar/membership/registration.py
@@ -80,6 +80,11 @@
         self._saved_vms: set[VmId] = set()
         self._departed: set[VmId] = set()
 
+    @property
+    def has_read_members(self) -> bool:
+        """Whether the daemons in the store were read."""
+        return self._has_read_members
+
     async def flush(self, timeout: float) -> bool:
         """Wait until the store holds the current state of the upstream.
 
--- a/libs/sidecar/src/verbenamill_sidecar/metrics.py
+++ b/libs/sidecar/src/verbenamill_sidecar/metrics.py
@@ -16,6 +16,7 @@
 
 from verbenamill_sidecar.membership.traffic import Traffic
 from verbenamill_sidecar.protocol import StorePurpose
+from verbenamill_sidecar.quotas.verdicts import VerdictCounts
 from verbenamill_sidecar.stats import LATENCY_BOUNDS, CallStats
 
 #: Help text and value of each gauge, by name.
@@ -42,7 +43,9 @@
         stats: CallStats,
         gauges: Gauges,
         coordination: CoordinationCounters,
+        quota_verdicts: VerdictCounts,
     ) -> None:
+        self._quota_verdicts = quota_verdicts
         self._stats = stats
         self._gauges = gauges
         self._coordination = coordination
@@ -53,6 +56,8 @@
         yield from self._datagrams()
         yield self._outcomes()
         yield self._latencies()
+        if self._quota_verdicts:
+            yield self._quota_counts()
         for name, (help_text, value) in self._gauges.read().items():
             yield GaugeMetricFamily(
                 f'verbenamill_{name}', help_text, value=value
@@ -109,6 +114,16 @@
             family.add_metric([service, outcome], count)
         return family
 
+    def _quota_counts(self) -> Metric:
+        family = CounterMetricFamily(
+            'verbenamill_quota_requests',
+            'Requests of organisations with a quota, by how it decided them.',
+            labels=['organisation', 'verdict'],
+        )
+        for (organisation, verdict), count in self._quota_verdicts.items():
+            family.add_metric([organisation, verdict.value], count)
+        return family
+
     def _latencies(self) -> Metric:
         family = HistogramMetricFamily(
             'verbenamill_call_seconds',
@@ -131,11 +146,14 @@
 
 
 def render_metrics(
-    stats: CallStats, gauges: Gauges, coordination: CoordinationCounters
+    stats: CallStats,
+    gauges: Gauges,
+    coordination: CoordinationCounters,
+    quota_verdicts: VerdictCounts,
 ) -> bytes:
     """Render all metrics as text."""
     registry = CollectorRegistry(auto_describe=False)
-    registry.register(_Collector(stats, gauges, coordination))
+    registry.register(_Collector(stats, gauges, coordination, quota_verdicts))
     return generate_latest(registry)
 
 
--- /dev/null
+++ b/libs/sidecar/src/verbenamill_sidecar/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of requests within the quotas of organisations."""
--- a/libs/sidecar/src/verbenamill_sidecar/routing/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/ingress.py
@@ -20,6 +20,7 @@
     AdmissionDecision,
     identify,
 )
+from verbenamill_sidecar.quotas.gate import Refusal
 from verbenamill_sidecar.routing.attempts import Attempts
 from verbenamill_sidecar.routing.call import (
     RETRIABLE_STATUSES,
@@ -36,6 +37,7 @@
 from verbenamill_sidecar.routing.responses import (
     blocked_response,
     error_response,
+    over_quota_response,
     retry_later_response,
 )
 from verbenamill_sidecar.routing.route_statistics import RouteStatistics
@@ -118,12 +120,36 @@
             return self._make_response(call, attempts)
         call.is_alone = decision.is_alone
         try:
-            return await self._answer(call, attempts)
+            return await self._admit_within_quota(call, attempts)
         finally:
             gate.record_end(call, has_completed=attempts.has_completed)
             if decision.is_alone:
                 gate.release(call)
 
+    async def _admit_within_quota(
+        self, call: Call, attempts: Attempts
+    ) -> Response:
+        """Run a request if the quota of its organisation has room."""
+        quotas = self._context.quotas
+        if not quotas.limits(call):
+            return await self._answer(call, attempts)
+        admission = await quotas.admit(call)
+        if isinstance(admission, Refusal):
+            reason = admission.reason
+            self._log_failure(call, 'over-quota', reason, attempts)
+            return over_quota_response(
+                reason, admission.wait, self._context.random
+            )
+        may_have_run = True
+        try:
+            response = await self._answer(call, attempts)
+            may_have_run = attempts.has_run
+        finally:
+            # An attempt that was cancelled may have run.
+            if not (may_have_run and attempts.owners_asked):
+                quotas.refund(call)
+        return response
+
     async def _answer(self, call: Call, attempts: Attempts) -> Response:
         budget = self._budgets.setdefault(call.service, RetryBudget())
         budget.earn()
@@ -195,6 +221,8 @@
             has_run = attempts.has_run or race.in_progress > 0
             if not budget.take(has_run=has_run):
                 return None
+            if has_run and self._context.quotas.limits(call):
+                self._context.quotas.charge_rerun(call)
             self._context.stats.retries += 1
         return peer
 
--- a/libs/sidecar/src/verbenamill_sidecar/routing/ingress_context.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/ingress_context.py
@@ -16,6 +16,7 @@
 from verbenamill_sidecar.membership.peers import Peers
 from verbenamill_sidecar.protocol import HeaderNames
 from verbenamill_sidecar.quarantine.suspects import SuspectGate
+from verbenamill_sidecar.quotas.gate import QuotaGate
 from verbenamill_sidecar.routing.load_probes import LoadProbes
 from verbenamill_sidecar.state.desired_state import VersionStamp
 from verbenamill_sidecar.stats import CallStats
@@ -29,6 +30,7 @@
     :param shares: returns how a service is split between its versions.
     :param load_probes: asks other daemons for their load.
     :param gate: holds the requests during which upstreams crashed.
+    :param quotas: admits requests within the quotas of organisations.
     :param regions: region of each zone; zones of unknown regions are absent.
     :param origin: service of this VM.
     :param sender: identifies this daemon and its incarnation to other daemons.
@@ -43,6 +45,7 @@
     own: LocalUpstream
     stats: CallStats
     gate: SuspectGate
+    quotas: QuotaGate
     origin: ServiceName
     sender: str
     stamp: Callable[[], VersionStamp]
--- a/libs/sidecar/src/verbenamill_sidecar/routing/responses.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/responses.py
@@ -44,13 +44,27 @@
 
     :param wait: expected time until there is room, in seconds; 0 if unknown.
     """
+    response = error_response(HTTPStatus.SERVICE_UNAVAILABLE, reason)
+    _add_hint(response, wait, random)
+    return response
+
+
+def over_quota_response(reason: str, wait: float, random: Random) -> Response:
+    """Refuse a request beyond the quota of its organisation.
+
+    :param wait: time until the quota has room, in seconds; 0 if unknown.
+    """
+    response = error_response(HTTPStatus.TOO_MANY_REQUESTS, reason)
+    _add_hint(response, wait, random)
+    return response
+
+
+def _add_hint(response: Response, wait: float, random: Random) -> None:
     hint = wait or _UNKNOWN_HINT
     hint *= 1 + _HINT_SPREAD * random.random()
     hint = min(max(hint, _SHORTEST_HINT), _LONGEST_HINT)
-    response = error_response(HTTPStatus.SERVICE_UNAVAILABLE, reason)
     retry_after = math.ceil(hint * 1000) / 1000
     response.headers.append((b'retry-after', b'%.3f' % retry_after))
-    return response
 
 
 def blocked_response(reason: str, wait: float) -> Response:
--- a/libs/sidecar/src/verbenamill_sidecar/settings.py
+++ b/libs/sidecar/src/verbenamill_sidecar/settings.py
@@ -17,6 +17,7 @@
     VmId,
 )
 from verbenamill_policy.cold_starts import ColdStartMargin
+from verbenamill_policy.quotas.limits import QuotaMargin
 from verbenamill_runtime.settings_fields import (
     Flag,
     Name,
@@ -137,6 +138,28 @@
         return ColdStartMargin(overshoot=self.overshoot, slack=self.slack)
 
 
+class QuotaSettings(Struct, frozen=True, kw_only=True):
+    """Requests of an organisation that may run in a window beyond its quota.
+
+    The quota itself is part of the configuration.
+
+    :param window: length of the window, in seconds.
+    :param overshoot: share of the rate and the burst in addition.
+    :param slack: number of requests in addition.
+    """
+
+    window: Annotated[float, number_in_range(0.1, 3600)] = 5
+    overshoot: Annotated[float, number_in_range(0, 100)] = 0.1
+    slack: Annotated[float, number_in_range(0, 1_000_000)] = 20
+
+    @property
+    def margin(self) -> QuotaMargin:
+        """These settings as the policy uses them."""
+        return QuotaMargin(
+            window=self.window, overshoot=self.overshoot, slack=self.slack
+        )
+
+
 class LoggingSettings(Struct, frozen=True, kw_only=True):
     """Level and format of the log."""
 
@@ -155,6 +178,7 @@
     start: StartSettings = StartSettings()
     stop: StopSettings = StopSettings()
     cold_start: ColdStartSettings = ColdStartSettings()
+    quota: QuotaSettings = QuotaSettings()
     regions: RegionSettings = RegionSettings()
     logging: LoggingSettings = LoggingSettings()
 
--- a/libs/telemetry/src/verbenamill_telemetry/events.py
+++ b/libs/telemetry/src/verbenamill_telemetry/events.py
@@ -530,6 +530,47 @@
         _NO_ACTION,
         rate=5,
     )
+    QUOTA_EXCEEDED = EventDefinition(
+        'VM6031',
+        logging.INFO,
+        'requests of {organisation} are refused: {reason}',
+        'The organisation has used its quota over all daemons, or no pool '
+        'answers this daemon. Further refusals are only counted.',
+        'Nothing if the organisation sends more than its quota. Otherwise '
+        'look for VM6034 at the same time.',
+        rate=5,
+    )
+    QUOTA_RECOVERED = EventDefinition(
+        'VM6032',
+        logging.INFO,
+        'requests of {organisation} are no longer refused, {refused} were',
+        'For some seconds no request of the organisation was refused here.',
+        _NO_ACTION,
+        rate=5,
+    )
+    QUOTA_POOL_MOVED = EventDefinition(
+        'VM6033',
+        logging.INFO,
+        'the quotas of this group are pooled at {host}',
+        'Daemons joined or left, or the former pool host did not answer.',
+        _NO_ACTION,
+    )
+    QUOTA_STANDALONE = EventDefinition(
+        'VM6034',
+        logging.WARNING,
+        'no answer about quotas from {host}',
+        'No pool host of the group answers. Until one does, this daemon '
+        'admits its own share of each quota.',
+        'Nothing for a single daemon that was restarted. Many at once '
+        'indicate a network fault or dead VMs.',
+    )
+    QUOTA_POOL_FOUND = EventDefinition(
+        'VM6035',
+        logging.INFO,
+        'quotas are pooled at {host} again',
+        'A pool host of the group answers.',
+        _NO_ACTION,
+    )
     INVARIANT_BROKEN = EventDefinition(
         'VM9001',
         logging.CRITICAL,
