--- a/libs/sidecar/src/verbenamill_sidecar/membership/datagrams.py
+++ b/libs/sidecar/src/verbenamill_sidecar/membership/datagrams.py
@@ -12,6 +12,7 @@
 from verbenamill_policy.members import MemberRecord
 from verbenamill_policy.pace import PaceReport
 from verbenamill_policy.quarantine import Suspect
+from verbenamill_policy.quotas.messages import TokenGrant, TokenRequest
 from verbenamill_policy.rollouts import Progress, SettledOrder
 from verbenamill_policy.tallies import Tally
 
@@ -160,6 +161,8 @@
     | Ask
     | Alive
     | Tallies
+    | TokenRequest
+    | TokenGrant
 )
 
 _decoder = msgspec.msgpack.Decoder(Message)
