--- a/deploy/node/src/verbenamill_node/startup.py
+++ b/deploy/node/src/verbenamill_node/startup.py
@@ -57,8 +57,7 @@
         stream=NonBlockingStream(1),
         vm=settings.vm.id,
     )
-    gc.freeze()
-    gc.set_threshold(_GC_THRESHOLD, 10, 10)
+    set_up_collector()
     try:
         trio.run(_serve, settings, path)
     except BaseException as error:
@@ -67,6 +66,12 @@
     return 0
 
 
+def set_up_collector() -> None:
+    """Exempt the present objects from collections and make these rare."""
+    gc.freeze()
+    gc.set_threshold(_GC_THRESHOLD, 10, 10)
+
+
 def _describe_cause(error: BaseException) -> str:
     """Return the first innermost exception of nested groups, in one line."""
     while isinstance(error, BaseExceptionGroup):
@@ -74,18 +79,22 @@
     return repr(error)
 
 
-async def _serve(settings: Settings, path: Path) -> None:
-    random = SystemRandom()
-    daemon = Daemon(
+def make_daemon(settings: Settings) -> Daemon:
+    """Make a daemon with the adapter to the platform."""
+    return Daemon(
         DaemonContext(
             settings=settings,
             store=PlatformStore(parse_address(settings.store.address)),
             names=HEADERS,
             read_announcement=read_announcement,
-            now=_now,
-            random=random,
+            now=read_wall_clock,
+            random=SystemRandom(),
         ),
     )
+
+
+async def _serve(settings: Settings, path: Path) -> None:
+    daemon = make_daemon(settings)
     stopping = trio.Event()
     async with trio.open_nursery() as nursery:
         await nursery.start(watch_signals, stopping, path)
@@ -93,5 +102,6 @@
         nursery.cancel_scope.cancel()
 
 
-def _now() -> datetime:
+def read_wall_clock() -> datetime:
+    """Return the wall-clock time."""
     return datetime.now(UTC)
--- a/libs/soak/src/verbenamill_soak/launch.py
+++ b/libs/soak/src/verbenamill_soak/launch.py
@@ -16,7 +16,7 @@
     from verbenamill_node import startup  # noqa: PLC0415
 
     clock_lag = timedelta(seconds=float(sys.argv.pop(1)))
-    startup._now = lambda: datetime.now(UTC) - clock_lag  # noqa: SLF001
+    startup.read_wall_clock = lambda: datetime.now(UTC) - clock_lag
     return startup.main()
 
 
--- a/libs/soak/src/verbenamill_soak/nodes.py
+++ b/libs/soak/src/verbenamill_soak/nodes.py
@@ -31,7 +31,7 @@
 _DISRUPTIVE_SIGNALS = (signal.SIGKILL, signal.SIGSTOP, signal.SIGCONT)
 #: Signals that terminate the daemon.
 _TERMINATING_SIGNALS = (signal.SIGKILL, signal.SIGTERM)
-_SETTINGS = """
+SETTINGS = """
 [vm]
 id = "{vm}"
 availability_zone = "{zone}"
@@ -165,7 +165,7 @@
         ):
             await self._nursery.start(relay.serve)
         self._settings.write_text(
-            _SETTINGS.format(
+            SETTINGS.format(
                 *self.ports,
                 vm=self.name,
                 zone=self.zone,
