Import without garbage collections

Collections during the imports of a start traverse objects of which nearly all are kept. They are disabled until the daemon has been imported; the objects are then exempted, as before.

--- a/deploy/node/src/verbenamill_node/startup.py
+++ b/deploy/node/src/verbenamill_node/startup.py
@@ -67,9 +67,10 @@
 
 
 def set_up_collector() -> None:
-    """Exempt the present objects from collections and make these rare."""
+    """Enable collections, make them rare and exempt the present objects."""
     gc.freeze()
     gc.set_threshold(_GC_THRESHOLD, 10, 10)
+    gc.enable()
 
 
 def _describe_cause(error: BaseException) -> str:
--- a/libs/soak/src/verbenamill_soak/node_bench.py
+++ b/libs/soak/src/verbenamill_soak/node_bench.py
@@ -1,5 +1,6 @@
 """``verbenamill-node-bench``: processor time and latency of the daemon."""
 
+import os
 import re
 import subprocess
 import sys
@@ -178,17 +179,30 @@
         )
 
 
-async def _measure_start(runs: int) -> StartReport:
+async def _measure_start(runs: int, installation: Path | None) -> StartReport:
+    python = sys.executable
+    environment = dict(os.environ)
+    if installation is not None:
+        python = f'{sys.base_prefix}/bin/python3'
+        environment['PYTHONPATH'] = str(installation.absolute())
     with TemporaryDirectory() as folder:
         ports = find_ports(5)
         address = f'{HOST}:9'
         path = write_settings(
             Path(folder), 0, ports, upstream=address, store=address
         )
-        times = [await _start_once(path, ports[4]) for _ in range(runs)]
-    command = [sys.executable, '-X', 'importtime', '-c']
-    command.append('import verbenamill_node.startup')
-    ran = subprocess.run(command, capture_output=True, text=True, check=True)
+        command = [python, '-m', 'verbenamill_node', str(path)]
+        times = [
+            await _start_once(command, environment, ports[4])
+            for _ in range(runs)
+        ]
+    ran = subprocess.run(
+        [python, '-X', 'importtime', '-c', 'import verbenamill_node.startup'],
+        env=environment,
+        capture_output=True,
+        text=True,
+        check=True,
+    )
     imports = {
         name: int(own) / 1000 for own, name in _IMPORT_LINE.findall(ran.stderr)
     }
@@ -202,12 +216,13 @@
     )
 
 
-async def _start_once(settings: Path, port: int) -> tuple[float, float]:
+async def _start_once(
+    command: list[str], environment: dict[str, str], port: int
+) -> tuple[float, float]:
     """Start a daemon; return time and processor time until it listens."""
     began = time.perf_counter()
     process = await trio.lowlevel.open_process(
-        [sys.executable, '-m', 'verbenamill_node', str(settings)],
-        stdout=subprocess.DEVNULL,
+        command, stdout=subprocess.DEVNULL, env=environment
     )
     try:
         with trio.fail_after(_START_TIMEOUT_S):
@@ -249,10 +264,18 @@
 @app.command('start')
 def start_command(
     runs: Annotated[int, typer.Option(min=1, help='Number of starts.')] = 9,
+    installation: Annotated[
+        Path | None,
+        typer.Option(
+            help='Directory that deploy/build.sh has made. Otherwise this '
+            'environment is measured, which may have no compiled modules.',
+        ),
+    ] = None,
     as_json: AsJson = False,
 ) -> None:
     """Measure the time from the start of a process until it listens."""
-    print_report(trio.run(_measure_start, runs), as_json=as_json)
+    report = trio.run(_measure_start, runs, installation)
+    print_report(report, as_json=as_json)
 
 
 if __name__ == '__main__':
