Periodic tasks share wake-ups

An idle daemon woke up for each of its periodic tasks separately, about 70 times a second, and each wake-up costs an event loop iteration and a Cancelled exception: 118 us in trio.sleep. The sleeps of these tasks now end on ticks of 50 ms, so that at most 20 wake-ups a second remain, and a task is resumed without an exception. Servers without connections are not swept.

--- a/libs/http/src/verbenamill_http/server.py
+++ b/libs/http/src/verbenamill_http/server.py
@@ -14,6 +14,7 @@
     ServerLimits,
 )
 from verbenamill_http.sockets import set_tcp_options
+from verbenamill_http.timers import sleep_coarsely
 
 __all__ = ('Handler', 'HttpServer', 'Request', 'Response', 'ServerLimits')
 
@@ -187,7 +188,9 @@
 
     async def _sweep(self) -> None:
         while True:
-            await trio.sleep(_SWEEP_INTERVAL_S)
+            await sleep_coarsely(_SWEEP_INTERVAL_S)
+            if not self._connections:
+                continue
             limits = self._limits()
             now = trio.current_time()
             for connection in list(self._connections):
--- a/libs/sidecar/src/verbenamill_sidecar/daemon.py
+++ b/libs/sidecar/src/verbenamill_sidecar/daemon.py
@@ -12,6 +12,7 @@
 from verbenamill_http.messages import RequestHead, get_header
 from verbenamill_http.server import Handler, HttpServer, ServerLimits
 from verbenamill_http.sockets import listen
+from verbenamill_http.timers import sleep_coarsely
 from verbenamill_model.typing import (
     AvailabilityZone,
     ServiceName,
@@ -346,7 +347,7 @@
 
     async def _sweep(self) -> None:
         while True:
-            await trio.sleep(_SWEEP_PERIOD)
+            await sleep_coarsely(_SWEEP_PERIOD)
             self._peers.sweep()
             self._own_zone.refresh()
             self._own_upstream.sweep()
--- a/libs/sidecar/src/verbenamill_sidecar/membership/gossip.py
+++ b/libs/sidecar/src/verbenamill_sidecar/membership/gossip.py
@@ -15,6 +15,7 @@
 import trio
 
 from verbenamill_http.addresses import Address, parse_address
+from verbenamill_http.timers import sleep_coarsely
 from verbenamill_model.typing import VmId
 from verbenamill_policy.fingerprints import Fingerprint
 from verbenamill_policy.members import (
@@ -265,7 +266,7 @@
 
     async def _run_dissemination(self) -> None:
         while True:
-            await trio.sleep(RUMOR_PERIOD)
+            await sleep_coarsely(RUMOR_PERIOD)
             self._dissemination.next_round()
             self._notices.next_round()
 
--- a/libs/sidecar/src/verbenamill_sidecar/membership/liveness.py
+++ b/libs/sidecar/src/verbenamill_sidecar/membership/liveness.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from verbenamill_http.timers import sleep_coarsely
 from verbenamill_model.typing import AvailabilityZone, VmId
 from verbenamill_policy.members import MemberRecord
 from verbenamill_sidecar.membership.peers import PROBE_AFTER, Peer, Peers
@@ -39,8 +40,7 @@
     async def run(self) -> None:
         """Check the watched daemons at regular intervals until cancelled."""
         while True:
-            due = trio.current_time() + CHECK_PERIOD
-            await trio.sleep_until(due)
+            due = await sleep_coarsely(CHECK_PERIOD)
             now = trio.current_time()
             if now - due >= STALL_THRESHOLD:
                 log(Event.PROCESS_STALLED, ms=int((now - due) * 1000))
--- a/libs/sidecar/src/verbenamill_sidecar/state/rollout_controller.py
+++ b/libs/sidecar/src/verbenamill_sidecar/state/rollout_controller.py
@@ -11,6 +11,7 @@
 from msgspec import Struct
 from returns.result import Failure, Success
 
+from verbenamill_http.timers import sleep_coarsely
 from verbenamill_model.typing import ServiceName, VmId
 from verbenamill_policy.evidence import Evidence
 from verbenamill_policy.move_decision import Decision, MoveContext, decide
@@ -107,7 +108,7 @@
         self._gossip = gossip
         async with trio.open_nursery() as nursery:
             while True:
-                await trio.sleep(STEP_PERIOD)
+                await sleep_coarsely(STEP_PERIOD)
                 for order in self._desired_state.running_orders():
                     self._step(order, nursery)
 
--- a/libs/sidecar/src/verbenamill_sidecar/state/store_follower.py
+++ b/libs/sidecar/src/verbenamill_sidecar/state/store_follower.py
@@ -7,6 +7,7 @@
 import trio
 from returns.result import Failure, Result, Success
 
+from verbenamill_http.timers import Pause, sleep_coarsely
 from verbenamill_model.typing import VmId
 from verbenamill_sidecar.membership.datagrams import NoticeKind
 from verbenamill_sidecar.protocol import PublishedRecords, Store, StoreFault
@@ -107,7 +108,7 @@
         self._was_not_reader = False
         self._uninformed_peers: set[VmId] = set()
         self._may_read = trio.Event()
-        self._has_changed = trio.Event()
+        self._notice_pause = Pause()
         self._reading_reason: ReadingReason | None = None
         self._fetcher = StateFetcher(
             desired_state=desired_state,
@@ -169,7 +170,7 @@
 
     async def _step(self) -> StoreFault | None:
         if not self._tree.must_read():
-            await trio.sleep(_READER_CHECK_PERIOD)
+            await sleep_coarsely(_READER_CHECK_PERIOD)
             self._was_not_reader = True
             return None
         if self._was_not_reader:
@@ -281,7 +282,7 @@
         """Tell others at once, and end the wait for what was missing."""
         if self.announced.behind_since is None:
             self._tree.note_caught_up()
-        self._has_changed.set()
+        self._notice_pause.end()
 
     def _note_success(self) -> None:
         self.last_read_at = trio.current_time()
@@ -308,7 +309,7 @@
         up to date until then. Opening a connection is no call.
         """
         while True:
-            await trio.sleep(PATH_CHECK_PERIOD)
+            await sleep_coarsely(PATH_CHECK_PERIOD)
             if self._open_read is None:
                 self._is_path_lost = False
                 continue
@@ -362,9 +363,7 @@
                 sent_at = now
                 self._send_notice(has_changed=has_changed)
             previous = state
-            self._has_changed = trio.Event()
-            with trio.move_on_after(_NOTICE_CHECK_PERIOD):
-                await self._has_changed.wait()
+            await self._notice_pause.sleep(_NOTICE_CHECK_PERIOD)
 
     def _choose_notice_period(self, elapsed: float) -> float:
         """Choose when the next notice is due, in seconds after the last one.
