Bench with more daemons and upstreams of few slots

With three slots per upstream, a daemon asks others for their load before it forwards a request, which few daemons with many slots do not show.

--- a/libs/soak/src/verbenamill_soak/daemon_fleet.py
+++ b/libs/soak/src/verbenamill_soak/daemon_fleet.py
@@ -19,7 +19,6 @@
 TIMEOUT_MS = 5000
 SERVICES = ('entries', 'entries', 'catalog')
 _ROUTES = (('lookup', 'entries'), ('nesting', 'entries'), ('photo', 'catalog'))
-_SLOTS = 64
 _START_TIMEOUT_S = 60.0
 #: Time in which daemons learn of each other's upstreams.
 _CONVERGENCE_TIME_S = 2.0
@@ -110,11 +109,13 @@
         """Processor time of the daemons so far, in milliseconds."""
         return process_cpu(self._pid)
 
-    async def start_upstreams(self, nursery: trio.Nursery) -> None:
+    async def start_upstreams(self, nursery: trio.Nursery, slots: int) -> None:
         """Start an upstream for each daemon."""
         for index, ports in enumerate(self.ports):
             upstream = Upstream(
-                instance=f'i{index}', service=SERVICES[index], slots=_SLOTS
+                instance=f'i{index}',
+                service=SERVICES[index % len(SERVICES)],
+                slots=slots,
             )
             upstream.call = make_sender(ports[0])
             await nursery.start(upstream.serve)
@@ -158,10 +159,11 @@
 
 
 @asynccontextmanager
-async def open_fleet(
-    daemons: int, *, with_upstreams: bool
-) -> AsyncIterator[Fleet]:
-    """Run daemons, a store and, for at most three daemons, upstreams."""
+async def open_fleet(daemons: int, *, slots: int) -> AsyncIterator[Fleet]:
+    """Run daemons, a store and an upstream for each daemon.
+
+    :param slots: slots of each upstream; 0 for no upstreams.
+    """
     fleet = Fleet([find_ports(5) for _ in range(daemons)])
     rows = [
         [name, 'shop.example', f'/{name}/', 'idempotent', TIMEOUT_MS]
@@ -180,8 +182,8 @@
     async with trio.open_nursery() as nursery:
         await nursery.start(fleet.store.serve)
         fleet.store.write_as_operator('config', document)
-        if with_upstreams:
-            await fleet.start_upstreams(nursery)
+        if slots:
+            await fleet.start_upstreams(nursery, slots)
         with TemporaryDirectory() as folder:
             process = await fleet.start_daemons(Path(folder))
             try:
--- a/libs/soak/src/verbenamill_soak/node_bench.py
+++ b/libs/soak/src/verbenamill_soak/node_bench.py
@@ -24,7 +24,6 @@
 from verbenamill_platform_standins.ports import find_ports
 from verbenamill_soak.daemon_fleet import (
     HOST,
-    SERVICES,
     Fleet,
     SendRequest,
     make_sender,
@@ -148,9 +147,11 @@
     )
 
 
-async def _measure_requests(seconds: float, fleets: list[int]) -> RequestReport:
+async def _measure_requests(
+    seconds: float, *, daemons: int, slots: int, fleets: list[int]
+) -> RequestReport:
     report = RequestReport(machine=describe_machine())
-    async with open_fleet(len(SERVICES), with_upstreams=True) as fleet:
+    async with open_fleet(daemons, slots=slots) as fleet:
         upstream_port = int(fleet.upstreams[0].address.rpartition(':')[2])
         caller_port = fleet.ports[2][0]
         for kind, port, path in (
@@ -168,7 +169,7 @@
 
 
 async def _measure_idle(daemons: int, seconds: float) -> IdleFigures:
-    async with open_fleet(daemons, with_upstreams=False) as fleet:
+    async with open_fleet(daemons, slots=0) as fleet:
         await trio.sleep(_SETTLE_TIME_S)
         before = fleet.cpu
         await trio.sleep(seconds)
@@ -250,6 +251,8 @@
 @app.command('request')
 def request_command(
     seconds: Annotated[float, typer.Option(help='Length of each load.')] = 5,
+    daemons: Annotated[int, typer.Option(min=3, help='Daemons.')] = 12,
+    slots: Annotated[int, typer.Option(min=1, help='Of an upstream.')] = 3,
     fleet: Annotated[
         list[int] | None,
         typer.Option(help='Daemons of an idle fleet; may be given again.'),
@@ -257,7 +260,15 @@
     as_json: AsJson = False,
 ) -> None:
     """Measure requests, and idle fleets."""
-    report = trio.run(_measure_requests, seconds, fleet or [])
+    report = trio.run(
+        partial(
+            _measure_requests,
+            seconds,
+            daemons=daemons,
+            slots=slots,
+            fleets=fleet or [],
+        )
+    )
     print_report(report, as_json=as_json)
 
 
