Reserve slots of an upstream for urgent requests that are expected

Long requests with a loose objective took all slots of an upstream, and short requests behind them missed their objectives whatever the order of the queue.

The owner now tracks the arrivals of each route and priority. For each kind it finds the slots that more urgent kinds need so that few of them wait longer than they can, and starts a request only if that many are left. Between two whole numbers the larger one is used for a share of the time. The expected wait, the refusals and the reported load count the slots that a request may hold. Owners whose kinds can wait for each other reserve nothing.

--- a/libs/policy/src/verbenamill_policy/admission.py
+++ b/libs/policy/src/verbenamill_policy/admission.py
@@ -1,11 +1,17 @@
 """Slots of the local upstream, and the queue in front of them."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from enum import Enum, unique
+from math import inf
 
 from verbenamill_model.typing import RouteName
 from verbenamill_policy.cold_starts import ColdStartTracker
 from verbenamill_policy.pacing import TokenBucket
+from verbenamill_policy.reservations import (
+    RECHECK_INTERVAL,
+    KindRequest,
+    SlotReservations,
+)
 from verbenamill_policy.service_times import ServiceTimes, is_hopeless
 
 #: Share of the remaining time that the wait and the work after it may take.
@@ -102,6 +108,20 @@
         """Priority of its route; 0 is served first."""
         return self._order[0]
 
+    @property
+    def slack(self) -> float:
+        """Time that requests of its route can wait and meet the objective.
+
+        In seconds; infinite if the objective is not known. The time that this
+        request has already used does not count.
+        """
+        if self.latency_objective <= 0:
+            return inf
+        return (
+            self.latency_objective * HEADROOM
+            - SERVICE_TIME_MARGIN * self.expected
+        )
+
     @property
     def latest_start(self) -> float:
         """Time after which it is no longer worth starting."""
@@ -128,6 +148,47 @@
         )
 
 
+class _Group:
+    """Queued requests of one kind.
+
+    :ivar example: the first of them.
+    :ivar work: sum of their expected service times, in seconds.
+    """
+
+    __slots__ = ('example', 'count', 'work')
+
+    def __init__(self, example: AdmissionRequest) -> None:
+        self.example = example
+        self.count = 0
+        self.work = float(0)
+
+
+class _RequestsAhead:
+    """Queued requests ahead of another one, by kind."""
+
+    def __init__(self, requests: list[AdmissionRequest]) -> None:
+        self._groups: dict[tuple[RouteName, int], _Group] = {}
+        self.count = 0
+        for request in requests:
+            self.add(request)
+
+    def add(self, request: AdmissionRequest) -> None:
+        """Add a request."""
+        key = (request.route, request.priority)
+        group = self._groups.get(key)
+        if group is None:
+            group = _Group(request)
+            self._groups[key] = group
+        self.count += 1
+        group.count += 1
+        group.work += request.expected
+
+    @property
+    def groups(self) -> list[_Group]:
+        """Groups of requests of one kind."""
+        return list(self._groups.values())
+
+
 class Admission:
     """Slots and queue of one upstream.
 
@@ -136,11 +197,17 @@
     that cannot be served in time is refused as soon as that is known, so that
     its caller can try another upstream while there is time.
 
+    :param reservations: slots that are kept free for urgent requests.
     :ivar cold_starts: counts the requests to an upstream that may turn cold.
     """
 
-    def __init__(self, *, slots: int) -> None:
+    def __init__(
+        self, *, slots: int, reservations: SlotReservations | None = None
+    ) -> None:
         self.slots = slots
+        self._reservations = reservations or SlotReservations(
+            lambda: self.slots
+        )
         self.times = ServiceTimes()
         self._other_times = ServiceTimes()
         self._is_cold = False
@@ -161,8 +228,16 @@
 
     @property
     def load(self) -> int:
-        """Number of requests at the upstream and in the queue."""
-        return len(self._running) + len(self._waiting)
+        """Number of requests at the upstream and in the queue.
+
+        While a slot is free, requests that wait because it is reserved do not
+        count: others would otherwise not be sent here.
+        """
+        if len(self._running) >= self.slots or not self._reservations.is_active:
+            return len(self._running) + len(self._waiting)
+        is_limited = self._reservations.is_limited
+        waiting = sum(not is_limited(one) for one in self._waiting)
+        return len(self._running) + waiting
 
     @property
     def is_paced(self) -> bool:
@@ -207,8 +282,13 @@
     def next_start(self, now: float) -> float:
         """Time at which the rate limit lets the next request use a free slot.
 
-        It is infinite without a rate limit or a free slot.
+        It is infinite without a rate limit or a free slot. If a free slot is
+        reserved, it is the time at which to consider this again.
         """
+        has_free_slot = len(self._running) < self.slots
+        if has_free_slot and self._waiting and self._reservations.is_active:
+            limit_wait = self._limit_wait(0, now)
+            return now + (limit_wait or RECHECK_INTERVAL)
         is_limited = self._bucket is not None or self.cold_starts is not None
         if not is_limited or len(self._running) >= self.slots:
             return float('inf')
@@ -228,14 +308,20 @@
         request.expected = self.times.expect(
             request.route, objective=request.latency_objective
         )
-        if not self._waiting and self._may_start(now):
+        self._reservations.record_arrival(request, now)
+        if (
+            self._may_start(now)
+            and self._find_startable(now) is None
+            and self._reservations.may_start(request, self._running, now)
+        ):
             self._start(request, now)
             return AdmissionResult.ADMITTED
         request.is_late = (
             now + SERVICE_TIME_MARGIN * request.expected > request.objective
         )
         ahead = self._count_ahead(request)
-        if not self._can_wait(request, self.expected_wait(ahead, now), now):
+        wait = self._wait_behind(request, ahead, now)
+        if not self._can_wait(request, wait, now):
             return AdmissionResult.SHED
         if len(self._waiting) >= QUEUE_FACTOR * max(self.slots, 1):
             if ahead == len(self._waiting):
@@ -264,7 +350,10 @@
     def admit(self, now: float) -> None:
         """Assign free slots to waiting requests."""
         while self._waiting and self._may_start(now):
-            request = self._waiting.pop(0)
+            index = self._find_startable(now)
+            if index is None:
+                return
+            request = self._waiting.pop(index)
             if request.latest_start < now:
                 request.on_settled(AdmissionResult.SHED)
                 continue
@@ -306,9 +395,33 @@
             return limit_wait
         work = sum(request.expected for request in self._waiting[:ahead])
         return max(
-            self._time_to_free_slot() + work / max(self.slots, 1), limit_wait
+            _time_to_free_slot(self._running) + work / max(self.slots, 1),
+            limit_wait,
         )
 
+    def retry_delay(self, request: AdmissionRequest, now: float) -> float:
+        """Time until a request like a refused one may start, in seconds."""
+        return self._wait_behind(request, len(self._waiting), now)
+
+    def count_reserved(
+        self, now: float, request: AdmissionRequest | None = None
+    ) -> float:
+        """Number of slots that are reserved for urgent requests.
+
+        The fraction is a share of the time.
+
+        :param request: count only those that it may not use.
+        """
+        if request is None:
+            return self._reservations.count_reserved(now)
+        limit = self._reservations.limit(request, now)
+        return max(self.slots - limit, 0)
+
+    def count_urgent_runs(self) -> int:
+        """Number of slots held by requests that may hold all of them."""
+        is_limited = self._reservations.is_limited
+        return sum(not is_limited(one) for one in self._running)
+
     def _may_start(self, now: float) -> bool:
         if len(self._running) >= self.slots:
             return False
@@ -320,17 +433,58 @@
             return wait
         return max(wait, self.cold_starts.wait(ahead, now))
 
-    def _time_to_free_slot(self) -> float:
-        """Expected time until the next slot becomes free, in seconds.
+    def _find_startable(self, now: float) -> int | None:
+        """Position of the first waiting request that may take a free slot."""
+        held: set[tuple[RouteName, int]] = set()
+        for index, request in enumerate(self._waiting):
+            kind = (request.route, request.priority)
+            if kind in held:
+                continue
+            if self._reservations.may_start(request, self._running, now):
+                return index
+            held.add(kind)
+        return None
+
+    def _wait_behind(
+        self, request: AdmissionRequest, ahead: int, now: float
+    ) -> float:
+        """Expected wait of a request behind those ahead of it, in seconds."""
+        if not self._reservations.is_active:
+            return self.expected_wait(ahead, now)
+        return self._wait_for_reserved(
+            request, _RequestsAhead(self._waiting[:ahead]), now
+        )
+
+    def _wait_for_reserved(
+        self, request: AdmissionRequest, ahead: _RequestsAhead, now: float
+    ) -> float:
+        """Expected wait for one of the slots that a request may hold.
 
-        Each running request is assumed to end at a rate of one in its
-        expected time.
+        Of the requests ahead, those of more urgent kinds use reserved slots,
+        and those of kinds that may hold fewer slots do not get them earlier.
         """
-        rate = sum(1 / max(one.expected, 0.001) for one in self._running)
-        return 1 / rate if rate else 0
+        reservations = self._reservations
+        limit = min(reservations.limit(request, now), self.slots)
+        limit_wait = self._limit_wait(ahead.count, now)
+        rivals = reservations.filter_rivals(request, self._running)
+        count = 0
+        work = float(0)
+        for group in ahead.groups:
+            one = group.example
+            is_rival = bool(reservations.filter_rivals(request, [one]))
+            if is_rival and reservations.limit(one, now) >= limit:
+                count += group.count
+                work += group.work
+        free = min(limit - len(rivals), self.slots - len(self._running))
+        if count + 1 <= free:
+            return limit_wait
+        holders = rivals if len(rivals) >= int(limit) else self._running
+        wait = _time_to_free_slot(holders) + work / max(limit, 1)
+        return max(wait, limit_wait)
 
     def _start(self, request: AdmissionRequest, now: float) -> None:
         request.started = now
+        self._reservations.record_start(request, self._running, now)
         self._running.add(request)
         if self._bucket is not None:
             self._bucket.take(now)
@@ -368,6 +522,9 @@
 
         :param first: position in the queue from which on requests are checked.
         """
+        if self._reservations.is_active:
+            self._shed_delayed_by_kind(first, now)
+            return
         wait = self.expected_wait(first, now)
         kept = self._waiting[:first]
         for request in self._waiting[first:]:
@@ -378,3 +535,24 @@
             else:
                 request.on_settled(AdmissionResult.SHED)
         self._waiting = kept
+
+    def _shed_delayed_by_kind(self, first: int, now: float) -> None:
+        kept = self._waiting[:first]
+        ahead = _RequestsAhead(kept)
+        for request in self._waiting[first:]:
+            wait = self._wait_for_reserved(request, ahead, now)
+            if self._can_wait(request, wait, now):
+                kept.append(request)
+                ahead.add(request)
+            else:
+                request.on_settled(AdmissionResult.SHED)
+        self._waiting = kept
+
+
+def _time_to_free_slot(running: Collection[KindRequest]) -> float:
+    """Expected time until the next of some runs ends, in seconds.
+
+    Each of them is assumed to end at a rate of one in its expected time.
+    """
+    rate = sum(1 / max(one.expected, 0.001) for one in running)
+    return 1 / rate if rate else 0
--- a/libs/sidecar/src/verbenamill_sidecar/daemon.py
+++ b/libs/sidecar/src/verbenamill_sidecar/daemon.py
@@ -524,6 +524,14 @@
                 len(self._gate.quarantine.blocked),
             ),
             'ready': ('Whether callers may be sent here.', self.is_ready()),
+            'upstream_urgent_runs': (
+                'Requests at it that may hold all of its slots.',
+                self._own_upstream.urgent_runs,
+            ),
+            'upstream_reserved_slots': (
+                'Slots reserved for urgent requests; a fraction is of time.',
+                self._own_upstream.reserved_slots,
+            ),
         }
 
 
--- a/libs/sidecar/src/verbenamill_sidecar/upstream/local_upstream.py
+++ b/libs/sidecar/src/verbenamill_sidecar/upstream/local_upstream.py
@@ -149,6 +149,16 @@
         """Number of requests in the queue."""
         return self._admission.waiting
 
+    @property
+    def urgent_runs(self) -> int:
+        """Number of slots held by requests that may hold all of them."""
+        return self._admission.count_urgent_runs()
+
+    @property
+    def reserved_slots(self) -> float:
+        """Number of slots that are reserved for urgent requests."""
+        return self._admission.count_reserved(trio.current_time())
+
     def handle_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatResult:
         """Apply a heartbeat; a draining upstream gets no further requests."""
         result = self.register.update(heartbeat)
@@ -361,7 +371,7 @@
                 await _wait_for_result(admission, admission_request, event)
                 result = results[0]
             if result is AdmissionResult.SHED or self._is_withdrawn(upstream):
-                return self._refuse_for_capacity(admission)
+                return self._refuse_for_capacity(admission, admission_request)
             if not admission.is_worth_starting(
                 admission_request, trio.current_time()
             ):
@@ -404,11 +414,20 @@
         ready = self._find_ready()
         return ready is None or ready.instance != upstream.instance
 
-    def _refuse_for_capacity(self, admission: Admission) -> Outcome:
-        wait = admission.expected_wait(admission.waiting, trio.current_time())
+    def _refuse_for_capacity(
+        self, admission: Admission, admission_request: AdmissionRequest
+    ) -> Outcome:
+        now = trio.current_time()
+        wait = admission.retry_delay(admission_request, now)
         rate = self.limits.rate
         if rate is None:
-            return not_run('no slot in time', wait=wait)
+            outcome = not_run('no slot in time', wait=wait)
+            reserved = admission.count_reserved(now, admission_request)
+            if reserved:
+                outcome.detail = (
+                    f'{reserved:.1f} of {admission.slots} slots are reserved'
+                )
+            return outcome
         self.limits.counts.refused += 1
         outcome = not_run(AT_LIMIT, wait=wait)
         outcome.detail = f'{rate:g} requests per second'
