Quotas: a daemon that was cut off returns to the pool host of its group

After its hosts had not answered for some seconds it hosted its own pool, and the former host, which still counted as holder of its share, was never tried again.

--- a/libs/policy/src/verbenamill_policy/quotas/participant.py
+++ b/libs/policy/src/verbenamill_policy/quotas/participant.py
@@ -356,15 +356,15 @@
     def _release_elsewhere(self, host: VmId, now: float) -> None:
         """Send bare reports to a former host and to a candidate."""
         placement = self.placement
-        former = placement.holder
-        if former not in {None, host} and now < placement.free_at:
-            assert former is not None
-            number = self._send_demands(former, RequestKind.REPORT, [], now)
-            placement.record_release(number)
+        former = placement.holder if now < placement.free_at else None
         candidate = placement.candidate
-        if candidate is not None and candidate != former:
-            self._send_demands(candidate, RequestKind.REPORT, [], now)
-            placement.record_report(candidate)
+        for vm in {former, candidate} - {None, host}:
+            assert vm is not None
+            number = self._send_demands(vm, RequestKind.REPORT, [], now)
+            if vm == former:
+                placement.record_release(number)
+            if vm == candidate:
+                placement.record_report(vm)
 
     def _hand_over_excess(self, now: float) -> None:
         """Return the tokens to the host that this pool may not hold."""
--- a/libs/policy/src/verbenamill_policy/quotas/placement.py
+++ b/libs/policy/src/verbenamill_policy/quotas/placement.py
@@ -18,7 +18,7 @@
 #: Shortest and longest time for which a host that did not answer is not asked
 #: again, in seconds.
 _MIN_AVOID_TIME = 1.0
-_MAX_AVOID_TIME = 8.0
+_MAX_AVOID_TIME = 4.0
 
 
 @unique
@@ -101,11 +101,15 @@
         best = usable[0] if usable else None
         # A daemon that may be dead is tried beside the host that answers.
         keeps_host = self._is_confirmed and self.host in usable
-        if best == self.host or (keeps_host and best != self._own):
-            self.candidate = None if best == self.host else best
-            return False
-        self._set_host(best, is_confirmed=best == self._own)
-        return True
+        is_new = best != self.host and (not keeps_host or best == self._own)
+        if is_new:
+            self._set_host(best, is_confirmed=best == self._own)
+        self.candidate = None if best == self.host else best
+        if self.standing is not Standing.DELEGATING and order:
+            # It may be back, or it was this daemon that was cut off.
+            first = order[0]
+            self.candidate = None if first == self.host else first
+        return is_new
 
     def record_report(self, vm: VmId) -> None:
         """Record a report to the host or the candidate."""
