--- a/libs/policy/src/verbenamill_policy/quotas/accounts.py
+++ b/libs/policy/src/verbenamill_policy/quotas/accounts.py
@@ -19,6 +19,8 @@
 _DEMAND_MEMORY = 1.0
 #: Time without requests after which an account is dropped, in seconds.
 _IDLE_TIME = 10.0
+#: Shortest time without questions after a refusal, in seconds.
+_MIN_PAUSE = 0.02
 
 
 @unique
@@ -176,7 +178,8 @@
         self._serve(now)
         if wait:
             self._next_token_at = now + wait
-            self._paused_until = now + min(wait, find_pause(self.quota))
+            pause = max(min(wait, find_pause(self.quota)), _MIN_PAUSE)
+            self._paused_until = now + pause
             self._refuse_asked(number, wait)
         else:
             self._paused_until = float('-inf')
--- a/libs/policy/src/verbenamill_policy/quotas/buckets.py
+++ b/libs/policy/src/verbenamill_policy/quotas/buckets.py
@@ -118,7 +118,8 @@
 
         :param horizon: time for which the own use is kept, in seconds.
         """
-        spare = self.level - self.use.rate(now) * horizon
+        kept = min(self.use.rate(now) * horizon, self.level / 2)
+        spare = self.level - kept
         if spare > 1:
             spare = max(spare / 2, 1)
         given = max(min(tokens, spare), 0)
--- a/libs/policy/src/verbenamill_policy/quotas/limits.py
+++ b/libs/policy/src/verbenamill_policy/quotas/limits.py
@@ -16,6 +16,9 @@
 #: Time at the rate of a quota that buckets hold at least, in seconds. With a
 #: smaller burst, tokens would be lost between two requests for them.
 _MIN_BURST_TIME = 0.1
+#: Part of the slack that pools hold in addition to the burst. Without it, the
+#: parts of a small burst in several pools are less than one token each.
+_POOLED_SLACK = 0.2
 
 
 class QuotaMargin(Struct, frozen=True, kw_only=True):
@@ -30,14 +33,26 @@
     overshoot: float = 0.1
     slack: float = 20
 
+    @property
+    def pooled_slack(self) -> float:
+        """Number of requests that pools hold in addition to the burst."""
+        return _POOLED_SLACK * self.slack
+
+    @property
+    def standalone_slack(self) -> float:
+        """Number of whole tokens that standalone daemons hold beyond that."""
+        return self.slack - self.pooled_slack
+
 
 def identify(name: OrganisationName) -> OrganisationId:
     """Compute the checksum by which messages name an organisation."""
     return OrganisationId(crc32(name.encode()))
 
 
-def collect_quotas(organisations: Iterable[Organisation]) -> Quotas:
-    """Collect the quotas in force by checksum.
+def collect_quotas(
+    organisations: Iterable[Organisation], margin: QuotaMargin
+) -> Quotas:
+    """Collect the quotas by which pools earn and hold tokens, by checksum.
 
     Organisations whose checksums are equal share the smaller of their quotas,
     so that neither exceeds its own.
@@ -47,7 +62,7 @@
         if organisation.quota is None:
             continue
         id = identify(organisation.name)
-        quota = _with_whole_token(organisation.quota)
+        quota = _make_holdable(organisation.quota, margin)
         other = quotas.get(id, quota)
         quotas[id] = Quota(
             rate=min(quota.rate, other.rate),
@@ -56,9 +71,10 @@
     return quotas
 
 
-def _with_whole_token(quota: Quota) -> Quota:
-    """Raise a burst that is too small to hold the tokens between requests."""
-    burst = max(quota.burst, 1, quota.rate * _MIN_BURST_TIME)
+def _make_holdable(quota: Quota, margin: QuotaMargin) -> Quota:
+    """Raise a burst so that pools can hold the tokens between requests."""
+    burst = max(quota.burst, 1) + margin.pooled_slack
+    burst = max(burst, quota.rate * _MIN_BURST_TIME)
     return Quota(rate=max(quota.rate, 0), burst=burst)
 
 
--- a/libs/policy/tests/quota_fleet.py
+++ b/libs/policy/tests/quota_fleet.py
@@ -9,6 +9,7 @@
 from verbenamill_policy.members import MemberRecord
 from verbenamill_policy.organisations import Quota
 from verbenamill_policy.quotas.accounts import Decision, Verdict
+from verbenamill_policy.quotas import limits
 from verbenamill_policy.quotas.groups import Groups
 from verbenamill_policy.quotas.limits import QuotaMargin
 from verbenamill_policy.quotas.participant import RESEND_TIME, Participant
@@ -42,7 +43,7 @@
             started_at=self.fleet.now,
             groups=self.groups,
             is_suspect=lambda vm: False,
-            slack=MARGIN.slack,
+            slack=MARGIN.standalone_slack,
             random=Random(f'{self.vm}/{self.incarnation}'),
         )
         self.participant.set_quotas(self.fleet.quotas, self.fleet.now)
@@ -184,8 +185,8 @@
     def set_plain(self, quotas):
         self.plain = dict(quotas)
         self.quotas = {
-            id: Quota(rate=q.rate, burst=max(q.burst, 1, q.rate * 0.1))
-            for id, q in quotas.items()
+            id: limits._make_holdable(quota, MARGIN)
+            for id, quota in quotas.items()
         }
         self.reference = {
             id: ReferenceBucket(quota, self.now) for id, quota in quotas.items()
--- a/libs/sidecar/src/verbenamill_sidecar/quotas/gate.py
+++ b/libs/sidecar/src/verbenamill_sidecar/quotas/gate.py
@@ -167,7 +167,7 @@
             return
         self._table = table
         organisations = () if table is None else _organisations_of(table)
-        quotas = collect_quotas(organisations)
+        quotas = collect_quotas(organisations, self._context.margin)
         if quotas == self._quotas:
             return
         self._quotas = quotas
@@ -214,7 +214,7 @@
                 started_at=self._started_at,
                 groups=self._find_groups,
                 is_suspect=self._context.is_suspect,
-                slack=self._context.margin.slack,
+                slack=self._context.margin.standalone_slack,
                 random=self._context.random,
             )
             now = trio.current_time()
