Quotas: fewer questions to pools

A pool asks others also for what its daemons will use until their next report, and a daemon gets that for itself if its use is high.

--- a/libs/policy/src/verbenamill_policy/quotas/accounts.py
+++ b/libs/policy/src/verbenamill_policy/quotas/accounts.py
@@ -21,6 +21,9 @@
 _IDLE_TIME = 10.0
 #: Shortest time without questions after a refusal, in seconds.
 _MIN_PAUSE = 0.02
+#: Requests expected before an unused token is returned, from which on one is
+#: held ahead.
+_LIKELY = 0.5
 
 
 @unique
@@ -224,6 +227,8 @@
         if self.balance < 0:
             wanted += math.ceil(-self.balance)
         at_hand = int(max(self.balance, 0))
+        if not expected and self._demand.rate(now) * _UNUSED_TIME > _LIKELY:
+            expected = 1
         missing = max(expected - wanted - at_hand, 0)
         return max(wanted - at_hand, 0), missing
 
--- a/libs/policy/src/verbenamill_policy/quotas/pool.py
+++ b/libs/policy/src/verbenamill_policy/quotas/pool.py
@@ -33,6 +33,9 @@
 #: Shortest and longest interval between requests for tokens of an empty
 #: bucket, in seconds.
 _MIN_PAUSE = 0.05
+#: Time at its use for which a bucket keeps tokens for waiting requests while
+#: it grants others ahead, in seconds.
+_RESERVED_TIME = 0.1
 _MAX_PAUSE = REPORT_PERIOD
 
 
@@ -47,6 +50,20 @@
     return min(max(filled, _MIN_PAUSE), _MAX_PAUSE)
 
 
+def _find_reserve(
+    bucket: Bucket, limit: float, ahead: float, now: float
+) -> float:
+    """Tokens of a bucket that are kept for requests that wait.
+
+    A single token ahead may remain unused for seconds, so half of the bucket
+    is kept. More are asked for by a daemon that uses them within a report
+    period.
+    """
+    if ahead <= 1:
+        return limit / 2
+    return min(limit / 2, bucket.use.rate(now) * _RESERVED_TIME)
+
+
 class Pool:
     """The pool that a daemon hosts.
 
@@ -142,7 +159,8 @@
             if bucket is None or now < bucket.ask_after:
                 continue
             if bucket.level < tokens:
-                shortage[id] = tokens - bucket.level
+                ahead = bucket.use.rate(now) * REPORT_PERIOD
+                shortage[id] = tokens - bucket.level + ahead
         return shortage
 
     def add(self, id: OrganisationId, tokens: float, now: float) -> None:
@@ -265,8 +283,9 @@
             wait = min(bucket.expected_wait(now), _MAX_WAIT)
         elif demand.ahead:
             limit = self._limit(demand.organisation, bucket.quota)
-            spare = bucket.level - limit / 2
-            tokens += bucket.take(min(decode_tokens(demand.ahead), spare), now)
+            ahead = decode_tokens(demand.ahead)
+            spare = bucket.level - _find_reserve(bucket, limit, ahead, now)
+            tokens += bucket.take(min(ahead, spare), now)
         return Granted(
             demand.organisation, encode_tokens(tokens), max(int(wait * 1000), 0)
         )
--- a/libs/policy/tests/quota_fleet.py
+++ b/libs/policy/tests/quota_fleet.py
@@ -7,7 +7,6 @@
 from random import Random
 
 from verbenamill_policy.members import MemberRecord
-from verbenamill_policy.organisations import Quota
 from verbenamill_policy.quotas.accounts import Decision, Verdict
 from verbenamill_policy.quotas import limits
 from verbenamill_policy.quotas.groups import Groups
