--- a/libs/policy/src/verbenamill_policy/quotas/accounts.py
+++ b/libs/policy/src/verbenamill_policy/quotas/accounts.py
@@ -19,6 +19,11 @@
 _DEMAND_MEMORY = 1.0
 #: Time without requests after which an account is dropped, in seconds.
 _IDLE_TIME = 10.0
+#: Shortest time without questions after a refusal, in seconds.
+_MIN_PAUSE = 0.02
+#: Requests expected before an unused token is returned, from which on one is
+#: held ahead.
+_LIKELY = 0.5
 
 
 @unique
@@ -176,7 +181,8 @@
         self._serve(now)
         if wait:
             self._next_token_at = now + wait
-            self._paused_until = now + min(wait, find_pause(self.quota))
+            pause = max(min(wait, find_pause(self.quota)), _MIN_PAUSE)
+            self._paused_until = now + pause
             self._refuse_asked(number, wait)
         else:
             self._paused_until = float('-inf')
@@ -221,6 +227,8 @@
         if self.balance < 0:
             wanted += math.ceil(-self.balance)
         at_hand = int(max(self.balance, 0))
+        if not expected and self._demand.rate(now) * _UNUSED_TIME > _LIKELY:
+            expected = 1
         missing = max(expected - wanted - at_hand, 0)
         return max(wanted - at_hand, 0), missing
 
