The bench of the daemon uses no platform names

test_platform_names_occur_only_in_the_adapter allows these names only in the adapter and in the stand-ins, which get what the bench needs: routes of several services, and the id of a received request.

--- a/libs/soak/src/verbenamill_soak/daemon_fleet.py
+++ b/libs/soak/src/verbenamill_soak/daemon_fleet.py
@@ -11,14 +11,19 @@
 import trio
 
 from verbenamill_platform_standins import StoreStandIn, UpstreamStandIn
+from verbenamill_platform_standins.callers import (
+    read_request_id,
+    request_headers,
+)
 from verbenamill_platform_standins.http_server import HttpRequest, HttpResponse
+from verbenamill_platform_standins.operators import publish
 from verbenamill_platform_standins.ports import find_ports
 from verbenamill_soak.nodes import SETTINGS, request_status
 
 HOST = '127.0.0.1'
-TIMEOUT_MS = 5000
+_SERVICE_HOST = 'shop.example'
+_DEADLINE_S = 2.0
 SERVICES = ('entries', 'entries', 'catalog')
-_ROUTES = (('lookup', 'entries'), ('nesting', 'entries'), ('photo', 'catalog'))
 _START_TIMEOUT_S = 60.0
 #: Time in which daemons learn of each other's upstreams.
 _CONVERGENCE_TIME_S = 2.0
@@ -40,7 +45,7 @@
     async def answer(self, request: HttpRequest) -> HttpResponse:
         """Run a request."""
         if request.path.startswith('/nesting/'):
-            id = request.headers['x-attempt-id']
+            id = read_request_id(request.headers)
             await self.call('/photo/1', f'{id}.n')
         return await super().answer(request)
 
@@ -51,10 +56,10 @@
 
     async def send(path: str, id: str) -> None:
         stream = idle.pop() if idle else await trio.open_tcp_stream(HOST, port)
-        await stream.send_all(
-            f'GET {path} HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: {id}'
-            f'\r\nX-Deadline-Ms: {TIMEOUT_MS}\r\n\r\n'.encode(),
-        )
+        lines = [f'GET {path} HTTP/1.1', f'Host: {_SERVICE_HOST}']
+        headers = request_headers(id, deadline=_DEADLINE_S)
+        lines.extend(f'{name}: {value}' for name, value in headers)
+        await stream.send_all('\r\n'.join((*lines, '', '')).encode())
         answer = b''
         while not answer.endswith(id.encode()):
             part = await stream.receive_some(65_536)
@@ -165,23 +170,16 @@
     :param slots: slots of each upstream; 0 for no upstreams.
     """
     fleet = Fleet([find_ports(5) for _ in range(daemons)])
-    rows = [
-        [name, 'shop.example', f'/{name}/', 'idempotent', TIMEOUT_MS]
-        + [TIMEOUT_MS // 2, 1, service, 2]
-        for name, service in _ROUTES
-    ]
-    columns = 'name host pathPrefix routeType timeoutMs targetLatencyMs'
-    document = {
-        'version': '00000001',
-        'routes': {
-            'columns': f'{columns} priority service maxAttempts'.split(),
-            'rows': rows,
-        },
-        'services': {'columns': ['name'], 'rows': [['entries'], ['catalog']]},
-    }
     async with trio.open_nursery() as nursery:
         await nursery.start(fleet.store.serve)
-        fleet.store.write_as_operator('config', document)
+        publish(
+            fleet.store,
+            1,
+            host=_SERVICE_HOST,
+            service='entries',
+            routes={'lookup': True, 'nesting': True, 'photo': True},
+            other_services={'photo': 'catalog'},
+        )
         if slots:
             await fleet.start_upstreams(nursery, slots)
         with TemporaryDirectory() as folder:
