Cheaper checks of idle daemons, several datagrams per wake-up

- The number of the newest record is kept instead of searched for; a request over a hop read it five times.
- The check for due notices, 20 times a second, evaluates the position in the distribution tree only where the result depends on it.
- A timer's deadline is set only if it becomes earlier.
- Up to eight datagrams are handled per wake-up.
Answers of the daemons that were asked for their load arrive together.

--- a/libs/http/src/verbenamill_http/timers.py
+++ b/libs/http/src/verbenamill_http/timers.py
@@ -41,14 +41,16 @@
     def add(self, sleep: _Sleep) -> None:
         """Wake up a task when its sleep is due."""
         heappush(self._sleeps, sleep)
-        self._scope.deadline = min(self._scope.deadline, sleep.due * TICK_S)
+        due = sleep.due * TICK_S
+        if due < self._scope.deadline:
+            self._scope.deadline = due
 
     async def run(self) -> None:
         """Wake up tasks until the event loop ends."""
         while True:
             with self._scope:
                 await trio.sleep_forever()
-            now = _count_ticks()
+            now = _count_ticks(trio.current_time())
             while self._sleeps and self._sleeps[0].due <= now:
                 _wake(heappop(self._sleeps))
             self._scope = trio.CancelScope()
@@ -68,9 +70,9 @@
         :param seconds: at least half a tick.
         :return: the time of that tick on trio's clock.
         """
-        now = _count_ticks()
-        due = round((trio.current_time() + seconds) / TICK_S)
-        sleep = _Sleep(max(due, now + 1), trio.lowlevel.current_task())
+        now = trio.current_time()
+        due = max(round((now + seconds) / TICK_S), _count_ticks(now) + 1)
+        sleep = _Sleep(due, trio.lowlevel.current_task())
         self._sleep = sleep
         _find_clock().add(sleep)
 
@@ -95,9 +97,9 @@
     return await Pause().sleep(seconds)
 
 
-def _count_ticks() -> int:
-    """Count the ticks until now on trio's clock."""
-    return int(trio.current_time() / TICK_S + _ROUNDING)
+def _count_ticks(now: float) -> int:
+    """Count the ticks until a time on trio's clock."""
+    return int(now / TICK_S + _ROUNDING)
 
 
 def _wake(sleep: _Sleep) -> None:
--- a/libs/sidecar/src/verbenamill_sidecar/membership/gossip.py
+++ b/libs/sidecar/src/verbenamill_sidecar/membership/gossip.py
@@ -77,6 +77,9 @@
 #: Addresses for which the time of the last introduction is kept.
 _MAX_INTRODUCED_ADDRESSES = 1000
 _MAX_DATAGRAM_BYTES = 65_000
+#: Datagrams that are handled before other tasks run. Several often arrive
+#: together, such as the answers of the daemons that were asked for their load.
+_MAX_DATAGRAMS_AT_ONCE = 8
 
 
 _address_of = lru_cache(maxsize=1024)(parse_address)
@@ -285,20 +288,24 @@
         assert sock is not None
         while True:
             await trio.lowlevel.wait_readable(sock)
-            try:
-                data, source = sock.recvfrom(_MAX_DATAGRAM_BYTES)
-            except OSError:
-                # The kernel also reports here that an earlier datagram was
-                # undeliverable.
-                continue
-            self.traffic.count_received()
-            try:
-                message = decode_message(data)
-            except msgspec.MsgspecError:
-                log(Event.MESSAGE_UNKNOWN, kind=f'{len(data)} bytes')
-                continue
-            self.peer_heard.set()
-            self._handle(message, Address(source[0], source[1]))
+            for _ in range(_MAX_DATAGRAMS_AT_ONCE):
+                try:
+                    data, source = sock.recvfrom(_MAX_DATAGRAM_BYTES)
+                except OSError:
+                    # None is left. The kernel also reports here that an
+                    # earlier datagram was undeliverable.
+                    break
+                self._handle_datagram(data, Address(source[0], source[1]))
+
+    def _handle_datagram(self, data: bytes, source: Address) -> None:
+        self.traffic.count_received()
+        try:
+            message = decode_message(data)
+        except msgspec.MsgspecError:
+            log(Event.MESSAGE_UNKNOWN, kind=f'{len(data)} bytes')
+            return
+        self.peer_heard.set()
+        self._handle(message, source)
 
     def _handle(self, message: Message, source: Address) -> None:
         match message:
--- a/libs/sidecar/src/verbenamill_sidecar/state/desired_state.py
+++ b/libs/sidecar/src/verbenamill_sidecar/state/desired_state.py
@@ -85,6 +85,7 @@
         self._shares: dict[ServiceName, Shares] = {}
         self._verdicts: dict[ServiceName, Verdicts] = {}
         self._evacuations = Evacuations()
+        self._newest_record = -1
         self.changes = 0
 
     @property
@@ -114,10 +115,7 @@
 
         Both are positions in the same log.
         """
-        newest_order = max(
-            (order.id for order in self._snapshot.orders.values()), default=-1
-        )
-        return max(newest_order, self._evacuations.newest)
+        return self._newest_record
 
     @property
     def stamp(self) -> VersionStamp:
@@ -189,6 +187,7 @@
 
     def apply_evacuation(self, evacuation: Evacuation) -> bool:
         """Apply a record on a zone, unless this or a later one is known."""
+        self._newest_record = max(self._newest_record, evacuation.number)
         if not self._evacuations.apply(evacuation):
             return False
         log(
@@ -213,6 +212,7 @@
         if known is not None and known.id >= order.id:
             return False
         self._snapshot.orders[order.service] = order
+        self._newest_record = max(self._newest_record, order.id)
         self._invalidate_shares(order.service)
         log(
             Event.MOVE_ORDERED,
--- a/libs/sidecar/src/verbenamill_sidecar/state/store_follower.py
+++ b/libs/sidecar/src/verbenamill_sidecar/state/store_follower.py
@@ -357,7 +357,7 @@
             if (
                 has_changed
                 or state != previous
-                or now - sent_at >= self._choose_notice_period(now - sent_at)
+                or self._is_notice_due(now - sent_at)
             ):
                 sent_stamp = self._desired_state.stamp
                 sent_at = now
@@ -365,15 +365,17 @@
             previous = state
             await self._notice_pause.sleep(_NOTICE_CHECK_PERIOD)
 
-    def _choose_notice_period(self, elapsed: float) -> float:
-        """Choose when the next notice is due, in seconds after the last one.
+    def _is_notice_due(self, elapsed: float) -> bool:
+        """Whether a notice is due some seconds after the last one.
 
         A daemon that does not read passes each notice on as soon as it comes,
         so that notices reach the end of the tree within one period.
         """
-        if not self._tree.must_read() and self._tree.notice_age < elapsed:
-            return _RELAY_PERIOD
-        return NOTICE_PERIOD
+        if elapsed < _RELAY_PERIOD:
+            return False
+        if elapsed >= NOTICE_PERIOD:
+            return True
+        return not self._tree.must_read() and self._tree.notice_age < elapsed
 
     def _log_reading(self) -> None:
         reason = self._tree.reading_reason
@@ -390,10 +392,10 @@
     def _is_reading(self) -> bool:
         """Whether this daemon reads the store and gets answers from it."""
         return (
-            self._tree.must_read()
-            and self._position is not None
+            self._position is not None
             and not self._was_not_reader
             and not self._lacks_answers()
+            and self._tree.must_read()
         )
 
     def _lacks_answers(self) -> bool:
