Compare reservations with kinds of the same priority by half a run

Beside urgent kinds of the same priority, a kind gets a fair share of the slots.

The waits of queued requests are computed by kind, in a module of their own.

--- a/libs/policy/src/verbenamill_policy/admission.py
+++ b/libs/policy/src/verbenamill_policy/admission.py
@@ -1,6 +1,6 @@
 """Slots of the local upstream, and the queue in front of them."""
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 from enum import Enum, unique
 from math import inf
 
@@ -9,9 +9,9 @@
 from verbenamill_policy.pacing import TokenBucket
 from verbenamill_policy.reservations import (
     RECHECK_INTERVAL,
-    KindRequest,
     SlotReservations,
 )
+from verbenamill_policy.reserved_queue import ReservedQueue, time_to_free_slot
 from verbenamill_policy.service_times import ServiceTimes, is_hopeless
 
 #: Share of the remaining time that the wait and the work after it may take.
@@ -148,47 +148,6 @@
         )
 
 
-class _Group:
-    """Queued requests of one kind.
-
-    :ivar example: the first of them.
-    :ivar work: sum of their expected service times, in seconds.
-    """
-
-    __slots__ = ('example', 'count', 'work')
-
-    def __init__(self, example: AdmissionRequest) -> None:
-        self.example = example
-        self.count = 0
-        self.work = float(0)
-
-
-class _RequestsAhead:
-    """Queued requests ahead of another one, by kind."""
-
-    def __init__(self, requests: list[AdmissionRequest]) -> None:
-        self._groups: dict[tuple[RouteName, int], _Group] = {}
-        self.count = 0
-        for request in requests:
-            self.add(request)
-
-    def add(self, request: AdmissionRequest) -> None:
-        """Add a request."""
-        key = (request.route, request.priority)
-        group = self._groups.get(key)
-        if group is None:
-            group = _Group(request)
-            self._groups[key] = group
-        self.count += 1
-        group.count += 1
-        group.work += request.expected
-
-    @property
-    def groups(self) -> list[_Group]:
-        """Groups of requests of one kind."""
-        return list(self._groups.values())
-
-
 class Admission:
     """Slots and queue of one upstream.
 
@@ -395,7 +354,7 @@
             return limit_wait
         work = sum(request.expected for request in self._waiting[:ahead])
         return max(
-            _time_to_free_slot(self._running) + work / max(self.slots, 1),
+            time_to_free_slot(self._running) + work / max(self.slots, 1),
             limit_wait,
         )
 
@@ -451,36 +410,18 @@
         """Expected wait of a request behind those ahead of it, in seconds."""
         if not self._reservations.is_active:
             return self.expected_wait(ahead, now)
-        return self._wait_for_reserved(
-            request, _RequestsAhead(self._waiting[:ahead]), now
+        queue = self._make_queue(self._waiting[:ahead], now)
+        return max(queue.wait(request), self._limit_wait(ahead, now))
+
+    def _make_queue(
+        self, requests: list[AdmissionRequest], now: float
+    ) -> ReservedQueue:
+        queue = ReservedQueue(
+            self._reservations, self._running, slots=self.slots, now=now
         )
-
-    def _wait_for_reserved(
-        self, request: AdmissionRequest, ahead: _RequestsAhead, now: float
-    ) -> float:
-        """Expected wait for one of the slots that a request may hold.
-
-        Of the requests ahead, those of more urgent kinds use reserved slots,
-        and those of kinds that may hold fewer slots do not get them earlier.
-        """
-        reservations = self._reservations
-        limit = min(reservations.limit(request, now), self.slots)
-        limit_wait = self._limit_wait(ahead.count, now)
-        rivals = reservations.filter_rivals(request, self._running)
-        count = 0
-        work = float(0)
-        for group in ahead.groups:
-            one = group.example
-            is_rival = bool(reservations.filter_rivals(request, [one]))
-            if is_rival and reservations.limit(one, now) >= limit:
-                count += group.count
-                work += group.work
-        free = min(limit - len(rivals), self.slots - len(self._running))
-        if count + 1 <= free:
-            return limit_wait
-        holders = rivals if len(rivals) >= int(limit) else self._running
-        wait = _time_to_free_slot(holders) + work / max(limit, 1)
-        return max(wait, limit_wait)
+        for request in requests:
+            queue.add(request)
+        return queue
 
     def _start(self, request: AdmissionRequest, now: float) -> None:
         request.started = now
@@ -538,21 +479,12 @@
 
     def _shed_delayed_by_kind(self, first: int, now: float) -> None:
         kept = self._waiting[:first]
-        ahead = _RequestsAhead(kept)
+        queue = self._make_queue(kept, now)
         for request in self._waiting[first:]:
-            wait = self._wait_for_reserved(request, ahead, now)
+            wait = max(queue.wait(request), self._limit_wait(len(kept), now))
             if self._can_wait(request, wait, now):
                 kept.append(request)
-                ahead.add(request)
+                queue.add(request)
             else:
                 request.on_settled(AdmissionResult.SHED)
         self._waiting = kept
-
-
-def _time_to_free_slot(running: Collection[KindRequest]) -> float:
-    """Expected time until the next of some runs ends, in seconds.
-
-    Each of them is assumed to end at a rate of one in its expected time.
-    """
-    rate = sum(1 / max(one.expected, 0.001) for one in running)
-    return 1 / rate if rate else 0
--- a/libs/policy/src/verbenamill_policy/reservations.py
+++ b/libs/policy/src/verbenamill_policy/reservations.py
@@ -20,9 +20,13 @@
 _LIMIT_LIFETIME = HALF_LIFE / 20
 #: Share of urgent requests that may be delayed by more than their slack at one
 #: owner. Those try other owners, whereas an unused slot is lost.
-_MAX_DELAYED_SHARE = 0.5
+_MAX_DELAYED_SHARE = 0.4
 #: Number of urgent arrivals during a run from which on they are expected.
 _MIN_EXPECTED_ARRIVALS = 0.5
+#: Mean remainder of the runs in progress, as a share of their service time. A
+#: kind with more slack needs no reservation against others of its priority:
+#: their service times vary, so that kinds would become urgent by chance.
+_MEAN_REMAINDER = 0.5
 #: Shortest share of the time for which a further slot is used.
 _MIN_TIME_SHARE = 0.1
 #: Maximum number of kinds whose arrivals are tracked.
@@ -101,11 +105,13 @@
         A kind that cannot meet its objective at all does not delay others of
         the same priority.
         """
-        if self.slack >= other.expected:
-            return False
         if self.priority != other.priority:
-            return self.priority < other.priority
-        return 0 < self.slack < other.slack
+            return (
+                self.priority < other.priority and self.slack < other.expected
+            )
+        return 0 < self.slack < other.slack and (
+            self.slack < other.expected * _MEAN_REMAINDER
+        )
 
 
 class SlotReservations:
@@ -218,17 +224,33 @@
             kind.urgent = frozenset(
                 one for one in self._kinds.values() if one.is_more_urgent(kind)
             )
-            kind.limit = _find_limit(kind, self._slots(), now)
+            kind.limit = _find_limit(kind, self._slots(), now, kind.urgent)
+            if kind.limit < inf:
+                kind.limit = max(kind.limit, self._fair_share(kind, now))
         return kind.limit
 
+    def _fair_share(self, kind: _Kind, now: float) -> float:
+        """Slots that a kind may hold beside urgent kinds of its priority.
+
+        If those need more than there is, all of the same priority get as many.
+        """
+        higher = frozenset(
+            one for one in kind.urgent if one.priority < kind.priority
+        )
+        left = _find_limit(kind, self._slots(), now, higher)
+        equals = len(kind.urgent) - len(higher)
+        return min(left, self._slots()) / (equals + 1)
+
 
 def _decay(age: float) -> float:
     return pow(2, -max(age, 0) / HALF_LIFE)
 
 
-def _find_limit(kind: _Kind, slots: int, now: float) -> float:
+def _find_limit(
+    kind: _Kind, slots: int, now: float, urgent: frozenset[_Kind]
+) -> float:
     """Slots that a kind may hold on average; infinite if all of them."""
-    rates = {one: one.rate(now) for one in kind.urgent}
+    rates = {one: one.rate(now) for one in urgent}
     expected_arrivals = sum(rates.values()) * kind.expected
     if slots <= 1 or expected_arrivals < _MIN_EXPECTED_ARRIVALS:
         return inf
