Do not take a configuration from software that drops organisations

Daemons of the version before pass configurations on without organisations. A daemon with this version that started beside one of them took such a configuration, required no keys, and never replaced it, as the version number was the same.

Both new tests fail without the check.

--- a/deploy/tests/test_organisations.py
+++ b/deploy/tests/test_organisations.py
@@ -3,6 +3,7 @@
 import logging
 
 import trio
+from msgspec.structs import replace
 from trio.testing import MockClock
 
 #: Longer than an owner runs requests that were chosen before a change, in
@@ -160,12 +161,13 @@
     assert factories.key_mark not in lines
 
 
+async def hang(*_):
+    await trio.sleep_forever()
+
+
 def deafen(vm):
     """Keep a daemon from every change."""
 
-    async def hang(*_):
-        await trio.sleep_forever()
-
     gossip = vm.daemon._gossip
     gossip._notices.handle = lambda message: None
     gossip._handle_summary = lambda message, sender: None
@@ -230,6 +232,32 @@
     run(run_scenario, scenario)
 
 
+def test_a_configuration_of_older_software_is_not_taken(
+    run_scenario, factories
+):
+    """Guards against service without keys during an upgrade.
+
+    Daemons with older software drop the organisations from what they pass on.
+    """
+
+    async def scenario(site):
+        publish(site, factories, 1, *ROWS)
+        older = await site.add_vm('vm1', service='catalog')
+        await site.wait_until_configured(1)
+        snapshot = older.daemon._desired_state._snapshot
+        snapshot.format = 0
+        snapshot.configuration = replace(
+            snapshot.configuration, organisations=None
+        )
+        newer = await site.add_vm('vm2')
+        await site.wait_until_converged()
+        await site.wait_until_configured(1)
+        assert (await newer.call('/lookup/1')).status == 401
+        assert (await newer.call('/lookup/1', extra=(K1,))).status == 200
+
+    run(run_scenario, scenario)
+
+
 def test_nested_calls_need_a_parent_in_flight_instead_of_a_key(
     run_scenario, factories
 ):
--- a/libs/sidecar/src/verbenamill_sidecar/state/desired_state.py
+++ b/libs/sidecar/src/verbenamill_sidecar/state/desired_state.py
@@ -32,12 +32,18 @@
 NO_STAMP: VersionStamp = (-1, -1)
 
 
+#: Least format of a snapshot whose configuration is complete. Software before
+#: it drops the organisations, so that callers would need no keys.
+_COMPLETE_FORMAT = 1
+
+
 class StateSnapshot(Struct, kw_only=True):
     """The whole desired state, as one daemon sends it to another.
 
     :param settled: what operators were last told about each service.
     :param verdicts: the verdicts, including those on earlier moves.
     :param has_verdicts: whether the verdicts of the store are included.
+    :param format: what the sender's software reads of a configuration.
     """
 
     configuration: Configuration | None = None
@@ -47,9 +53,16 @@
     verdicts: list[SettledOrder] = []
     has_verdicts: bool = False
     evacuations: list[Evacuation] = []
+    format: int = _COMPLETE_FORMAT
+
+
+class _ReceivedSnapshot(StateSnapshot):
+    """A snapshot of another daemon, whose software may send no format."""
 
+    format: int = 0
 
-_decoder = msgspec.msgpack.Decoder(StateSnapshot)
+
+_decoder = msgspec.msgpack.Decoder(_ReceivedSnapshot)
 
 
 def encode_snapshot(snapshot: StateSnapshot) -> bytes:
@@ -266,11 +279,16 @@
         return True
 
     def apply_snapshot(self, other: StateSnapshot, source: str) -> None:
-        """Merge the snapshot of another daemon."""
+        """Merge the snapshot of another daemon.
+
+        An incomplete configuration is left out. This daemon then remains
+        behind, and reads the store itself unless a complete one comes.
+        """
         # Evacuations come first: with a configuration, the daemon is ready.
         for evacuation in other.evacuations:
             self.apply_evacuation(evacuation)
-        if other.configuration is not None:
+        is_complete = other.format >= _COMPLETE_FORMAT
+        if other.configuration is not None and is_complete:
             self.apply_configuration(other.configuration, source)
         # Verdicts come first: an order without its verdict appears to run.
         for verdict in other.verdicts:
--- a/libs/sidecar/tests/test_desired_state.py
+++ b/libs/sidecar/tests/test_desired_state.py
@@ -1,6 +1,11 @@
 """What a daemon concludes from successive orders and verdicts."""
 
+import zlib
+
+import msgspec
+
 from verbenamill_policy.rollouts import Order, SettledOrder, Verdict
+from verbenamill_policy.routes import Configuration, Limits
 from verbenamill_sidecar.state.desired_state import (
     DesiredState,
     decode_snapshot,
@@ -61,3 +66,23 @@
     desired_state.apply_verdict(_verdict(1, 'v2', Verdict.TAKEN_BACK))
     desired_state.apply_order(Order(id=4, service='s', target='v3', window=6))
     assert desired_state.shares('s').allows('v2')
+
+
+def test_a_configuration_of_older_software_is_left_out():
+    """Guards against routes without organisations, which need no keys."""
+    neighbour = DesiredState()
+    configuration = Configuration(
+        version=3, routes=(), services=frozenset(), limits=Limits()
+    )
+    neighbour.apply_configuration(configuration, 'store')
+    neighbour.apply_order(Order(id=2, service='s', target='v3', window=6))
+    snapshot = decode_snapshot(encode_snapshot(neighbour.snapshot))
+    fields = msgspec.to_builtins(neighbour.snapshot)
+    fields.pop('format')
+    older = decode_snapshot(zlib.compress(msgspec.msgpack.encode(fields)))
+    assert older.configuration == configuration
+    restarted = DesiredState()
+    restarted.apply_snapshot(older, 'neighbour')
+    assert restarted.stamp == (-1, 2)
+    restarted.apply_snapshot(snapshot, 'neighbour')
+    assert restarted.stamp == (3, 2)
