--- a/deploy/tests/test_organisations.py
+++ b/deploy/tests/test_organisations.py
@@ -3,6 +3,7 @@
 import logging
 
 import trio
+from msgspec.structs import replace
 from trio.testing import MockClock
 
 #: Longer than an owner runs requests that were chosen before a change, in
@@ -90,12 +91,17 @@
         assert statuses == [401, 200] * 4
         assert names_at(owner) == ['b'] * 4
         assert (await ingress.call('/none/')).status == 404
+        await caller.send(factories.encode('/lookup/1', method='HEAD'))
+        head = await caller.receive_some(65536)
+        assert head.startswith(b'HTTP/1.1 401 ')
+        assert head.endswith(b'\r\n\r\n')
         assert (await ingress.call('/lookup/1', id='r1.n')).status == 503
         health = await ingress.connect(4)
         await health.send(factories.encode('/metrics'))
         metrics = (await health.answer()).body.decode()
         for reason in ('missing', 'empty', 'repeated', 'unknown', 'orphaned'):
-            label = f'refused_keys_total{{reason="{reason}"}} 1.0'
+            count = 2.0 if reason == 'missing' else 1.0
+            label = f'refused_keys_total{{reason="{reason}"}} {count}'
             assert label in metrics
         assert factories.key_mark not in metrics
 
@@ -160,12 +166,13 @@
     assert factories.key_mark not in lines
 
 
+async def hang(*_):
+    await trio.sleep_forever()
+
+
 def deafen(vm):
     """Keep a daemon from every change."""
 
-    async def hang(*_):
-        await trio.sleep_forever()
-
     gossip = vm.daemon._gossip
     gossip._notices.handle = lambda message: None
     gossip._handle_summary = lambda message, sender: None
@@ -208,6 +215,29 @@
     run(run_scenario, scenario)
 
 
+def test_an_owner_removes_what_a_sender_without_organisations_left(
+    run_scenario, factories
+):
+    """Guards against a key or a forged name while a daemon is behind."""
+
+    async def scenario(site):
+        site.store.write_as_operator('config', factories.document(1))
+        ingress, owner = await add_pair(site)
+        deafen(ingress)
+        await trio.sleep(3.2)
+        publish(site, factories, 2, *ROWS, public=['lookup'])
+
+        async def is_ahead():
+            return owner.daemon._desired_state.version == 2
+
+        await site.wait_until(is_ahead)
+        extra = (K1, 'X-Tenant: forged')
+        assert (await ingress.call('/lookup/1', extra=extra)).status == 200
+        assert names_at(owner) == [None]
+
+    run(run_scenario, scenario)
+
+
 def test_a_daemon_without_a_configuration_rejects_no_key(
     run_scenario, factories
 ):
@@ -230,6 +260,32 @@
     run(run_scenario, scenario)
 
 
+def test_a_configuration_of_older_software_is_not_taken(
+    run_scenario, factories
+):
+    """Guards against service without keys during an upgrade.
+
+    Daemons with older software drop the organisations from what they pass on.
+    """
+
+    async def scenario(site):
+        publish(site, factories, 1, *ROWS)
+        older = await site.add_vm('vm1', service='catalog')
+        await site.wait_until_configured(1)
+        snapshot = older.daemon._desired_state._snapshot
+        snapshot.format = 0
+        snapshot.configuration = replace(
+            snapshot.configuration, organisations=None
+        )
+        newer = await site.add_vm('vm2')
+        await site.wait_until_converged()
+        await site.wait_until_configured(1)
+        assert (await newer.call('/lookup/1')).status == 401
+        assert (await newer.call('/lookup/1', extra=(K1,))).status == 200
+
+    run(run_scenario, scenario)
+
+
 def test_nested_calls_need_a_parent_in_flight_instead_of_a_key(
     run_scenario, factories
 ):
