Quotas: no endless messages with a pool host that is back

A daemon that hosted the pool of its group while a preferred host did not answer switched to it on its answer, but went on avoiding it and switched back at once.

--- a/libs/policy/src/verbenamill_policy/quotas/participant.py
+++ b/libs/policy/src/verbenamill_policy/quotas/participant.py
@@ -132,6 +132,7 @@
         self._reported_daemons = 0
         self._reported_at = float('-inf')
         self._report_at = started_at
+        self._prompt_after = started_at
         self._sweep_at = started_at
         self._standing = Standing.STANDALONE
         self._answered_at = started_at
@@ -458,7 +459,9 @@
         is_due = self.placement.record_answer(
             grant.sender, grant.number, accepted=grant.accepted, now=now
         )
-        if is_due:
+        if is_due and now >= self._prompt_after:
+            # Answers must not cause reports without end.
+            self._prompt_after = now + RESEND_TIME
             self._report(now)
         self.ask(now)
 
--- a/libs/policy/src/verbenamill_policy/quotas/placement.py
+++ b/libs/policy/src/verbenamill_policy/quotas/placement.py
@@ -141,6 +141,7 @@
             return vm == self.host
         self._unanswered.pop(vm, None)
         self._avoid_times.pop(vm, None)
+        self._avoided_until.pop(vm, None)
         if vm == self.candidate:
             self._set_host(vm, is_confirmed=True)
             return True
