Run the first attempt of a request in its own task

Each request to another daemon started a task for its attempt and waited for an event, although the owner is hardly ever suspected meanwhile. The attempt now runs in the task of the request. Once its owner is suspected, a new task goes on with the request, and gets the outcome when the attempt ends.

--- a/libs/sidecar/src/verbenamill_sidecar/routing/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/ingress.py
@@ -128,35 +128,58 @@
         budget = self._budgets.setdefault(call.service, RetryBudget())
         budget.earn()
         async with trio.open_nursery() as nursery:
-            await self._run_attempts(call, attempts, budget, Race(nursery))
-            # Attempts still in progress are idempotent and no longer needed.
-            nursery.cancel_scope.cancel()
+            race = Race(nursery)
+            if await self._run_attempts(call, attempts, budget, race):
+                # Attempts still in progress are idempotent and no longer
+                # needed.
+                race.cancel()
         return self._make_response(call, attempts)
 
-    async def _run_attempts(
+    async def _go_on(
         self,
         call: Call,
         attempts: Attempts,
         budget: RetryBudget,
         race: Race,
     ) -> None:
-        """Make attempts until one has a final outcome or none is left."""
+        """Make further attempts while the owner of the last one is suspected.
+
+        If the request was cancelled meanwhile, nothing more is sent.
+        """
+        await trio.lowlevel.checkpoint_if_cancelled()
+        if await self._run_attempts(call, attempts, budget, race):
+            race.cancel()
+
+    async def _run_attempts(
+        self,
+        call: Call,
+        attempts: Attempts,
+        budget: RetryBudget,
+        race: Race,
+    ) -> bool:
+        """Make attempts until one has a final outcome or none is left.
+
+        :return: whether that is the case; otherwise another task goes on.
+        """
+        go_on = partial(self._go_on, call, attempts, budget, race)
         while True:
             peer = await self._choose_next_owner(call, attempts, budget, race)
             ended: tuple[Peer, Outcome] | None = None
             if peer is not None:
                 attempts.record_start(peer)
                 attempt = partial(self._attempt, call, peer)
-                if self._context.peers.is_own(peer) and not race.in_progress:
-                    ended = await race.run_alone(peer, attempt)
-                else:
+                if race.in_progress:
                     race.start(peer, attempt)
+                else:
+                    ended = await race.run_here(peer, attempt, go_on)
+                    if ended is None:
+                        return False
             elif not race.in_progress:
-                return
+                return True
             elif attempts.answer is not None and race.all_suspected:
                 # A failure was returned, and the owners of the attempts in
                 # progress may never respond.
-                return
+                return True
             ended = ended or await race.wait()
             if ended is None:
                 continue
@@ -169,7 +192,7 @@
             # while another attempt is in progress.
             decides = not race.in_progress or _is_conclusive(ended[1])
             if decides and self._is_final(call, ended[1]):
-                return
+                return True
 
     async def _choose_next_owner(
         self,
--- a/libs/sidecar/src/verbenamill_sidecar/routing/racing.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/racing.py
@@ -49,15 +49,41 @@
         self._in_progress[peer.record.vm] = peer
         self._nursery.start_soon(self._run, peer, attempt)
 
-    async def run_alone(
-        self, peer: Peer, attempt: Attempt
-    ) -> tuple[Peer, Outcome]:
+    async def run_here(
+        self,
+        peer: Peer,
+        attempt: Attempt,
+        go_on: Callable[[], Awaitable[None]],
+    ) -> tuple[Peer, Outcome] | None:
         """Run the only attempt in progress without a task of its own.
 
-        This is for an owner that cannot become suspected: this daemon.
+        Most owners are not suspected, and a task is a notable part of the
+        processor time of a request.
+
+        :param go_on: run in a new task once the owner is suspected; it
+            continues with what follows the start of an attempt.
+        :return: ``None`` if the owner was suspected, so that the outcome is
+            left to that task.
         """
         assert not self._in_progress
-        return peer, await attempt(_ignore_suspicion)
+        vm = peer.record.vm
+
+        def suspect(at: float) -> None:
+            if vm not in self._in_progress:
+                self._in_progress[vm] = peer
+                self._nursery.start_soon(go_on)
+            self._suspect(vm, at)
+
+        outcome = await attempt(suspect)
+        if vm not in self._in_progress:
+            return peer, outcome
+        self._ended.append((peer, outcome))
+        self._changed.set()
+        return None
+
+    def cancel(self) -> None:
+        """Cancel the attempts in progress."""
+        self._nursery.cancel_scope.cancel()
 
     async def wait(self) -> tuple[Peer, Outcome] | None:
         """Wait for an attempt that has ended; ``None`` on a new suspicion.
@@ -89,10 +115,6 @@
         self._changed.set()
 
 
-def _ignore_suspicion(_: float) -> None:
-    """Ignore a suspicion, which cannot arise."""
-
-
 def _sort_key(ended: tuple[Peer, Outcome]) -> tuple[bool, bool]:
     answer = ended[1].answer
     return (
--- a/libs/sidecar/tests/test_racing.py
+++ b/libs/sidecar/tests/test_racing.py
@@ -97,5 +97,33 @@
     trio.run(main)
 
 
+def test_another_task_gets_the_outcome_once_the_owner_is_suspected():
+    # Guards against an outcome that is lost or counted twice when a request
+    # goes on in another task than the one that runs its first attempt.
+    async def main():
+        found = []
+
+        async def attempt(on_suspect):
+            on_suspect(trio.current_time())
+            on_suspect(trio.current_time())
+            await trio.testing.wait_all_tasks_blocked()
+            return answered(200)
+
+        async def go_on():
+            assert race.in_progress == 1
+            while (ended := await race.wait()) is None:
+                assert race.all_suspected
+            found.append(ended[1].answer.status)
+
+        async with trio.open_nursery() as nursery:
+            race = Race(nursery)
+            assert await race.run_here(make_peer('vm1'), attempt, go_on) is None
+        assert found == [200]
+        assert race.in_progress == 0
+
+    for _ in range(ROUNDS):
+        trio.run(main)
+
+
 async def _expect_wait_result(race, expected):
     assert await race.wait() is expected
