Don't count short runs of lower priorities against long ones

A request that is held back by a reservation waited while shorter requests of a lower priority used the reserved slots and counted against its limit. They no longer count, so that a lower priority is not served in its place.

--- a/libs/policy/src/verbenamill_policy/reservations.py
+++ b/libs/policy/src/verbenamill_policy/reservations.py
@@ -210,9 +210,21 @@
     def _filter_rivals(
         self, kind: _Kind, others: Iterable[KindRequest]
     ) -> list[KindRequest]:
-        if not kind.urgent:
+        if kind.limit == inf:
             return list(others)
-        return [one for one in others if self._find(one) not in kind.urgent]
+        return [one for one in others if self._is_rival(kind, self._find(one))]
+
+    def _is_rival(self, kind: _Kind, other: _Kind | None) -> bool:
+        """Whether the other kind uses the slots that this one may hold.
+
+        Short runs of a lower priority use reserved slots. If they counted,
+        they would be served in place of this kind.
+        """
+        if other is None:
+            return True
+        if other in kind.urgent:
+            return False
+        return other.priority <= kind.priority or other.limit < inf
 
     def _forget_oldest(self) -> None:
         oldest = min(self._kinds, key=lambda key: self._kinds[key].arrived)
--- a/libs/policy/tests/test_reservations.py
+++ b/libs/policy/tests/test_reservations.py
@@ -394,6 +394,16 @@
     assert [AdmissionResult.ADMITTED] in [results for _, results in lists]
 
 
+def test_short_runs_do_not_take_the_slots_of_a_higher_priority():
+    """Guards against lists that wait while requests below them are served."""
+    admission = make_busy_admission()
+    admission.times.add('short', 0.03, 0)
+    for _ in range(2):
+        short, _ = make_request('short', 2, objective=1, priority=3)
+        assert admission.acquire(short, 2) is AdmissionResult.ADMITTED
+    assert acquire_list(admission, 2)[1] == [AdmissionResult.ADMITTED]
+
+
 def test_a_slot_is_not_reserved_for_arrivals_that_have_ended():
     """Guards against an idle slot after the urgent requests have ended."""
     admission = make_busy_admission()
