Serve lists at a minimum share beside too many urgent requests

A kind that is held back, holds no slot and is served much less often than all requests now gets the next slot.

--- a/libs/policy/src/verbenamill_policy/admission.py
+++ b/libs/policy/src/verbenamill_policy/admission.py
@@ -394,15 +394,23 @@
 
     def _find_startable(self, now: float) -> int | None:
         """Position of the first waiting request that may take a free slot."""
-        held: set[tuple[RouteName, int]] = set()
+        reservations = self._reservations
+        first: int | None = None
+        seen: set[tuple[RouteName, int]] = set()
         for index, request in enumerate(self._waiting):
             kind = (request.route, request.priority)
-            if kind in held:
+            if kind in seen:
                 continue
-            if self._reservations.may_start(request, self._running, now):
+            seen.add(kind)
+            if reservations.is_starved(request, self._running):
                 return index
-            held.add(kind)
-        return None
+            if first is None and reservations.may_start(
+                request, self._running, now
+            ):
+                first = index
+            if first is not None and not reservations.is_active:
+                return first
+        return first
 
     def _wait_behind(
         self, request: AdmissionRequest, ahead: int, now: float
--- a/libs/policy/src/verbenamill_policy/reservations.py
+++ b/libs/policy/src/verbenamill_policy/reservations.py
@@ -29,6 +29,12 @@
 _MEAN_REMAINDER = 0.5
 #: Shortest share of the time for which a further slot is used.
 _MIN_TIME_SHARE = 0.1
+#: Share of a kind's arrivals that start, relative to that of all arrivals,
+#: below which it goes ahead of more urgent ones.
+_MIN_SERVED_SHARE = 0.3
+#: Half-life of the counts for this share, in seconds. With fewer arrivals, a
+#: single start would change the share too much.
+_SERVED_HALF_LIFE = 5.0
 #: Maximum number of kinds whose arrivals are tracked.
 _MAX_KINDS = 64
 
@@ -51,6 +57,41 @@
         """Time that requests of its kind can wait, in seconds."""
 
 
+class _Counts:
+    """Arrivals and starts of requests; both decay.
+
+    :param half_life: in seconds.
+    """
+
+    __slots__ = ('updated_at', '_half_life', '_arrivals', '_starts')
+
+    def __init__(self, half_life: float, now: float) -> None:
+        self.updated_at = now
+        self._half_life = half_life
+        self._arrivals = float(0)
+        self._starts = float(0)
+
+    @property
+    def served_share(self) -> float:
+        """Share of the arrivals that started."""
+        return self._starts / self._arrivals if self._arrivals else 1
+
+    def add(self, now: float, *, arrivals: int = 0, starts: int = 0) -> None:
+        """Count arrivals or starts."""
+        decay = self._decay(now)
+        self._arrivals = self._arrivals * decay + arrivals
+        self._starts = self._starts * decay + starts
+        self.updated_at = now
+
+    def arrival_rate(self, now: float) -> float:
+        """Arrivals per second."""
+        arrivals = self._arrivals * self._decay(now)
+        return arrivals * log(2) / self._half_life
+
+    def _decay(self, now: float) -> float:
+        return pow(2, -max(now - self.updated_at, 0) / self._half_life)
+
+
 class _Kind:
     """Requests of one route and priority.
 
@@ -60,6 +101,7 @@
     :ivar urgent: kinds that are more urgent than this one.
     :ivar limit: slots that this kind and others that are not more urgent may
         hold on average; infinite if none is reserved.
+    :ivar served: counts of arrivals and starts.
     :ivar extra_at: time from which on they may hold one more than the whole
         number of this limit.
     """
@@ -72,8 +114,8 @@
         'limit',
         'limit_expires',
         'extra_at',
-        'arrived',
-        '_weight',
+        'served',
+        '_arrivals',
     )
 
     def __init__(self, priority: int, now: float) -> None:
@@ -84,20 +126,19 @@
         self.limit = inf
         self.limit_expires = now
         self.extra_at = now
-        self.arrived = now
-        self._weight = float(0)
+        self.served = _Counts(_SERVED_HALF_LIFE, now)
+        self._arrivals = _Counts(HALF_LIFE, now)
 
     def record_arrival(self, request: KindRequest, now: float) -> None:
         """Count an arrival, and update what is known of the kind."""
         self.expected = request.expected
         self.slack = request.slack
-        self._weight = 1 + self._weight * _decay(now - self.arrived)
-        self.arrived = now
+        self.served.add(now, arrivals=1)
+        self._arrivals.add(now, arrivals=1)
 
     def rate(self, now: float) -> float:
         """Arrivals per second."""
-        weight = self._weight * _decay(now - self.arrived)
-        return weight * log(2) / HALF_LIFE
+        return self._arrivals.arrival_rate(now)
 
     def is_more_urgent(self, other: '_Kind') -> bool:
         """Whether it cannot wait for the other kind's runs, which can wait.
@@ -129,6 +170,7 @@
     def __init__(self, slots: Callable[[], int]) -> None:
         self._slots = slots
         self._kinds: dict[tuple[RouteName, int], _Kind] = {}
+        self._served = _Counts(_SERVED_HALF_LIFE, 0)
 
     @property
     def is_active(self) -> bool:
@@ -144,6 +186,7 @@
             kind = _Kind(request.priority, now)
             self._kinds[request.route, request.priority] = kind
         kind.record_arrival(request, now)
+        self._served.add(now, arrivals=1)
 
     def may_start(
         self, request: KindRequest, running: Collection[KindRequest], now: float
@@ -167,7 +210,11 @@
         :param running: requests that hold the other slots.
         """
         kind = self._find(request)
-        if kind is None or kind.limit == inf:
+        self._served.add(now, starts=1)
+        if kind is None:
+            return
+        kind.served.add(now, starts=1)
+        if kind.limit == inf:
             return
         if kind.limit - len(self._filter_rivals(kind, running)) >= 1:
             return
@@ -176,6 +223,24 @@
             if one.urgent == kind.urgent:
                 one.extra_at = now + kind.expected / share
 
+    def is_starved(
+        self, request: KindRequest, running: Collection[KindRequest]
+    ) -> bool:
+        """Whether a request goes first because its kind is hardly served.
+
+        If urgent requests alone need all slots, they would otherwise take the
+        slot that others may always hold.
+
+        :param running: requests that hold the other slots.
+        """
+        kind = self._find(request)
+        if kind is None or kind.limit == inf:
+            return False
+        least = _MIN_SERVED_SHARE * self._served.served_share
+        if kind.served.served_share >= least:
+            return False
+        return not self._filter_rivals(kind, running)
+
     def limit(self, request: KindRequest, now: float) -> float:
         """Slots that requests like this one may hold on average.
 
@@ -227,7 +292,9 @@
         return other.priority <= kind.priority or other.limit < inf
 
     def _forget_oldest(self) -> None:
-        oldest = min(self._kinds, key=lambda key: self._kinds[key].arrived)
+        oldest = min(
+            self._kinds, key=lambda key: self._kinds[key].served.updated_at
+        )
         self._kinds.pop(oldest)
 
     def _refresh(self, kind: _Kind, now: float) -> float:
@@ -254,10 +321,6 @@
         return min(left, self._slots()) / (equals + 1)
 
 
-def _decay(age: float) -> float:
-    return pow(2, -max(age, 0) / HALF_LIFE)
-
-
 def _find_limit(
     kind: _Kind, slots: int, now: float, urgent: frozenset[_Kind]
 ) -> float:
--- a/libs/policy/tests/test_reservations.py
+++ b/libs/policy/tests/test_reservations.py
@@ -335,6 +335,21 @@
     assert min(shares.values()) >= 0.95
 
 
+@pytest.mark.parametrize('same_priority', [False, True])
+def test_lists_are_served_beside_too_many_urgent_requests(same_priority):
+    """Guards against lists that starve while urgent ones need all slots."""
+    check, payment, lists = make_kinds(6, same_priority=same_priority)
+    kinds = (
+        check._replace(rate=3 * check.rate),
+        payment._replace(rate=3 * payment.rate),
+        lists,
+    )
+    shares = run(kinds, owners=6)
+    served = sum(shares[kind.name] * kind.rate for kind in kinds)
+    total = sum(kind.rate for kind in kinds)
+    assert shares['list'] >= served / total / 4
+
+
 def test_kinds_with_slack_for_each_other_are_served_as_before():
     """Guards against reservations for requests that can wait."""
     kinds = (
