--- a/libs/policy/tests/test_reservations.py
+++ b/libs/policy/tests/test_reservations.py
@@ -335,6 +335,22 @@
     assert min(shares.values()) >= 0.95
 
 
+def test_a_fixed_number_of_slots_delays_more_urgent_requests():
+    """Guards against a change that makes a fixed number the better way."""
+    kinds = make_kinds(12, lists=2.4, late=True)
+    assert run(kinds, reserve_one)['check'] < run(kinds)['check']
+
+
+def test_a_share_by_time_refuses_more_lists():
+    """Guards against reserving more than the slack of urgent ones needs."""
+    kinds = make_kinds(6, 9, lists=2.4)
+    sizes = {'owners': 6, 'slots': 9, 'duration': 12}
+    assert (
+        run(kinds, share_by_time, **sizes)['list']
+        < (run(kinds, **sizes)['list'])
+    )
+
+
 @pytest.mark.parametrize('same_priority', [False, True])
 def test_lists_are_served_beside_too_many_urgent_requests(same_priority):
     """Guards against lists that starve while urgent ones need all slots."""
