--- a/libs/policy/src/verbenamill_policy/quotas/participant.py
+++ b/libs/policy/src/verbenamill_policy/quotas/participant.py
@@ -41,7 +41,8 @@
 #: Most rounds in which other pools are asked for the same requests.
 _MAX_ROUNDS = 5
 #: Time for which the number of daemons that a peer reports counts, in seconds.
-_REPORTED_TIME = 5.0
+#: It spans several reports, so that it ends only when no peer reports it.
+_REPORTED_TIME = 1.0
 #: Time without any activity after which received messages may be old, in
 #: seconds, and for how long they are then ignored.
 _STALL_TIME = REPORT_PERIOD + 0.5
@@ -113,7 +114,12 @@
         self.outbox: list[tuple[VmId, Message]] = []
         self.occurrences: list[tuple[Occurrence, VmId | None]] = []
         self.placement = SharePlacement(own, started_at, is_suspect)
-        self.pool = Pool(own, slack=slack, daemons=self._count_daemons)
+        self.pool = Pool(
+            own,
+            slack=slack,
+            daemons=self._count_daemons,
+            known_daemons=self._own_count,
+        )
         self._own = own
         self._incarnation = incarnation
         self._groups = groups
