Fewer steps to find the owners that may be asked for their load

- The owners of a service are gone through once instead of five times.
- Sleeps that end at the same tick share an entry of the timer's heap.
- A pool without idle connections is not searched for expired ones.

--- a/libs/http/src/verbenamill_http/client.py
+++ b/libs/http/src/verbenamill_http/client.py
@@ -425,6 +425,8 @@
 
     def close_expired(self) -> None:
         """Close connections that have exceeded the idle time."""
+        if not self._idle:
+            return
         oldest = trio.current_time() - self.max_idle
         idle = self._idle
         self._idle = [one for one in idle if one.used_at >= oldest]
--- a/libs/http/src/verbenamill_http/timers.py
+++ b/libs/http/src/verbenamill_http/timers.py
@@ -21,29 +21,29 @@
     :ivar task: ``None`` once it has been woken up.
     """
 
-    __slots__ = ('due', 'task')
+    __slots__ = ('task',)
 
-    def __init__(self, due: int, task: Task) -> None:
-        self.due = due
+    def __init__(self, task: Task) -> None:
         self.task: Task | None = task
 
-    def __lt__(self, other: '_Sleep') -> bool:
-        return self.due < other.due
-
 
 class _Clock:
     """Wakes up the sleeping tasks of one event loop."""
 
     def __init__(self) -> None:
-        self._sleeps: list[_Sleep] = []
+        self._sleeps: dict[int, list[_Sleep]] = {}
+        self._due_ticks: list[int] = []
         self._scope = trio.CancelScope()
 
-    def add(self, sleep: _Sleep) -> None:
-        """Wake up a task when its sleep is due."""
-        heappush(self._sleeps, sleep)
-        due = sleep.due * TICK_S
-        if due < self._scope.deadline:
-            self._scope.deadline = due
+    def add(self, sleep: _Sleep, due: int) -> None:
+        """Wake up a task at a tick."""
+        sleeps = self._sleeps.get(due)
+        if sleeps is not None:
+            sleeps.append(sleep)
+            return
+        self._sleeps[due] = [sleep]
+        heappush(self._due_ticks, due)
+        self._scope.deadline = self._due_ticks[0] * TICK_S
 
     async def run(self) -> None:
         """Wake up tasks until the event loop ends."""
@@ -51,11 +51,12 @@
             with self._scope:
                 await trio.sleep_forever()
             now = _count_ticks(trio.current_time())
-            while self._sleeps and self._sleeps[0].due <= now:
-                _wake(heappop(self._sleeps))
+            while self._due_ticks and self._due_ticks[0] <= now:
+                for sleep in self._sleeps.pop(heappop(self._due_ticks)):
+                    _wake(sleep)
             self._scope = trio.CancelScope()
-            if self._sleeps:
-                self._scope.deadline = self._sleeps[0].due * TICK_S
+            if self._due_ticks:
+                self._scope.deadline = self._due_ticks[0] * TICK_S
 
 
 class Pause:
@@ -72,16 +73,16 @@
         """
         now = trio.current_time()
         due = max(round((now + seconds) / TICK_S), _count_ticks(now) + 1)
-        sleep = _Sleep(due, trio.lowlevel.current_task())
+        sleep = _Sleep(trio.lowlevel.current_task())
         self._sleep = sleep
-        _find_clock().add(sleep)
+        _find_clock().add(sleep, due)
 
         def abort(_: RaiseCancelT) -> Abort:
             sleep.task = None
             return Abort.SUCCEEDED
 
         await trio.lowlevel.wait_task_rescheduled(abort)
-        return sleep.due * TICK_S
+        return due * TICK_S
 
     def end(self) -> None:
         """End the sleep, if there is one."""
--- a/libs/sidecar/src/verbenamill_sidecar/routing/owner_selection.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/owner_selection.py
@@ -42,18 +42,15 @@
         peer = self._choose(call, peers, attempts)
         if peer is None or not self._should_ask(call, peer):
             return peer
-        askable = [one for one in peers if self._may_ask(call, one, attempts)]
-        near = [one for one in askable if self._is_near(one)]
-        far = [one for one in askable if not self._is_near(one)]
+        near, far = self._find_askable(call, peers, attempts)
         asked = await self._ask(near)
         if _are_all_full(asked):
             asked += await self._ask(far)
             attempts.found_owners_full = _are_all_full(asked)
         else:
             far = []
-        skipped = {one.record.vm for one in (*near, *far)}
-        skipped.difference_update(one.record.vm for one in asked)
-        candidates = [one for one in peers if one.record.vm not in skipped]
+        skipped = {*near, *far}.difference(asked)
+        candidates = [one for one in peers if one not in skipped]
         return self._choose(call, candidates, attempts)
 
     def filter_homes(self, call: Call, peers: list[Peer]) -> list[Peer]:
@@ -73,10 +70,6 @@
             return []
         return await self._context.load_probes.refresh(peers)
 
-    def _is_near(self, peer: Peer) -> bool:
-        zone = peer.record.availability_zone
-        return zone == self._context.availability_zone
-
     def _should_ask(self, call: Call, peer: Peer) -> bool:
         """Whether the chosen owner may be full, as far as is known."""
         if self._context.peers.is_own(peer):
@@ -87,16 +80,31 @@
         mean_time = self._route_statistics.mean_service_time(call.route)
         return age > _MAX_LOAD_AGE * mean_time
 
-    def _may_ask(self, call: Call, peer: Peer, attempts: Attempts) -> bool:
-        """Whether the owner may get the request now, if it has room."""
-        if peer.record.vm in attempts.tried_vms:
-            return False
-        owner = peer.owner
-        ready_at = max(owner.down_until, owner.limit_ready_at(call.priority))
-        return (
-            ready_at <= trio.current_time()
-            and not self._context.peers.is_own(peer)
-        )
+    def _find_askable(
+        self, call: Call, peers: list[Peer], attempts: Attempts
+    ) -> tuple[list[Peer], list[Peer]]:
+        """Find the owners that may get the request now, if they have room.
+
+        :return: those of this zone, and those of other zones.
+        """
+        # A service may have many owners, and this runs for most requests.
+        near: list[Peer] = []
+        far: list[Peer] = []
+        now = trio.current_time()
+        priority = call.priority
+        own = self._context.peers.own
+        zone = self._context.availability_zone
+        tried_vms = attempts.tried_vms
+        for peer in peers:
+            owner = peer.owner
+            if owner.down_until > now or owner.limit_ready_at(priority) > now:
+                continue
+            record = peer.record
+            if record.vm in tried_vms or peer is own:
+                continue
+            is_near = record.availability_zone == zone
+            (near if is_near else far).append(peer)
+        return near, far
 
     def _choose(
         self, call: Call, peers: list[Peer], attempts: Attempts
