--- a/libs/policy/src/verbenamill_policy/admission.py
+++ b/libs/policy/src/verbenamill_policy/admission.py
@@ -137,8 +137,9 @@
     that cannot be served in time is refused as soon as that is known, so that
     its caller can try another upstream while there is time.
 
-    :ivar times: service times at the upstream's usual pace.
-    :ivar pace: its pace at this moment.
+    :ivar pace: pace of the upstream at this moment, for other daemons. The
+        queue does not use it: a request usually starts at another pace than
+        the one that it was queued at.
     :ivar cold_starts: counts the requests to an upstream that may turn cold.
     """
 
@@ -231,7 +232,7 @@
         """Request a slot; ``None`` means that the request waits for one."""
         request.expected = self.times.expect(
             request.route, objective=request.latency_objective
-        ) * self.pace.factor(now)
+        )
         if not self._waiting and self._may_start(now):
             self._start(request, now)
             return AdmissionResult.ADMITTED
@@ -254,8 +255,8 @@
     ) -> None:
         """Release the slot or the queue position of a request.
 
-        :param took: service time at the usual pace, in seconds; ``None`` if
-            it is not representative, as for a cancelled request.
+        :param took: service time in seconds; ``None`` if it is not
+            representative, as for a cancelled request.
         """
         if request in self._running:
             self._running.discard(request)
--- a/libs/policy/src/verbenamill_policy/placement.py
+++ b/libs/policy/src/verbenamill_policy/placement.py
@@ -89,8 +89,7 @@
 class OwnerEstimate:
     """An ingress's estimate of one daemon and its upstream.
 
-    :ivar relative_time: service time at its usual pace, relative to the mean
-        of its service.
+    :ivar relative_time: service time relative to the mean of its service.
     :ivar pace: its pace at this moment.
     :ivar load: number of requests running and queued there.
     """
--- a/libs/sidecar/src/verbenamill_sidecar/routing/call.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/call.py
@@ -98,9 +98,8 @@
     :param wait: expected time until there is room, in seconds.
     :param reached: whether an upstream got the request.
     :param everywhere: whether other owners would have the same outcome.
-    :param service_time: time at the upstream, in seconds at its usual pace.
-    :param mean_service_time: mean of this route at this upstream, in seconds
-        at its usual pace.
+    :param service_time: time at the upstream, in seconds.
+    :param mean_service_time: mean of this route at this upstream, in seconds.
     :param load: number of requests running and queued at the owner.
     :param pace: pace of the upstream; ``None`` if it is the usual one.
     :param crash: the crash of the upstream during the request, if any.
--- a/libs/sidecar/src/verbenamill_sidecar/upstream/exchange.py
+++ b/libs/sidecar/src/verbenamill_sidecar/upstream/exchange.py
@@ -291,7 +291,7 @@
             ),
             # Another upstream would make the same nested call and fail too.
             everywhere=is_excused and call.nested_status == _UNAVAILABLE,
-            service_time=service_time / pace,
+            service_time=service_time,
         )
 
     def count(
--- a/libs/sidecar/src/verbenamill_sidecar/upstream/local_upstream.py
+++ b/libs/sidecar/src/verbenamill_sidecar/upstream/local_upstream.py
@@ -408,7 +408,7 @@
             elapsed = now - started
             pace = mean_pace(pace, admission.pace.factor(now))
             if _is_slow(admission, call, elapsed / pace):
-                service_time = elapsed / pace
+                service_time = elapsed
                 self.exchange.count(
                     call,
                     failed=False,
