--- a/libs/policy/src/verbenamill_policy/admission.py
+++ b/libs/policy/src/verbenamill_policy/admission.py
@@ -158,8 +158,9 @@
     its caller can try another upstream while there is time.
 
     :param reservations: slots that are kept free for urgent requests.
-    :ivar times: service times at the upstream's usual pace.
-    :ivar pace: its pace at this moment.
+    :ivar pace: pace of the upstream at this moment, for other daemons. The
+        queue does not use it: a request usually starts at another pace than
+        the one that it was queued at.
     :ivar cold_starts: counts the requests to an upstream that may turn cold.
     """
 
@@ -270,7 +271,7 @@
         """Request a slot; ``None`` means that the request waits for one."""
         request.expected = self.times.expect(
             request.route, objective=request.latency_objective
-        ) * self.pace.factor(now)
+        )
         self._reservations.record_arrival(request, now)
         if (
             self._may_start(now)
@@ -299,8 +300,8 @@
     ) -> None:
         """Release the slot or the queue position of a request.
 
-        :param took: service time at the usual pace, in seconds; ``None`` if
-            it is not representative, as for a cancelled request.
+        :param took: service time in seconds; ``None`` if it is not
+            representative, as for a cancelled request.
         """
         if request in self._running:
             self._running.discard(request)
