Report all waiting requests as load while a rate limit is in force

With a rate limit, slots are free although requests wait for the limit, so requests that a reservation would hold back were left out of the load.

--- a/libs/policy/src/verbenamill_policy/admission.py
+++ b/libs/policy/src/verbenamill_policy/admission.py
@@ -190,9 +190,11 @@
         """Number of requests at the upstream and in the queue.
 
         While a slot is free, requests that wait because it is reserved do not
-        count: others would otherwise not be sent here.
+        count: others would otherwise not be sent here. With a rate limit, a
+        free slot says little, and all of them count.
         """
-        if len(self._running) >= self.slots or not self._reservations.is_active:
+        has_free_slot = len(self._running) < self.slots and not self.is_paced
+        if not has_free_slot or not self._reservations.is_active:
             return len(self._running) + len(self._waiting)
         is_limited = self._reservations.is_limited
         waiting = sum(not is_limited(one) for one in self._waiting)
