--- a/libs/policy/src/verbenamill_policy/quotas/answers.py
+++ b/libs/policy/src/verbenamill_policy/quotas/answers.py
@@ -1,5 +1,7 @@
 """Answers that a pool has given, so that none is given twice."""
 
+from collections import deque
+
 from verbenamill_model.typing import VmId
 from verbenamill_policy.quotas.messages import (
     RequestKind,
@@ -23,7 +25,7 @@
         self._newest_status = -1
         self._forgotten = -1
         self._answers: dict[int, TokenGrant | None] = {}
-        self._received_at: dict[int, float] = {}
+        self._received: deque[tuple[float, int]] = deque()
 
     def __contains__(self, number: int) -> bool:
         return number <= self._forgotten or number in self._answers
@@ -39,7 +41,7 @@
         """
         self._forget(now)
         self._answers[request.number] = None
-        self._received_at[request.number] = now
+        self._received.append((now, request.number))
         if request.kind not in _STATUS_KINDS:
             return False
         is_newest = request.number > self._newest_status
@@ -52,10 +54,9 @@
             self._answers[grant.number] = grant
 
     def _forget(self, now: float) -> None:
-        for number, received_at in list(self._received_at.items()):
-            if now - received_at < ANSWER_MEMORY:
-                break
-            self._received_at.pop(number)
+        received = self._received
+        while received and now - received[0][0] >= ANSWER_MEMORY:
+            _, number = received.popleft()
             self._answers.pop(number)
             self._forgotten = max(self._forgotten, number)
 
