--- a/deploy/tests/test_quotas.py
+++ b/deploy/tests/test_quotas.py
@@ -166,6 +166,9 @@
         assert (await request(vms[0], name='other')).status == 200
         assert (await vms[0].call('/lookup/2')).status == 200
         assert len(vms[0].upstream.executions) == 3
+        metrics = vms[0].daemon._render_metrics().decode()
+        refused = 'organisation="acme",verdict="over-quota"} 1.0'
+        assert refused in metrics
 
     run_scenario(scenario)
 
