--- a/libs/policy/src/verbenamill_policy/quotas/participant.py
+++ b/libs/policy/src/verbenamill_policy/quotas/participant.py
@@ -25,10 +25,10 @@
     TokenGrant,
     TokenRequest,
     decode_tokens,
-    encode_tokens,
 )
 from verbenamill_policy.quotas.placement import SharePlacement, Standing
 from verbenamill_policy.quotas.pool import REPORT_PERIOD, Pool
+from verbenamill_policy.quotas.transfers import Transfers
 
 #: Time after which a request for tokens is sent again, in seconds.
 RESEND_TIME = 0.02
@@ -38,8 +38,6 @@
 _OPEN_TIME = 2.0
 #: Other pools that are asked at once.
 _ASKED_POOLS = 2
-#: Most rounds in which other pools are asked for the same requests.
-_MAX_ROUNDS = 5
 #: Time for which the number of daemons that a peer reports counts, in seconds.
 #: It spans several reports, so that it ends only when no peer reports it.
 _REPORTED_TIME = 1.0
@@ -78,16 +76,6 @@
     is_waited_for: bool
 
 
-class _Gathering(Struct):
-    """Requests to other pools that are in progress."""
-
-    until: float
-    round: int
-    numbers: set[int]
-    wanted: dict[OrganisationId, float]
-    received: dict[OrganisationId, float]
-
-
 class Participant:
     """One daemon's part in the quotas.
 
@@ -120,6 +108,9 @@
             daemons=self._count_daemons,
             known_daemons=self._own_count,
         )
+        self._transfers = Transfers(
+            self.pool, ask_pools=self._ask_pools, answer=self._send
+        )
         self._own = own
         self._incarnation = incarnation
         self._groups = groups
@@ -130,7 +121,6 @@
         self._waiting: dict[OrganisationId, Account] = {}
         self._number = 0
         self._open: dict[int, _OpenRequest] = {}
-        self._gathering: _Gathering | None = None
         self._is_leaving = False
         self._now = started_at
         self._active_at = started_at
@@ -156,7 +146,7 @@
     @property
     def has_open_questions(self) -> bool:
         """Whether :meth:`poll` is due within :data:`RESEND_TIME`."""
-        return self._gathering is not None
+        return self._transfers.is_active
 
     def set_quotas(self, quotas: Quotas, now: float) -> None:
         """Apply changed quotas from now on."""
@@ -239,9 +229,7 @@
                 self._open.pop(number)
             elif one.is_waited_for and now - one.sent_at >= RESEND_TIME:
                 self._send_again(number, one, now)
-        gathering = self._gathering
-        if gathering is not None and now >= gathering.until:
-            self._end_round(gathering, now)
+        self._transfers.poll(now)
         for id, account in list(self._waiting.items()):
             account.expire(now)
             if not account.waiting:
@@ -443,15 +431,14 @@
         grant = self.pool.receive(request, now)
         if grant is not None:
             self._send(request.sender, grant, now)
-        if self.pool.is_gathering and self._gathering is None:
-            self._gather(now, round=1)
+        self._transfers.start_if_needed(now)
 
     def _receive_grant(self, grant: TokenGrant, now: float) -> None:
         one = self._open.pop(grant.number, None)
         if one is None or one.to != grant.sender:
             return
         if one.request.kind is RequestKind.TRANSFER:
-            self._receive_transfer(grant, now)
+            self._transfers.receive(grant, now)
             return
         granted = {each.organisation: each for each in grant.granted}
         for demand in one.request.demands:
@@ -471,19 +458,10 @@
             self._report(now)
         self.ask(now)
 
-    def _gather(self, now: float, *, round: int) -> None:
-        """Ask other pools for the tokens that pending requests need."""
-        shortage = self.pool.find_shortage(now)
-        hosts = self._choose_pools() if shortage else []
-        if not hosts:
-            self._settle(now)
-            return
-        demands = [
-            TokenDemand(id, encode_tokens(tokens) + 1)
-            for id, tokens in shortage.items()
-        ]
+    def _ask_pools(self, demands: list[TokenDemand], now: float) -> set[int]:
+        """Ask a few other pools for tokens; return the request numbers."""
         numbers: set[int] = set()
-        for host in hosts:
+        for host in self._choose_pools():
             self._number += 1
             request = TokenRequest(
                 sender=self._own,
@@ -498,9 +476,7 @@
                 host, request, now, now, is_waited_for=False
             )
             self.outbox.append((host, request))
-        self._gathering = _Gathering(
-            now + RESEND_TIME, round, numbers, shortage, {}
-        )
+        return numbers
 
     def _choose_pools(self) -> list[VmId]:
         """Choose pool hosts of other groups at random."""
@@ -516,45 +492,6 @@
             return hosts
         return self._random.sample(hosts, _ASKED_POOLS)
 
-    def _receive_transfer(self, grant: TokenGrant, now: float) -> None:
-        gathering = self._gathering
-        for one in grant.granted:
-            tokens = decode_tokens(one.tokens)
-            self.pool.add(one.organisation, tokens, now)
-            if gathering is not None and grant.number in gathering.numbers:
-                before = gathering.received.get(one.organisation, 0)
-                gathering.received[one.organisation] = before + tokens
-        if gathering is None or grant.number not in gathering.numbers:
-            return
-        gathering.numbers.discard(grant.number)
-        if not gathering.numbers:
-            self._end_round(gathering, now)
-        elif gathering.received:
-            self._answer_pending(now, is_final=False)
-
-    def _end_round(self, gathering: _Gathering, now: float) -> None:
-        self._gathering = None
-        for id, wanted in gathering.wanted.items():
-            received = gathering.received.get(id, 0)
-            if received < min(wanted, 1) / 2:
-                self.pool.pause_asking(id, now)
-        self._answer_pending(now, is_final=False)
-        if not self.pool.is_gathering:
-            return
-        if gathering.round >= _MAX_ROUNDS:
-            self._settle(now)
-        else:
-            self._gather(now, round=gathering.round + 1)
-
-    def _settle(self, now: float) -> None:
-        """Answer all pending requests with what there is."""
-        self._gathering = None
-        self._answer_pending(now, is_final=True)
-
-    def _answer_pending(self, now: float, *, is_final: bool) -> None:
-        for vm, grant in self.pool.settle(now, is_final=is_final):
-            self._send(vm, grant, now)
-
     def _note_standing(self) -> None:
         standing = self.placement.standing
         previous = self._standing
