The bench of the daemon ends at a failed request

A response without the request's id, such as a 503, was waited for without end: the measurement that uses no daemon sends more requests than an upstream has slots. Upstreams of the bench accept more than they announce, and any status but 200 is an error.

--- a/libs/soak/src/verbenamill_soak/daemon_fleet.py
+++ b/libs/soak/src/verbenamill_soak/daemon_fleet.py
@@ -23,6 +23,8 @@
 HOST = '127.0.0.1'
 _SERVICE_HOST = 'shop.example'
 _DEADLINE_S = 2.0
+#: Requests that an upstream accepts at once, whatever slots it announces.
+_ACCEPTED_REQUESTS = 1000
 SERVICES = ('entries', 'entries', 'catalog')
 _START_TIMEOUT_S = 60.0
 #: Time in which daemons learn of each other's upstreams.
@@ -65,7 +67,7 @@
             part = await stream.receive_some(65_536)
             assert part, 'the connection has ended'
             answer += part
-        assert answer.startswith(b'HTTP/1.1 200'), answer
+            assert answer.startswith(b'HTTP/1.1 200'), answer
         idle.append(stream)
 
     return send
@@ -154,6 +156,8 @@
                 self.ports, self.upstreams, strict=False
             ):
                 await _repeat(ports[3], upstream.heartbeat(), 'POST')
+                # Callers that use no daemon exceed the announced slots.
+                upstream.slots = _ACCEPTED_REQUESTS
         await trio.sleep(_CONVERGENCE_TIME_S)
 
 
