--- a/libs/soak/src/verbenamill_soak/node_bench.py
+++ b/libs/soak/src/verbenamill_soak/node_bench.py
@@ -33,6 +33,9 @@
 )
 
 _CONCURRENCY = 16
+#: Slots of an upstream. With fewer than there are callers, requests would be
+#: refused, which costs less than to answer them.
+_DEFAULT_SLOTS = 64
 #: Part of the highest rate at which latency is measured.
 _LATENCY_SHARE = 0.1
 #: Time in which a fleet without requests settles after its start.
@@ -252,7 +255,9 @@
 def request_command(
     seconds: Annotated[float, typer.Option(help='Length of each load.')] = 5,
     daemons: Annotated[int, typer.Option(min=3, help='Daemons.')] = 12,
-    slots: Annotated[int, typer.Option(min=1, help='Of an upstream.')] = 3,
+    slots: Annotated[
+        int, typer.Option(min=_CONCURRENCY, help='Of an upstream.')
+    ] = _DEFAULT_SLOTS,
     fleet: Annotated[
         list[int] | None,
         typer.Option(help='Daemons of an idle fleet; may be given again.'),
