--- a/libs/bench/src/verbenamill_bench/capacity.py
+++ b/libs/bench/src/verbenamill_bench/capacity.py
@@ -26,6 +26,9 @@
 Changes and restarts are counted at {size.PEAK} times their mean rate, since
 they come in working hours and bursts. Lines are fitted by least squares.
 
+This page is about the former daemon. The daemon on the users' platform has a
+page of its own: [capacity there](measurements/platform-capacity.md).
+
 ## What stands behind each figure
 
 All runs shared one machine with other work on it; its load average is given
