--- a/libs/policy/src/verbenamill_policy/placement.py
+++ b/libs/policy/src/verbenamill_policy/placement.py
@@ -208,6 +208,8 @@
 
         Requests of a more urgent priority are never allowed later.
         """
+        if not self._limit_waits:
+            return float('-inf')
         known = [
             wait.until
             for reported, wait in self._limit_waits.items()
