--- a/libs/policy/src/verbenamill_policy/placement.py
+++ b/libs/policy/src/verbenamill_policy/placement.py
@@ -302,20 +302,6 @@
         )
 
 
-def time_to_aim_for(
-    time_to_objective: float, time_to_deadline: float, mean_time: float
-) -> float:
-    """Time in which an answer is useful, in seconds.
-
-    While the objective can be met, owners refuse requests that would miss it.
-    A choice by a later time would send a request to full owners of its own
-    zone, one after the other, while other zones have room.
-    """
-    if time_to_objective >= SERVICE_TIME_MARGIN * mean_time:
-        return time_to_objective
-    return max(time_to_objective, time_to_deadline / 2)
-
-
 def _decay(age: float, half_life: float) -> float:
     return math.pow(2, -age / half_life)
 
--- a/libs/sidecar/src/verbenamill_sidecar/routing/route_statistics.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/route_statistics.py
@@ -3,11 +3,7 @@
 import trio
 
 from verbenamill_model.typing import RouteName
-from verbenamill_policy.placement import (
-    OwnerEstimate,
-    PlacementRequest,
-    time_to_aim_for,
-)
+from verbenamill_policy.placement import OwnerEstimate, PlacementRequest
 from verbenamill_policy.retry_detection import RetryDetector
 from verbenamill_policy.routes import Route
 from verbenamill_policy.service_times import ServiceTimes, is_hopeless
@@ -60,15 +56,10 @@
         """Return the requirements of a request for the choice of an owner."""
         route = call.route
         time_left = call.deadline - now
-        time_to_objective = call.objective - now
-        mean_time = self.mean_service_time(route)
         return PlacementRequest(
-            mean_time=mean_time,
+            mean_time=self.mean_service_time(route),
             log_deviation=self._times.log_deviation(route.name),
-            # Owners refuse nested calls by their deadline only.
-            time_to_objective=max(time_to_objective, time_left / 2)
-            if call.is_nested
-            else time_to_aim_for(time_to_objective, time_left, mean_time),
+            time_to_objective=max(call.objective - now, time_left / 2),
             time_to_deadline=time_left,
             byte_count=len(call.body) + self._sizes.get(route.name, 0),
             priority=call.priority,
