The log names the place of an unexpected error

Several parts encode records (the table of members, datagrams, saves in the store), and the line did not tell which.

The line now ends with function, file and line of the innermost frame; the three copies of the description are one.

--- a/deploy/node/src/verbenamill_node/startup.py
+++ b/deploy/node/src/verbenamill_node/startup.py
@@ -19,7 +19,7 @@
     load_settings,
 )
 from verbenamill_sidecar.signals import watch_signals
-from verbenamill_telemetry import Event, log, set_up_logs
+from verbenamill_telemetry import Event, describe_error, log, set_up_logs
 from verbenamill_telemetry.streams import NonBlockingStream
 
 #: Environment variable with the path of the settings file, which is used if
@@ -61,7 +61,7 @@
     try:
         trio.run(_serve, settings, path)
     except BaseException as error:
-        log(Event.INVARIANT_BROKEN, detail=_describe_cause(error))
+        log(Event.INVARIANT_BROKEN, detail=describe_error(error))
         raise
     return 0
 
@@ -73,13 +73,6 @@
     gc.enable()
 
 
-def _describe_cause(error: BaseException) -> str:
-    """Return the first innermost exception of nested groups, in one line."""
-    while isinstance(error, BaseExceptionGroup):
-        error = error.exceptions[0]
-    return repr(error)
-
-
 def make_daemon(settings: Settings) -> Daemon:
     """Make a daemon with the adapter to the platform."""
     return Daemon(
--- a/libs/daemon/src/verbenamill_daemon/main.py
+++ b/libs/daemon/src/verbenamill_daemon/main.py
@@ -18,6 +18,7 @@
 )
 from verbenamill_runtime import SystemClock
 from verbenamill_runtime.http_log import HttpLog
+from verbenamill_telemetry.errors import describe_error
 from verbenamill_telemetry.events import Event
 from verbenamill_telemetry.logs import log, set_up_logs
 
@@ -53,17 +54,10 @@
     try:
         trio.run(_run_until_signal, settings)
     except BaseException as error:
-        log(Event.INVARIANT_BROKEN, detail=_describe_cause(error))
+        log(Event.INVARIANT_BROKEN, detail=describe_error(error))
         raise
 
 
-def _describe_cause(error: BaseException) -> str:
-    """Describe the first leaf exception of nested groups in one line."""
-    while isinstance(error, BaseExceptionGroup):
-        error = error.exceptions[0]
-    return repr(error)
-
-
 async def _run_until_signal(settings: Settings) -> None:
     platform_log = HttpLog(settings.log.url)
     daemon = build_daemon(
--- a/libs/sidecar/src/verbenamill_sidecar/daemon.py
+++ b/libs/sidecar/src/verbenamill_sidecar/daemon.py
@@ -58,7 +58,7 @@
     LocalUpstream,
     LocalUpstreamContext,
 )
-from verbenamill_telemetry import Event, log
+from verbenamill_telemetry import Event, describe_error, log
 
 #: Time for which a stopping daemon goes on serving until callers and other
 #: daemons know that it is leaving, in seconds. Callers learn it from two health
@@ -571,6 +571,4 @@
 
 
 def _log_fault(error: BaseException) -> None:
-    while isinstance(error, BaseExceptionGroup):
-        error = error.exceptions[0]
-    log(Event.INVARIANT_BROKEN, detail=repr(error))
+    log(Event.INVARIANT_BROKEN, detail=describe_error(error))
