Fields from outside have ranges, checked where they are read

Cause: the adapter checked types, JSON holds numbers of any length, and the encodings between daemons have 64 bits. Nobody owned the range.

Change: verbenamill_model.external holds a type with a range for each field that is filled from outside, and announcements, records of the store, headers between daemons and datagrams use them. The table of members encodes a record before it changes. Refusals bound the wait that they report.

--- a/libs/policy/src/verbenamill_policy/evacuations.py
+++ b/libs/policy/src/verbenamill_policy/evacuations.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 
+from verbenamill_model.external import NumberOrNone, ZoneField
 from verbenamill_model.typing import AvailabilityZone
 
 
@@ -15,8 +16,8 @@
     :param is_active: whether the zone is evacuated; otherwise it was returned.
     """
 
-    zone: AvailabilityZone
-    number: int
+    zone: ZoneField
+    number: NumberOrNone
     is_active: bool = True
 
 
--- a/libs/policy/src/verbenamill_policy/limits.py
+++ b/libs/policy/src/verbenamill_policy/limits.py
@@ -5,6 +5,8 @@
 
 from msgspec import Struct
 
+from verbenamill_model.external import Rate, UnixMs
+
 #: Maximum length of a number. Longer ones are not valid request rates.
 _MAX_NUMBER_LENGTH = 20
 _DECIMAL = re.compile(rb'(?:\d+(?:\.\d*)?|\.\d+)\Z')
@@ -40,8 +42,8 @@
         because the upstream announced it.
     """
 
-    rate: float
-    since: int
+    rate: Rate
+    since: UnixMs
     is_cold: bool = False
 
 
--- a/libs/policy/src/verbenamill_policy/members.py
+++ b/libs/policy/src/verbenamill_policy/members.py
@@ -6,13 +6,19 @@
 import msgspec
 from msgspec import Struct
 
-from verbenamill_model.typing import (
-    AvailabilityZone,
-    ServiceName,
-    UpstreamState,
-    VersionName,
-    VmId,
+from verbenamill_model.external import (
+    MAX_NUMBER,
+    InstanceField,
+    Number,
+    ServiceField,
+    Slots,
+    TextField,
+    UnixMs,
+    VersionField,
+    VmField,
+    ZoneField,
 )
+from verbenamill_model.typing import AvailabilityZone, UpstreamState, VmId
 from verbenamill_policy.limits import RateLimit
 
 #: Number of buckets of a zone's records whose digests two daemons compare. A
@@ -22,7 +28,7 @@
 #: Heartbeat number of an upstream that announced its shutdown. It is higher
 #: than that of any heartbeat of the same start, so that later heartbeats no
 #: longer count.
-LEAVE_SEQUENCE = 1 << 62
+LEAVE_SEQUENCE = MAX_NUMBER
 
 
 class UpstreamRecord(Struct, frozen=True, array_like=True):
@@ -35,13 +41,13 @@
     :param limit: limit on the rate of requests, if it announces one.
     """
 
-    instance: str
-    born: int
-    heartbeat: int
-    service: ServiceName
-    version: VersionName
+    instance: InstanceField
+    born: UnixMs
+    heartbeat: Number
+    service: ServiceField
+    version: VersionField
     state: UpstreamState
-    slots: int
+    slots: Slots
     limit: RateLimit | None = None
 
     @property
@@ -60,12 +66,12 @@
     :param leaving: whether the daemon accepts no further requests.
     """
 
-    vm: VmId
-    incarnation: int
-    sequence: int
-    availability_zone: AvailabilityZone
-    calls: str
-    gossip: str
+    vm: VmField
+    incarnation: UnixMs
+    sequence: Number
+    availability_zone: ZoneField
+    calls: TextField
+    gossip: TextField
     leaving: bool = False
     upstream: UpstreamRecord | None = None
 
@@ -131,11 +137,13 @@
         known = self._records.get(record.vm)
         if known is not None and known.revision >= record.revision:
             return False
+        # A record that no message can carry raises here, before any change.
+        checksum = crc32(msgspec.msgpack.encode(record))
         if not self._claim_address(record):
             return False
         if known is not None:
             self._remove(known)
-        self._put(record)
+        self._put(record, checksum)
         self.version += 1
         return True
 
@@ -162,11 +170,11 @@
         self.drop(vm)
         return True
 
-    def _put(self, record: MemberRecord) -> None:
+    def _put(self, record: MemberRecord, checksum: int) -> None:
         self._records[record.vm] = record
         self._by_address[record.calls] = record.vm
         zone = self._zones.setdefault(record.availability_zone, _Zone())
-        zone.put(record)
+        zone.put(record, checksum)
 
     def _remove(self, record: MemberRecord) -> None:
         self._records.pop(record.vm)
@@ -186,10 +194,9 @@
         self.digest = 0
         self._checksums: dict[VmId, int] = {}
 
-    def put(self, record: MemberRecord) -> None:
+    def put(self, record: MemberRecord, checksum: int) -> None:
         """Add the record of a daemon that has none in the zone."""
         self.records[record.vm] = record
-        checksum = crc32(msgspec.msgpack.encode(record))
         self._checksums[record.vm] = checksum
         self._toggle(record.vm, checksum)
 
--- a/libs/policy/src/verbenamill_policy/pace.py
+++ b/libs/policy/src/verbenamill_policy/pace.py
@@ -4,6 +4,8 @@
 
 from msgspec import Struct
 
+from verbenamill_model.external import Amount, DurationMs
+
 #: Figure of an upstream at which requests take the usual time.
 USUAL_FIGURE = 100
 #: Bounds of the pace. Without them a single extreme figure would keep an
@@ -31,8 +33,8 @@
     :param age_ms: its age in milliseconds.
     """
 
-    figure: int
-    age_ms: int = 0
+    figure: Amount
+    age_ms: DurationMs = 0
 
 
 class MomentaryPace:
--- a/libs/policy/src/verbenamill_policy/quarantine.py
+++ b/libs/policy/src/verbenamill_policy/quarantine.py
@@ -21,6 +21,7 @@
 import msgspec
 from msgspec import Struct
 
+from verbenamill_model.external import Number
 from verbenamill_policy.fingerprints import FINGERPRINT_BYTES, Fingerprint
 
 #: Identifies one crash of one upstream.
@@ -64,9 +65,9 @@
     """
 
     fingerprint: Fingerprint
-    round: int = 0
+    round: Number = 0
     crashes: tuple[CrashId, ...] = ()
-    changed_at: int = 0
+    changed_at: Number = 0
     about: str = ''
     alone: tuple[CrashId, ...] = ()
 
--- a/libs/policy/src/verbenamill_policy/quotas/messages.py
+++ b/libs/policy/src/verbenamill_policy/quotas/messages.py
@@ -4,15 +4,25 @@
 """
 
 from enum import IntEnum, unique
-
-from msgspec import Struct
-
-from verbenamill_model.typing import VmId
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+from verbenamill_model.external import (
+    MAX_CHECKSUM,
+    Amount,
+    DurationMs,
+    Number,
+    UnixMs,
+    VmField,
+)
 from verbenamill_policy.quotas.limits import OrganisationId
 
 #: Units of a token in messages.
 TOKEN_UNITS = 1000
 
+_OrganisationField = Annotated[OrganisationId, Meta(ge=0, le=MAX_CHECKSUM)]
+
 
 @unique
 class RequestKind(IntEnum):
@@ -39,11 +49,11 @@
     :param returned: tokens that the sender gives back with this message.
     """
 
-    organisation: OrganisationId
-    wanted: int
-    ahead: int = 0
-    held: int = 0
-    returned: int = 0
+    organisation: _OrganisationField
+    wanted: Amount
+    ahead: Amount = 0
+    held: Amount = 0
+    returned: Amount = 0
 
 
 class TokenRequest(Struct, frozen=True, tag='q', array_like=True):
@@ -54,11 +64,11 @@
     :param daemons: number of daemons that the sender knows.
     """
 
-    sender: VmId
-    incarnation: int
-    number: int
+    sender: VmField
+    incarnation: UnixMs
+    number: Number
     kind: RequestKind
-    daemons: int
+    daemons: Number
     demands: list[TokenDemand]
 
 
@@ -69,9 +79,9 @@
         all that were wanted are given.
     """
 
-    organisation: OrganisationId
-    tokens: int
-    wait: int = 0
+    organisation: _OrganisationField
+    tokens: Amount
+    wait: DurationMs = 0
 
 
 class TokenGrant(Struct, frozen=True, tag='g', array_like=True):
@@ -82,10 +92,10 @@
     :param daemons: number of daemons that the sender knows.
     """
 
-    sender: VmId
-    number: int
+    sender: VmField
+    number: Number
     accepted: bool
-    daemons: int
+    daemons: Number
     granted: list[Granted]
 
 
--- a/libs/policy/src/verbenamill_policy/rollouts.py
+++ b/libs/policy/src/verbenamill_policy/rollouts.py
@@ -4,6 +4,14 @@
 
 from msgspec import Struct
 
+from verbenamill_model.external import (
+    Number,
+    NumberOrNone,
+    PositiveSeconds,
+    ServiceField,
+    StageNumber,
+    VersionField,
+)
 from verbenamill_model.typing import ServiceName, VersionName
 
 
@@ -14,10 +22,10 @@
     :param window: time in which the move is to be done, in seconds.
     """
 
-    id: int
-    service: ServiceName
-    target: VersionName
-    window: float
+    id: Number
+    service: ServiceField
+    target: VersionField
+    window: PositiveSeconds
 
 
 @unique
@@ -32,9 +40,9 @@
 class SettledOrder(Struct, frozen=True, kw_only=True):
     """The verdict on an order that was reported to the operator."""
 
-    order: int
-    service: ServiceName
-    target: VersionName
+    order: NumberOrNone
+    service: ServiceField
+    target: VersionField
     verdict: Verdict
 
 
@@ -82,11 +90,11 @@
     :param age: time since the order was first seen, in seconds.
     """
 
-    service: ServiceName
-    order: int
-    stage: int = 0
+    service: ServiceField
+    order: Number
+    stage: StageNumber = 0
     vetoed: bool = False
-    age: float = 0
+    age: PositiveSeconds = 0
 
 
 def merge_progress(one: Progress, other: Progress) -> Progress:
--- a/libs/policy/src/verbenamill_policy/tallies.py
+++ b/libs/policy/src/verbenamill_policy/tallies.py
@@ -2,10 +2,19 @@
 
 from collections.abc import Mapping
 from math import log, log2
+from typing import Annotated
 
-from msgspec import Struct
+from msgspec import Meta, Struct
 from msgspec.structs import replace
 
+from verbenamill_model.external import (
+    Number,
+    RouteField,
+    ServiceField,
+    TextField,
+    VersionField,
+    VmField,
+)
 from verbenamill_model.typing import (
     RouteName,
     ServiceName,
@@ -22,6 +31,8 @@
 _BUCKETS_PER_DOUBLING = 4
 #: Shortest time with a bucket of its own, in milliseconds.
 _MIN_TIME_MS = 0.1
+#: Number of a bucket of the histogram.
+TimeBucket = Annotated[int, Meta(ge=-100, le=100)]
 
 
 class RouteCounts(Struct, array_like=True):
@@ -33,11 +44,11 @@
     :param lost: requests without an answer, as in a crash.
     """
 
-    route: RouteName
-    calls: int = 0
-    failed: int = 0
-    times: dict[int, int] = {}
-    lost: int = 0
+    route: RouteField
+    calls: Number = 0
+    failed: Number = 0
+    times: dict[TimeBucket, Number] = {}
+    lost: Number = 0
 
     @property
     def answered(self) -> int:
@@ -81,10 +92,10 @@
         each instance.
     """
 
-    vm: VmId
-    instance: str
-    service: ServiceName
-    version: VersionName
+    vm: VmField
+    instance: TextField
+    service: ServiceField
+    version: VersionField
     routes: list[RouteCounts]
 
 
--- a/libs/policy/tests/test_members.py
+++ b/libs/policy/tests/test_members.py
@@ -2,6 +2,7 @@
 
 from random import Random
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -90,3 +91,16 @@
     assert missing
     assert missing <= sent
     assert len(sent) < 100
+
+
+def test_a_record_that_cannot_be_encoded_changes_nothing():
+    """Guards against a member without a checksum, which cannot be removed."""
+    table = MemberTable()
+    assert table.merge(make_record('vm1', 1))
+    digests = table.digests
+    with pytest.raises(OverflowError):
+        table.merge(make_record('vm1', 1 << 64))
+    assert [record.incarnation for record in table] == [1]
+    assert table.digests == digests
+    table.drop('vm1')
+    assert not table.digests
--- a/libs/sidecar/src/verbenamill_sidecar/membership/datagrams.py
+++ b/libs/sidecar/src/verbenamill_sidecar/membership/datagrams.py
@@ -8,7 +8,17 @@
 import msgspec
 from msgspec import Struct
 
-from verbenamill_model.typing import AvailabilityZone, VmId
+from verbenamill_model.external import (
+    Checksum,
+    DurationMs,
+    Load,
+    Number,
+    NumberOrNone,
+    UnixMs,
+    VmField,
+    ZoneField,
+    decode_external,
+)
 from verbenamill_policy.members import MemberRecord
 from verbenamill_policy.pace import PaceReport
 from verbenamill_policy.quarantine import Suspect
@@ -37,50 +47,50 @@
     :param blocked: digest of the blocked requests.
     """
 
-    sender: VmId
-    zones: dict[AvailabilityZone, int]
-    moves: int
-    stamp: tuple[int, int]
+    sender: VmField
+    zones: dict[ZoneField, Checksum]
+    moves: Checksum
+    stamp: tuple[NumberOrNone, NumberOrNone]
     is_reply: bool = False
-    blocked: int = 0
+    blocked: Checksum = 0
 
 
 class Digests(Struct, tag='d', array_like=True):
     """Bucket digests of one zone whose digests differ."""
 
-    sender: VmId
-    zone: AvailabilityZone
-    buckets: list[int]
+    sender: VmField
+    zone: ZoneField
+    buckets: list[Checksum]
 
 
 class RecordRevision(Struct, array_like=True):
     """The revision of a member's record that the sender holds."""
 
-    vm: VmId
-    incarnation: int
-    sequence: int
+    vm: VmField
+    incarnation: UnixMs
+    sequence: Number
 
 
 class Ages(Struct, tag='v', array_like=True):
     """Revisions of all records that the sender holds in some buckets."""
 
-    sender: VmId
-    zone: AvailabilityZone
-    buckets: list[int]
+    sender: VmField
+    zone: ZoneField
+    buckets: list[Number]
     known: list[RecordRevision]
 
 
 class Wanted(Struct, tag='w', array_like=True):
     """Requests the records of some members."""
 
-    sender: VmId
-    vms: list[VmId]
+    sender: VmField
+    vms: list[VmField]
 
 
 class Records(Struct, tag='m', array_like=True):
     """Records that the receiver lacks."""
 
-    sender: VmId
+    sender: VmField
     members: list[MemberRecord]
 
 
@@ -107,10 +117,10 @@
         not been heard of, in milliseconds.
     """
 
-    sender: VmId
-    stamp: tuple[int, int]
+    sender: VmField
+    stamp: tuple[NumberOrNone, NumberOrNone]
     kind: NoticeKind = NoticeKind.CURRENT
-    age_ms: int = 0
+    age_ms: DurationMs = 0
 
 
 class Ask(Struct, tag='a', array_like=True):
@@ -119,7 +129,7 @@
     :param wants_load: whether the sender is about to place a request.
     """
 
-    sender: VmId
+    sender: VmField
     wants_load: bool = False
 
 
@@ -132,16 +142,16 @@
         usual one.
     """
 
-    sender: VmId
-    load: int = -1
+    sender: VmField
+    load: Load = -1
     pace: PaceReport | None = None
 
 
 class _ShortAlive(Struct, tag='l', array_like=True):
     """An answer without a pace, as it is sent."""
 
-    sender: VmId
-    load: int
+    sender: VmField
+    load: Load
 
 
 class Tallies(Struct, tag='t', array_like=True):
@@ -174,7 +184,7 @@
 
     :raises msgspec.MsgspecError: if it is not a valid message.
     """
-    return _decoder.decode(data)
+    return decode_external(_decoder, data)
 
 
 def encode_message(message: Message) -> bytes:
--- a/libs/sidecar/src/verbenamill_sidecar/membership/dissemination.py
+++ b/libs/sidecar/src/verbenamill_sidecar/membership/dissemination.py
@@ -1,7 +1,10 @@
 """Spreads updates of members, moves and suspected requests as rumors."""
 
 from collections.abc import Callable, Iterable
+from functools import lru_cache
 
+from verbenamill_http.addresses import parse_address
+from verbenamill_model.external import MAX_UNIX_MS
 from verbenamill_model.typing import ServiceName, VmId
 from verbenamill_policy.fingerprints import Fingerprint
 from verbenamill_policy.members import (
@@ -35,8 +38,7 @@
 SUSPECTS_PER_DATAGRAM = 3
 #: Mean number of daemons that send its previous record to a restarted daemon.
 _MEAN_REMINDERS = 3
-
-#: Sends a message to a daemon, without a guarantee of delivery.
+_CACHED_ADDRESSES = 4096
 
 #: Sends a message to a daemon; it may get lost.
 Send = Callable[[MemberRecord, Message], None]
@@ -109,6 +111,9 @@
         :param spread: whether to pass changed records on.
         """
         for record in records:
+            if not _has_valid_addresses(record):
+                log(Event.MESSAGE_UNKNOWN, kind=f'addresses of {record.vm}')
+                continue
             known = self._table.get(record.vm)
             if record.vm == self._own.vm:
                 self._supersede_own_record(record)
@@ -287,7 +292,7 @@
         if record.revision <= own.revision:
             return
         self._replace_own_record(
-            max(record.incarnation, own.incarnation) + 1,
+            min(max(record.incarnation, own.incarnation) + 1, MAX_UNIX_MS),
             upstream=own.upstream,
             leaving=own.leaving,
         )
@@ -336,6 +341,20 @@
     return RumorKey(RumorKind.MEMBER, vm)
 
 
+@lru_cache(maxsize=_CACHED_ADDRESSES)
+def _is_address(text: str) -> bool:
+    try:
+        parse_address(text)
+    except ValueError:
+        return False
+    return True
+
+
+def _has_valid_addresses(record: MemberRecord) -> bool:
+    """Whether requests and datagrams can be sent to a daemon."""
+    return _is_address(record.calls) and _is_address(record.gossip)
+
+
 def _rate_limit_of(upstream: UpstreamRecord | None) -> float | None:
     if upstream is None or upstream.limit is None:
         return None
--- a/libs/sidecar/src/verbenamill_sidecar/routing/hop.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/hop.py
@@ -5,20 +5,31 @@
 """
 
 import math
+from typing import Annotated
 from urllib.parse import quote, unquote
 
 import msgspec
-from msgspec import Struct
+from msgspec import Meta, Struct
 
 from verbenamill_http.client import ClientResponse
 from verbenamill_http.messages import Header, end_to_end_headers, get_header
 from verbenamill_http.server import Response
-from verbenamill_model.typing import (
-    OrganisationName,
-    RouteName,
-    ServiceName,
-    VersionName,
+from verbenamill_model.external import (
+    MAX_DURATION_MS,
+    DurationMs,
+    InstanceField,
+    Load,
+    Number,
+    NumberOrNone,
+    PriorityNumber,
+    RouteField,
+    ServiceField,
+    TextField,
+    UnixMs,
+    VersionField,
+    decode_external,
 )
+from verbenamill_model.typing import OrganisationName
 from verbenamill_policy.limits import RateLimit
 from verbenamill_policy.organisations import NO_KEY, KeyFingerprint
 from verbenamill_policy.pace import PaceReport
@@ -27,6 +38,10 @@
 from verbenamill_sidecar.routing.call import ExecutionStatus, Outcome
 from verbenamill_sidecar.state.desired_state import NO_STAMP, VersionStamp
 
+#: Text that a header can hold.
+_HeaderText = Annotated[str, Meta(pattern=r'^[^\x00\r\n\u0100-\U0010ffff]*\Z')]
+_StampField = tuple[NumberOrNone, NumberOrNone]
+
 CALL_HEADER = b'verbenamill-call'
 OWNER_HEADER = b'verbenamill-owner'
 #: On a response, the pace of the upstream: the figure and its age.
@@ -55,23 +70,23 @@
     :param stamp: version stamp of the sender's desired state.
     """
 
-    id: str
-    route: RouteName
+    id: _HeaderText
+    route: RouteField
     kind: RouteKind
-    priority: int
-    service: ServiceName
-    version: VersionName
-    instance: str
-    origin: str
-    objective: int
-    deadline: int
+    priority: PriorityNumber
+    service: ServiceField
+    version: VersionField
+    instance: InstanceField
+    origin: _HeaderText
+    objective: DurationMs
+    deadline: DurationMs
     is_nested: bool = False
-    sender: str = ''
-    sent: int = 0
+    sender: TextField = ''
+    sent: Number = 0
     is_alone: bool = False
-    born: int = 0
+    born: UnixMs = 0
     limit: RateLimit | None = None
-    stamp: VersionStamp = NO_STAMP
+    stamp: _StampField = NO_STAMP
 
 
 class OrganisationClaim(Struct, frozen=True):
@@ -104,21 +119,21 @@
     :param stamp: version stamp of the owner's desired state.
     """
 
-    load: int
+    load: Load
     execution: ExecutionStatus
-    service_time: int = -1
+    service_time: DurationMs = -1
     reason: str = ''
-    wait: int = 0
+    wait: DurationMs = 0
     reached: bool = False
     everywhere: bool = False
-    mean_service_time: int = -1
+    mean_service_time: DurationMs = -1
     crash: str = ''
     blocked: bool = False
     limit: RateLimit | None = None
-    pause: int = 0
+    pause: DurationMs = 0
     has_left: bool = False
     knows_limit: bool = False
-    stamp: VersionStamp = NO_STAMP
+    stamp: _StampField = NO_STAMP
 
 
 _call_decoder = msgspec.json.Decoder(HopCall)
@@ -138,7 +153,7 @@
     if encoded is None:
         return None
     try:
-        return _call_decoder.decode(encoded)
+        return decode_external(_call_decoder, encoded)
     except msgspec.MsgspecError:
         return None
 
@@ -185,18 +200,18 @@
     report = OwnerReport(
         load=outcome.load,
         execution=outcome.execution,
-        service_time=-1 if service_time is None else int(service_time * 1000),
+        service_time=-1 if service_time is None else _to_ms(service_time),
         mean_service_time=-1
         if mean_service_time is None
-        else int(mean_service_time * 1000),
+        else _to_ms(mean_service_time),
         reason=outcome.reason,
-        wait=int(outcome.wait * 1000),
+        wait=_to_ms(outcome.wait),
         reached=outcome.reached,
         everywhere=outcome.everywhere,
         crash=outcome.crash or '',
         blocked=outcome.blocked,
         limit=outcome.limit,
-        pause=math.ceil(outcome.pause * 1000),
+        pause=_to_ms(outcome.pause, round_up=True),
         has_left=outcome.has_left,
         knows_limit=outcome.knows_limit,
         stamp=stamp,
@@ -216,13 +231,19 @@
     )
 
 
+def _to_ms(seconds: float, *, round_up: bool = False) -> int:
+    """Convert a duration, which is infinite where no end is known."""
+    milliseconds = min(seconds * 1000, MAX_DURATION_MS)
+    return math.ceil(milliseconds) if round_up else int(milliseconds)
+
+
 def read_outcome(answer: ClientResponse) -> Outcome | None:
     """Decode an owner's response; ``None`` if no owner has sent it."""
     encoded = get_header(answer.headers, OWNER_HEADER)
     if encoded is None:
         return None
     try:
-        report = _report_decoder.decode(encoded)
+        report = decode_external(_report_decoder, encoded)
     except msgspec.MsgspecError:
         return None
     outcome = Outcome(
@@ -258,6 +279,6 @@
     if encoded is None:
         return None
     try:
-        return _pace_decoder.decode(encoded)
+        return decode_external(_pace_decoder, encoded)
     except msgspec.MsgspecError:
         return None
--- a/libs/sidecar/src/verbenamill_sidecar/state/desired_state.py
+++ b/libs/sidecar/src/verbenamill_sidecar/state/desired_state.py
@@ -6,6 +6,7 @@
 import msgspec
 from msgspec import Struct
 
+from verbenamill_model.external import decode_external, decompress_external
 from verbenamill_model.typing import (
     AvailabilityZone,
     ServiceName,
@@ -63,6 +64,8 @@
 
 
 _decoder = msgspec.msgpack.Decoder(_ReceivedSnapshot)
+#: Longest snapshot of another daemon before its compression, in bytes.
+_MAX_SNAPSHOT_BYTES = 32 * 1024 * 1024
 
 
 def encode_snapshot(snapshot: StateSnapshot) -> bytes:
@@ -77,8 +80,11 @@
 def decode_snapshot(body: bytes) -> StateSnapshot | None:
     """Decode a snapshot of another daemon; ``None`` if it is malformed."""
     try:
-        return _decoder.decode(zlib.decompress(body))
-    except (msgspec.MsgspecError, zlib.error):
+        return decode_external(
+            _decoder,
+            decompress_external(body, limit=_MAX_SNAPSHOT_BYTES),
+        )
+    except ValueError:
         return None
 
 
--- a/libs/sidecar/tests/test_hop.py
+++ b/libs/sidecar/tests/test_hop.py
@@ -60,6 +60,17 @@
     )
 
 
+@pytest.mark.parametrize('wait', [1e30, float('inf')])
+def test_a_refusal_without_an_end_is_readable(wait):
+    """Guards against a refusal that its ingress takes for no answer."""
+    refused = not_run('the upstream is at its limit', wait=wait)
+    refused.pause = wait
+    decoded = read_outcome(response_of(encode_outcome(refused)))
+    assert decoded.execution is ExecutionStatus.NOT_RUN
+    assert decoded.wait > 1e6
+    assert decoded.pause > 1e6
+
+
 def test_a_reply_reports_the_limit_and_when_it_has_room():
     limit = RateLimit(2.5, 1000)
     refused = not_run('the upstream is at its limit', wait=0.4)
