A shutdown is acknowledged once the store holds it

What callers saw: an upstream announced that it leaves while the store was down, and got 200.

Cause: the answer waited 0.4 s for the write of the record and ignored whether there was one. What an acknowledgement promises was decided in three places: the handler, the registrar and the restore after a start.

An announcement ends the pause between two writes. Related paths: a drain outlasts a second restart of all, a leave at a daemon that knows no upstream is a record, the previous record of a daemon is read beside its newest one, and an outdated shutdown is not acknowledged. VM6036 and a gauge tell of shutdowns that were not saved.

--- a/deploy/tests/test_adapter.py
+++ b/deploy/tests/test_adapter.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 import pytest
+from msgspec.structs import replace
 
 from verbenamill_model.typing import UpstreamState
 from verbenamill_platform import read_announcement
@@ -20,7 +21,11 @@
     encode_zone,
 )
 from verbenamill_platform.records import decode_page, encode_record
-from verbenamill_policy.members import MemberRecord
+from verbenamill_policy.members import (
+    LEAVE_SEQUENCE,
+    MemberRecord,
+    UpstreamRecord,
+)
 from verbenamill_policy.rollouts import SettledOrder, Verdict
 from verbenamill_sidecar.protocol import InvalidAnnouncement, LeaveAnnouncement
 
@@ -164,6 +169,17 @@
     assert decode_newest(data)[1] == (newer,)
 
 
+def test_the_upstream_of_a_previous_record_is_kept():
+    """Guards against a restart whose first save hides an announced leave."""
+    upstream = UpstreamRecord(
+        'i1', 5, LEAVE_SEQUENCE, 's', 'v1', UpstreamState.GONE, 4
+    )
+    left = replace(make_member('vm1'), upstream=upstream)
+    restarted = make_member('vm1', incarnation=2)
+    data = encode_member(left) + encode_zone('z', [restarted], ())
+    assert decode_newest(data)[1] == (left, restarted)
+
+
 def test_an_announcement_is_deleted_once_its_zone_is_saved():
     member = make_member('vm1')
     data = encode_announcement(member)
--- a/libs/policy/src/verbenamill_policy/heartbeats.py
+++ b/libs/policy/src/verbenamill_policy/heartbeats.py
@@ -102,11 +102,17 @@
         :param now: Unix time in milliseconds.
         """
         current = self._current
-        if current is None or current.instance != instance:
+        if current is None and born:
             # A daemon that has just started knows no upstream yet. The notice
-            # still applies, and a delayed heartbeat must not undo it. A notice
-            # without a start time ends every start until now: a delayed
-            # heartbeat states an earlier start, a successor a later one.
+            # still applies, and a delayed heartbeat must not undo it, also
+            # after another restart.
+            self._remember_leave(instance, born)
+            self._current = _make_tombstone(instance, born)
+            return False
+        if current is None or current.instance != instance:
+            # A notice without a start time ends every start until now: a
+            # delayed heartbeat states an earlier start, a successor a later
+            # one.
             self._remember_leave(instance, born or now)
             return False
         if born and born < current.born:
@@ -116,6 +122,19 @@
         self._end(UpstreamState.GONE)
         return True
 
+    def keeps_out(self, instance: str, born: int) -> bool:
+        """Whether the current record keeps a start from getting requests.
+
+        :param born: start of the upstream; 0 if not stated.
+        """
+        current = self._current
+        if current is None:
+            return True
+        if current.instance == instance:
+            return current.state is not UpstreamState.READY
+        # No delayed heartbeat of an earlier start replaces the current one.
+        return born <= current.born
+
     def leave_in_band(self, instance: str, born: int) -> bool:
         """Process a shutdown notice in an answer; returns whether it is new.
 
@@ -163,13 +182,11 @@
             self._shutdowns[record.instance] = order
             self._evict_oldest()
         current = self._current
-        if current is None and record.has_left:
+        if current is None:
             # The record is announced again, so that it also applies after
             # further restarts of this daemon.
             self._current = record
             return True
-        if current is None:
-            return False
         if current.instance != record.instance or not _is_newer_record(
             record,
             current,
@@ -218,6 +235,19 @@
         self._current = replace(current, state=state)
 
 
+def _make_tombstone(instance: str, born: int) -> UpstreamRecord:
+    """Make the record of an upstream of which only its leave is known."""
+    return UpstreamRecord(
+        instance=instance,
+        born=born,
+        heartbeat=LEAVE_SEQUENCE,
+        service=ServiceName(''),
+        version=VersionName(''),
+        state=UpstreamState.GONE,
+        slots=1,
+    )
+
+
 def _is_newer_heartbeat(current: UpstreamRecord, beat: Heartbeat) -> bool:
     if beat.born != current.born:
         return beat.born > current.born
--- a/libs/sidecar/src/verbenamill_sidecar/daemon.py
+++ b/libs/sidecar/src/verbenamill_sidecar/daemon.py
@@ -295,7 +295,7 @@
             self._desired_state,
             self._gossip.record_stamp,
         )
-        announcements = Announcements(
+        self._announcements = Announcements(
             self._own_upstream,
             parse=context.read_announcement,
             is_known=self._is_known,
@@ -316,7 +316,7 @@
         return (
             self._caller_server,
             self._daemon_server,
-            _make_local_server(announcements.handle),
+            _make_local_server(self._announcements.handle),
             _make_local_server(health.handle),
         )
 
@@ -511,6 +511,10 @@
                 len(self._desired_state.running_orders()),
             ),
             'upstream_ready': ('Whether the upstream takes work.', is_up),
+            'upstream_unsaved_shutdowns': (
+                'Shutdowns of it that the store did not hold in time.',
+                self._announcements.unsaved_shutdowns,
+            ),
             'upstream_running': ('Requests at it.', self._own_upstream.running),
             'upstream_waiting': (
                 'Requests in the queue.',
--- a/libs/sidecar/src/verbenamill_sidecar/membership/registration.py
+++ b/libs/sidecar/src/verbenamill_sidecar/membership/registration.py
@@ -6,6 +6,7 @@
 import trio
 from returns.result import Success
 
+from verbenamill_http.timers import Pause
 from verbenamill_model.typing import UpstreamState, VmId
 from verbenamill_policy.members import MemberRecord, MemberTable
 from verbenamill_policy.quarantine import Quarantine
@@ -75,6 +76,7 @@
         self._written_record: MemberRecord | None = None
         self._write_requested = trio.Event()
         self._write_done = trio.Event()
+        self._write_pause = Pause()
         self._has_read_members = False
         self._saved_digest: int | None = None
         self._saved_vms: set[VmId] = set()
@@ -92,8 +94,11 @@
         :returns: whether the store holds it.
         """
         self.request_write()
-        with trio.move_on_after(timeout):
-            await self._write_done.wait()
+        if not self._is_written():
+            # The upstream waits, so the pause after a failed write ends.
+            self._write_pause.end()
+            with trio.move_on_after(timeout):
+                await self._write_done.wait()
         return self._is_written()
 
     def request_write(self) -> None:
@@ -122,7 +127,7 @@
                 if self._has_read_members and await self._write_own_record():
                     pause = _MIN_RETRY_PAUSE
                     continue
-                await trio.sleep(pause * self._random.random())
+                await self._write_pause.sleep(pause * self._random.random())
                 pause = min(pause * 2, _MAX_RETRY_PAUSE)
 
     async def save_before_exit(self, timeout: float) -> None:
--- a/libs/sidecar/src/verbenamill_sidecar/upstream/local_upstream.py
+++ b/libs/sidecar/src/verbenamill_sidecar/upstream/local_upstream.py
@@ -178,12 +178,13 @@
 
     def handle_leave(self, announcement: LeaveAnnouncement) -> bool:
         """Apply a leave announcement and send the upstream nothing further."""
+        before = self.register.current
         is_known = self.register.leave(
             announcement.instance,
             announcement.born,
             now=self._context.wall_ms(),
         )
-        if is_known:
+        if self.register.current is not before:
             self._apply_change()
         return is_known
 
--- a/libs/telemetry/src/verbenamill_telemetry/events.py
+++ b/libs/telemetry/src/verbenamill_telemetry/events.py
@@ -590,6 +590,16 @@
         'A pool host of the group answers.',
         _NO_ACTION,
     )
+    SHUTDOWN_NOT_SAVED = EventDefinition(
+        'VM6036',
+        logging.WARNING,
+        'the shutdown of upstream {instance} is not acknowledged',
+        'The store did not hold it in time. The upstream gets no new work '
+        'here, and is asked to announce its shutdown again: if all daemons '
+        'were killed now, they would not know of it.',
+        'Check whether the store answers this VM.',
+        rate=5,
+    )
     INVARIANT_BROKEN = EventDefinition(
         'VM9001',
         logging.CRITICAL,
