Bytes without end are given up by their number

What callers saw: with one of three upstreams answering without end, 0.30 of the calls ended with 504 at their deadline, and its daemon took 58 to 832 MB (its limit is 256). An endless head of the store cost each daemon 158 to 176 MB, an endless request at the local ports 68 to 70 MB.

Cause: the limit of a head was applied when the head was complete; lines of chunks, trailers and interim responses had none; three copies of the loop that feeds the parser decided this each for itself.

Change: one loop (parsing.py) bounds the bytes in sequence that are part of no body, on both sides.

--- a/libs/http/src/verbenamill_http/client.py
+++ b/libs/http/src/verbenamill_http/client.py
@@ -8,7 +8,6 @@
 from enum import Enum, unique
 
 import trio
-from httptools import HttpParserError, HttpParserUpgrade
 from msgspec import Struct
 
 from verbenamill_http.addresses import Address
@@ -20,6 +19,7 @@
 )
 from verbenamill_http.parsing import ResponseCollector
 from verbenamill_http.sockets import USER_TIMEOUT_MS, connect
+from verbenamill_http.unsized_bodies import UnsizedBodies
 
 #: Largest number of bytes that one read takes.
 READ_SIZE_BYTES = 64 * 1024
@@ -95,6 +95,7 @@
         matches_request: Callable[[ResponseHead], bool],
         is_bodiless: bool,
         max_body: int,
+        unsized: UnsizedBodies | None = None,
     ) -> ClientResponse | ExchangeFailure:
         """Send a request and read its response.
 
@@ -104,7 +105,9 @@
             late responses to earlier requests are skipped.
         :param is_bodiless: whether the response has no body, as after HEAD.
         :param max_body: longest body that is accepted, in bytes.
+        :param unsized: limits the bodies whose length is not announced.
         """
+        unsized = unsized or UnsizedBodies()
         remaining = self._send_nowait(request)
         if remaining is None:
             return ExchangeFailure.NOT_SENT
@@ -112,10 +115,14 @@
             matches_request,
             ResponseCollector(MAX_HEAD_BYTES, is_bodiless=is_bodiless),
             max_body,
+            unsized,
         )
-        if not remaining:
-            return await self._read_response(reader)
-        return await self._send_and_read(remaining, reader)
+        try:
+            if not remaining:
+                return await self._read_response(reader)
+            return await self._send_and_read(remaining, reader)
+        finally:
+            unsized.release(reader)
 
     async def _send_and_read(
         self,
@@ -194,7 +201,9 @@
         matches_request: Callable[[ResponseHead], bool],
         collector: ResponseCollector,
         max_body: int,
+        unsized: UnsizedBodies,
     ) -> None:
+        self._unsized = unsized
         self._matches_request = matches_request
         self._collector = collector
         self._max_body = max_body
@@ -207,11 +216,7 @@
 
         :return: the response once it is complete, or a failure.
         """
-        is_malformed = False
-        try:
-            self._collector.parser.feed_data(data)
-        except (HttpParserError, HttpParserUpgrade):
-            is_malformed = True
+        is_malformed = self._collector.feed(data) is not None
         result = self._process_events()
         if result is None and is_malformed:
             return ExchangeFailure.MALFORMED
@@ -239,10 +244,12 @@
             if isinstance(event, bytes):
                 self._parts.append(event)
                 self._size += len(event)
-                if self._size > self._max_body:
+                if not self._may_hold_body():
                     return ExchangeFailure.MALFORMED
             elif isinstance(event, ResponseHead):
                 self._head = event
+                if _announces_more(event, self._max_body):
+                    return ExchangeFailure.MALFORMED
             elif event is EndOfBody.END:
                 response = self._complete_response()
                 if response is not None:
@@ -252,6 +259,15 @@
                 return ExchangeFailure.MALFORMED
         return None
 
+    def _may_hold_body(self) -> bool:
+        """Whether the part of the body that was received may be kept."""
+        head = self._head
+        if self._size > self._max_body:
+            return False
+        if head is not None and head.is_sized:
+            return True
+        return self._unsized.hold(self, self._size)
+
     def _complete_response(self) -> ClientResponse | None:
         head = self._head
         assert head is not None
@@ -280,6 +296,12 @@
         )
 
 
+def _announces_more(head: ResponseHead, max_body: int) -> bool:
+    """Whether a response has a length that is not accepted."""
+    length = 0 if head.is_bodiless else head.framing.length
+    return head.is_framed and length is not None and length > max_body
+
+
 class ConnectionPool:
     """Persistent connections to one address.
 
@@ -307,6 +329,7 @@
         self._connect_timeout = connect_timeout
         self._user_timeout_ms = user_timeout_ms
         self._idle: list[ClientConnection] = []
+        self._unsized = UnsizedBodies()
         self._valid_since = float('-inf')
 
     @property
@@ -376,6 +399,7 @@
                 matches_request=matches_request,
                 is_bodiless=is_bodiless,
                 max_body=max_body,
+                unsized=self._unsized,
             )
         finally:
             if isinstance(result, ClientResponse) and result.is_reusable:
--- a/libs/http/src/verbenamill_http/connection.py
+++ b/libs/http/src/verbenamill_http/connection.py
@@ -1,20 +1,14 @@
 """HTTP/1.1 connections that use trio for I/O and httptools for parsing."""
 
 import os
-from http import HTTPStatus
 from select import POLLIN, POLLRDHUP, poll
 from socket import SHUT_WR
 from typing import Protocol
 
 import trio
-from httptools import HttpParserError, HttpParserUpgrade
 
 from verbenamill_http.messages import MessageEvent, ReadFailure
-from verbenamill_http.parsing import (
-    RequestCollector,
-    ResponseCollector,
-    head_too_long,
-)
+from verbenamill_http.parsing import RequestCollector, ResponseCollector
 
 #: Largest number of bytes that one read takes. Limits the memory that a
 #: connection uses for unprocessed bytes.
@@ -54,7 +48,6 @@
         self._stream = stream
         self._fd = stream.socket.fileno()
         self._max_head = max_head
-        self._head_bytes = 0
         self._collector: RequestCollector | ResponseCollector | None = None
 
     def expect_requests(self) -> None:
@@ -66,7 +59,6 @@
 
         :param is_bodiless: whether the response has no body, as after HEAD.
         """
-        self._head_bytes = 0
         self.received_bytes = 0
         self._collector = ResponseCollector(
             self._max_head,
@@ -199,17 +191,4 @@
     def _feed(self, data: bytes) -> ReadFailure | None:
         collector = self._collector
         assert collector is not None
-        if collector.is_in_head:
-            self._head_bytes += len(data)
-        try:
-            collector.parser.feed_data(data)
-        except HttpParserUpgrade:
-            return ReadFailure('upgrade is refused', HTTPStatus.NOT_IMPLEMENTED)
-        except HttpParserError as error:
-            return ReadFailure(str(error), HTTPStatus.BAD_REQUEST)
-        if collector.is_between_messages or not collector.is_in_head:
-            self._head_bytes = 0
-        # An endless head would exhaust the memory of a small VM.
-        if self._head_bytes > self._max_head:
-            return head_too_long(self._max_head)
-        return None
+        return collector.feed(data)
--- a/libs/http/src/verbenamill_http/messages.py
+++ b/libs/http/src/verbenamill_http/messages.py
@@ -66,6 +66,13 @@
     is_framed: bool = True
     is_bodiless: bool = False
 
+    @property
+    def is_sized(self) -> bool:
+        """Whether it is known how long the body is."""
+        return self.is_bodiless or (
+            self.is_framed and self.framing.length is not None
+        )
+
 
 @unique
 class EndOfBody(Enum):
--- a/libs/http/src/verbenamill_http/parsing.py
+++ b/libs/http/src/verbenamill_http/parsing.py
@@ -1,9 +1,15 @@
 """Conversion of the callbacks of httptools into message events."""
 
 from collections import deque
+from collections.abc import Callable
 from http import HTTPStatus
 
-from httptools import HttpRequestParser, HttpResponseParser
+from httptools import (
+    HttpParserError,
+    HttpParserUpgrade,
+    HttpRequestParser,
+    HttpResponseParser,
+)
 
 from verbenamill_http.messages import (
     FRAMING_HEADERS,
@@ -16,6 +22,7 @@
     parse_framing,
 )
 
+_UPGRADE_REFUSED = ReadFailure('upgrade is refused', HTTPStatus.NOT_IMPLEMENTED)
 _BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 
 
@@ -25,16 +32,46 @@
     Bytes that follow a message become events of the next message, so that
     pipelined requests can be processed in order. The queue is limited to the
     events of a single read.
+
+    Bytes that are part of no body are limited as well: a head, an interim
+    response, the line of a chunk and trailers can each go on without end.
+
+    :param max_head: longest head, and most bytes in sequence without any of a
+        body or the end of a message, apart from those of a single read.
     """
 
     def __init__(self, max_head: int) -> None:
+        self._parse: Callable[[bytes], None] = _parse_nothing
         self.events: deque[MessageEvent] = deque()
         self._max_head = max_head
         self._head_size = 0
+        self._overhead = 0
+        self._has_progressed = False
         self.headers: list[Header] = []
         self.is_in_head = True
         self.is_between_messages = True
 
+    def feed(self, data: bytes) -> ReadFailure | None:
+        """Parse received bytes; returns why no more of them can be parsed."""
+        self._has_progressed = False
+        try:
+            self._parse(data)
+        except HttpParserUpgrade:
+            return _UPGRADE_REFUSED
+        except HttpParserError as error:
+            return ReadFailure(str(error), HTTPStatus.BAD_REQUEST)
+        self._overhead = (
+            0 if self._has_progressed else (self._overhead + len(data))
+        )
+        if self._overhead <= self._max_head:
+            return None
+        if self.is_in_head:
+            return head_too_long(self._max_head)
+        return ReadFailure(
+            f'more than {self._max_head} bytes are part of no body',
+            HTTPStatus.BAD_REQUEST,
+        )
+
     def on_message_begin(self) -> None:
         self.headers = []
         self._head_size = 0
@@ -50,15 +87,18 @@
             self.headers.append((name.lower(), value))
 
     def on_body(self, body: bytes) -> None:
+        self._has_progressed = True
         self.events.append(body)
 
     def add_head(self, head: RequestHead | ResponseHead) -> None:
+        self._has_progressed = True
         if self._head_size <= self._max_head:
             self.events.append(head)
         else:
             self.events.append(head_too_long(self._max_head))
 
     def end_message(self) -> None:
+        self._has_progressed = True
         self.is_between_messages = True
         self.events.append(EndOfBody.END)
 
@@ -69,6 +109,7 @@
     def __init__(self, max_head: int) -> None:
         super().__init__(max_head)
         self.parser = HttpRequestParser(self)
+        self._parse = self.parser.feed_data
         self._target = b''
 
     def on_message_begin(self) -> None:
@@ -88,10 +129,7 @@
             # The parser reads no body after an upgrade, whatever the length
             # header says, so a body could not be distinguished from the next
             # request.
-            failure = ReadFailure(
-                'upgrade is refused', HTTPStatus.NOT_IMPLEMENTED
-            )
-            self.events.append(failure)
+            self.events.append(_UPGRADE_REFUSED)
             return
         head = RequestHead(
             method=self.parser.get_method(),
@@ -116,6 +154,7 @@
     def __init__(self, max_head: int, *, is_bodiless: bool) -> None:
         super().__init__(max_head)
         self.parser = HttpResponseParser(self)
+        self._parse = self.parser.feed_data
         self._is_bodiless = is_bodiless
         self._is_interim = False
 
@@ -144,6 +183,10 @@
             self.end_message()
 
 
+def _parse_nothing(data: bytes) -> None:
+    """Parser of a collector that has none yet."""
+
+
 def head_too_long(max_head: int) -> ReadFailure:
     """Return the failure of a message whose head exceeds the limit."""
     return ReadFailure(
--- a/libs/http/src/verbenamill_http/served.py
+++ b/libs/http/src/verbenamill_http/served.py
@@ -6,7 +6,6 @@
 from typing import Protocol
 
 import trio
-from httptools import HttpParserError, HttpParserUpgrade
 
 from verbenamill_http.messages import (
     EMPTY_BODY,
@@ -18,7 +17,7 @@
     encode_response,
     get_header,
 )
-from verbenamill_http.parsing import RequestCollector, head_too_long
+from verbenamill_http.parsing import RequestCollector
 from verbenamill_http.server_types import Request, Response, ServerLimits
 from verbenamill_http.sockets import unacknowledged_bytes
 
@@ -95,7 +94,6 @@
         self._head: RequestHead | None = None
         self._body_parts: list[bytes] = []
         self._body_size = 0
-        self._head_bytes = 0
         self._request_started_at = float(0)
         self._active_requests = 0
         self._last_response_sent: trio.Event | None = None
@@ -176,7 +174,10 @@
             if now - self._request_started_at > limits.head_timeout:
                 self._is_interrupted = True
                 trio.lowlevel.notify_closing(self._sock)
-        elif self._head is not None and waiting_time > limits.head_timeout:
+        elif self._head is not None and (
+            waiting_time > limits.head_timeout
+            or now - self._request_started_at > limits.request_timeout
+        ):
             self._is_interrupted = True
             trio.lowlevel.notify_closing(self._sock)
 
@@ -239,20 +240,7 @@
         collector = self._collector
         if collector.is_between_messages:
             self._request_started_at = self.waiting_since
-        max_head = self._server.limits().max_head
-        if collector.is_in_head:
-            self._head_bytes += len(data)
-        try:
-            collector.parser.feed_data(data)
-        except HttpParserUpgrade:
-            return ReadFailure('upgrade is refused', HTTPStatus.NOT_IMPLEMENTED)
-        except HttpParserError as error:
-            return ReadFailure(str(error), HTTPStatus.BAD_REQUEST)
-        if collector.is_between_messages or not collector.is_in_head:
-            self._head_bytes = 0
-        if self._head_bytes > max_head:
-            return head_too_long(max_head)
-        return None
+        return collector.feed(data)
 
     def _process_events(self, nursery: trio.Nursery) -> None:
         events = self._collector.events
--- a/libs/http/src/verbenamill_http/server_types.py
+++ b/libs/http/src/verbenamill_http/server_types.py
@@ -42,10 +42,15 @@
     """Limits on what a client may send.
 
     Sizes are in bytes and times in seconds.
+
+    :param head_timeout: time in which a head is received, and longest pause
+        within a body.
+    :param request_timeout: time in which a whole request is received.
     """
 
     max_head: int = 32 * 1024
     max_body: int = 64 * 1024 * 1024
     head_timeout: float = 10
+    request_timeout: float = 120
     idle_timeout: float = 60
     max_connections: int = 2000
--- a/libs/http/tests/test_server.py
+++ b/libs/http/tests/test_server.py
@@ -172,6 +172,30 @@
     run_scenario(scenario)
 
 
+def test_a_body_that_trickles_in_is_given_up():
+    """Guards against a client that holds a connection for ever."""
+
+    async def scenario(harness):
+        stream = await harness.connect()
+        await stream.send_all(
+            b'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 900\r\n\r\n'
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_trickle, stream)
+            assert b' 408 ' in await read_until(stream, b'too slow')
+            nursery.cancel_scope.cancel()
+        assert not harness.handled
+
+    limits = ServerLimits(head_timeout=5, request_timeout=0.5)
+    run_scenario(scenario, limits=limits)
+
+
+async def _trickle(stream):
+    while True:
+        await stream.send_all(b'a')
+        await trio.sleep(0.05)
+
+
 def test_idle_connection_is_closed_without_a_response():
     async def scenario(harness):
         stream = await harness.connect()
--- a/libs/sidecar/src/verbenamill_sidecar/daemon.py
+++ b/libs/sidecar/src/verbenamill_sidecar/daemon.py
@@ -92,6 +92,10 @@
 _MAX_BLOCK_JITTER = 0.5
 #: Limits until a configuration is known.
 _DEFAULT_LIMITS = ServerLimits()
+#: Limits of the ports for announcements and for health checks.
+_LOCAL_LIMITS = ServerLimits(
+    max_head=16 * 1024, max_body=64 * 1024, request_timeout=10
+)
 
 
 class DaemonContext(Struct, frozen=True, kw_only=True):
@@ -569,7 +573,7 @@
 def _make_local_server(handler: Handler) -> HttpServer:
     return HttpServer(
         handler,
-        limits=lambda: _DEFAULT_LIMITS,
+        limits=lambda: _LOCAL_LIMITS,
         on_error=_log_fault,
     )
 
