The server decides whether a response has a body

Cause: handlers marked the responses to HEAD, and those made while a request is read, at the other ports or by the server itself were not marked.

Change: the server leaves out the body by method and status. The length of an upstream's response to HEAD is passed on, and its connection is not used again.

--- a/libs/http/src/verbenamill_http/client.py
+++ b/libs/http/src/verbenamill_http/client.py
@@ -16,6 +16,7 @@
     Header,
     ReadFailure,
     ResponseHead,
+    find_length,
 )
 from verbenamill_http.parsing import ResponseCollector
 from verbenamill_http.sockets import USER_TIMEOUT_MS, connect
@@ -43,12 +44,14 @@
 class ClientResponse(Struct, kw_only=True):
     """A complete response.
 
+    :param length: announced length of the body; ``None`` without one.
     :param is_reusable: whether the connection can carry another request.
     """
 
     status: int
     headers: list[Header]
     body: bytes
+    length: int | None = None
     is_reusable: bool = True
 
 
@@ -272,9 +275,12 @@
         head = self._head
         assert head is not None
         if self._matches_request(head):
+            # A body after HEAD, which a faulty server may send, would arrive
+            # in place of the next response.
             is_last = (
                 not self._collector.events
                 and self._collector.is_between_messages
+                and not self._collector.is_after_head
             )
             return self._build_response(
                 head,
@@ -292,6 +298,7 @@
             status=head.status,
             headers=head.headers,
             body=b''.join(self._parts),
+            length=find_length(head.headers),
             is_reusable=is_reusable,
         )
 
--- a/libs/http/src/verbenamill_http/messages.py
+++ b/libs/http/src/verbenamill_http/messages.py
@@ -94,6 +94,27 @@
 MessageEvent = RequestHead | ResponseHead | bytes | EndOfBody | ReadFailure
 
 
+def allows_body(method: bytes, status: int) -> bool:
+    """Whether a response has a body (RFC 9110, section 6.4.1).
+
+    :param method: method of the request; empty if it is not known.
+    """
+    return (
+        method != b'HEAD'
+        and status >= HTTPStatus.OK
+        and status not in _STATUSES_WITHOUT_BODY
+    )
+
+
+_STATUSES_WITHOUT_BODY = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
+
+
+def find_length(headers: list[Header]) -> int | None:
+    """Length of the body of a parsed message; ``None`` if it has none."""
+    length = get_header(headers, CONTENT_LENGTH)
+    return None if length is None else int(length)
+
+
 def get_header(headers: list[Header], name: bytes) -> bytes | None:
     """Return the first value of a header.
 
--- a/libs/http/src/verbenamill_http/parsing.py
+++ b/libs/http/src/verbenamill_http/parsing.py
@@ -19,11 +19,11 @@
     ReadFailure,
     RequestHead,
     ResponseHead,
+    allows_body,
     parse_framing,
 )
 
 _UPGRADE_REFUSED = ReadFailure('upgrade is refused', HTTPStatus.NOT_IMPLEMENTED)
-_BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 
 
 class _Collector:
@@ -116,6 +116,11 @@
         super().on_message_begin()
         self._target = b''
 
+    @property
+    def method(self) -> bytes:
+        """Method of the request; empty before its target was received."""
+        return self.parser.get_method() if self._target else b''
+
     def on_url(self, target: bytes) -> None:
         self._head_size += len(target)
         self._target += target
@@ -155,7 +160,7 @@
         super().__init__(max_head)
         self.parser = HttpResponseParser(self)
         self._parse = self.parser.feed_data
-        self._is_bodiless = is_bodiless
+        self.is_after_head = is_bodiless
         self._is_interim = False
 
     def on_headers_complete(self) -> None:
@@ -165,21 +170,21 @@
         if self._is_interim:
             return
         names = {name for name, _ in self.headers}
-        is_bodiless = self._is_bodiless or status in _BODILESS_STATUSES
+        is_bodiless = self.is_after_head or not allows_body(b'', status)
         head = ResponseHead(
             status=status,
             headers=self.headers,
             framing=parse_framing(self.headers),
-            keep_alive=self.parser.should_keep_alive() or self._is_bodiless,
+            keep_alive=self.parser.should_keep_alive() or self.is_after_head,
             is_framed=is_bodiless or not FRAMING_HEADERS.isdisjoint(names),
             is_bodiless=is_bodiless,
         )
         self.add_head(head)
-        if self._is_bodiless:
+        if self.is_after_head:
             self.end_message()
 
     def on_message_complete(self) -> None:
-        if not self._is_interim and not self._is_bodiless:
+        if not self._is_interim and not self.is_after_head:
             self.end_message()
 
 
--- a/libs/http/src/verbenamill_http/served.py
+++ b/libs/http/src/verbenamill_http/served.py
@@ -14,6 +14,7 @@
     ReadFailure,
     RequestHead,
     ResponseHead,
+    allows_body,
     encode_response,
     get_header,
 )
@@ -38,8 +39,9 @@
 #: How often to check whether the last response has been acknowledged.
 _POLL_INTERVAL_S = 0.1
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+#: Statuses whose responses announce no length, besides the interim ones.
+_STATUSES_WITHOUT_LENGTH = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 
-_BODILESS_STATUSES = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 _REQUEST_TOO_SLOW = ReadFailure(
     'the request is too slow', HTTPStatus.REQUEST_TIMEOUT
 )
@@ -198,7 +200,10 @@
                 self._reject(nursery, failure)
         if self._is_interrupted and not self.is_idle and not self._is_closing:
             await self._send_error(
-                _REQUEST_TOO_SLOW, self._last_response_sent, trio.Event()
+                _REQUEST_TOO_SLOW,
+                self._collector.method,
+                self._last_response_sent,
+                trio.Event(),
             )
 
     async def _read(self) -> bytes:
@@ -366,7 +371,8 @@
         # If it were started, closing the connection after this response would
         # abort it; since it is not read, the client can repeat it.
         self._is_closing = self._is_closing or close
-        sent = await self._send(response, close=close)
+        method = request.head.method
+        sent = await self._send(response, method, close=close)
         self.waiting_since = trio.current_time()
         response_sent.set()
         if close or not sent:
@@ -380,12 +386,17 @@
         response_sent = trio.Event()
         self._last_response_sent = response_sent
         nursery.start_soon(
-            self._send_error, failure, previous_sent, response_sent
+            self._send_error,
+            failure,
+            self._collector.method,
+            previous_sent,
+            response_sent,
         )
 
     async def _send_error(
         self,
         failure: ReadFailure,
+        method: bytes,
         previous_sent: trio.Event | None,
         response_sent: trio.Event,
     ) -> None:
@@ -396,21 +407,26 @@
                 status=failure.status,
                 body=failure.reason.encode(),
             )
-            await self._send(response, close=True)
+            await self._send(response, method, close=True)
         response_sent.set()
         await self._close_after_response(sent=True)
 
-    async def _send(self, response: Response, *, close: bool) -> bool:
-        body = b'' if response.is_bodiless else response.body
-        length = response.length
-        if length is None or not response.is_bodiless:
-            length = len(response.body)
+    async def _send(
+        self, response: Response, method: bytes, *, close: bool
+    ) -> bool:
+        """Send a response, without the body if the request allows none."""
+        body = response.body
+        length = len(body)
+        has_body = allows_body(method, response.status)
+        if not has_body:
+            body = b''
+            length = _length_without_body(response)
         head = ResponseHead(
             status=response.status,
             headers=response.headers,
             framing=Framing(length) if length else EMPTY_BODY,
             keep_alive=True,
-            is_bodiless=response.status in _BODILESS_STATUSES,
+            is_bodiless=not has_body,
         )
         return await self._send_all(encode_response(head, close=close) + body)
 
@@ -462,3 +478,10 @@
                     await trio.sleep(_POLL_INTERVAL_S)
             await trio.sleep(_LINGER_S)
         self._cancel_scope.cancel()
+
+
+def _length_without_body(response: Response) -> int:
+    """Length that is announced although no body is sent; 0 for none."""
+    if response.status in _STATUSES_WITHOUT_LENGTH:
+        return 0
+    return len(response.body) or response.length or 0
--- a/libs/http/src/verbenamill_http/server_types.py
+++ b/libs/http/src/verbenamill_http/server_types.py
@@ -21,17 +21,18 @@
 class Response(Struct, kw_only=True):
     """A response to send.
 
+    The server leaves out the body where the method of the request or the
+    status allows none.
+
     :param close: whether to close the connection after the response.
-    :param is_bodiless: whether the body is not sent, as in a response to
-        HEAD.
-    :param length: value of ``Content-Length`` if the body is not sent.
+    :param length: length of the body if it is not known here, as that of an
+        upstream's response to HEAD.
     """
 
     status: int
     headers: list[Header] = []
     body: bytes = b''
     close: bool = False
-    is_bodiless: bool = False
     length: int | None = None
 
 
--- a/libs/sidecar/src/verbenamill_sidecar/routing/call_reader.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/call_reader.py
@@ -157,7 +157,6 @@
         else:
             response = error_response(HTTPStatus.UNAUTHORIZED, reason)
             response.headers.append(_CHALLENGE)
-        response.is_bodiless = head.method == b'HEAD'
         return response
 
     def _reject(self, head: RequestHead, reason: str) -> None:
--- a/libs/sidecar/src/verbenamill_sidecar/routing/hop.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/hop.py
@@ -228,6 +228,7 @@
         status=answer.status,
         headers=[*end_to_end_headers(answer.headers), *report_headers],
         body=answer.body,
+        length=answer.length,
     )
 
 
--- a/libs/sidecar/src/verbenamill_sidecar/routing/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/ingress.py
@@ -83,8 +83,6 @@
             response = self._time_out(call, attempts)
         if call.is_nested:
             self._update_parent(call, response.status, blocked=attempts.blocked)
-        if call.method == b'HEAD':
-            response.is_bodiless = True
         return response
 
     def _time_out(self, call: Call, attempts: Attempts) -> Response:
@@ -366,6 +364,7 @@
                 status=answer.status,
                 headers=end_to_end_headers(answer.headers),
                 body=answer.body,
+                length=answer.length,
             )
         if attempts.may_have_run:
             self._log_failure(call, 'unknown', attempts.reason, attempts)
