--- a/libs/http/src/verbenamill_http/served.py
+++ b/libs/http/src/verbenamill_http/served.py
@@ -39,8 +39,6 @@
 #: How often to check whether the last response has been acknowledged.
 _POLL_INTERVAL_S = 0.1
 _CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
-#: Statuses whose responses announce no length, besides the interim ones.
-_STATUSES_WITHOUT_LENGTH = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 
 _REQUEST_TOO_SLOW = ReadFailure(
     'the request is too slow', HTTPStatus.REQUEST_TIMEOUT
@@ -482,6 +480,6 @@
 
 def _length_without_body(response: Response) -> int:
     """Length that is announced although no body is sent; 0 for none."""
-    if response.status in _STATUSES_WITHOUT_LENGTH:
+    if not allows_body(b'', response.status):
         return 0
     return len(response.body) or response.length or 0
--- a/libs/policy/src/verbenamill_policy/rollouts.py
+++ b/libs/policy/src/verbenamill_policy/rollouts.py
@@ -5,9 +5,9 @@
 from msgspec import Struct
 
 from verbenamill_model.external import (
+    NonNegativeSeconds,
     Number,
     NumberOrNone,
-    PositiveSeconds,
     ServiceField,
     StageNumber,
     VersionField,
@@ -25,7 +25,7 @@
     id: Number
     service: ServiceField
     target: VersionField
-    window: PositiveSeconds
+    window: NonNegativeSeconds
 
 
 @unique
@@ -94,7 +94,7 @@
     order: Number
     stage: StageNumber = 0
     vetoed: bool = False
-    age: PositiveSeconds = 0
+    age: NonNegativeSeconds = 0
 
 
 def merge_progress(one: Progress, other: Progress) -> Progress:
