A stopping daemon begins only what can end before the process does

Callers saw: at a site with a graceS of 10, requests at work were answered 502 in the place of their upstream's answer 5.5 s after SIGTERM; requests that may not be repeated and nested calls were passed on late in the stop and cut; with a graceS of 4 the process was killed in the middle of it. Requests at other daemons' upstreams ended with no answer at all (LOST).

Cause: nobody owned the question how much time the process has. The grace time was assumed (6 s), the stop used it for its own waits only, and the routing, which decides what is begun, knew no end but the request's own deadline.

Change: the deploy template fills in the grace time, as a duration with a unit. ProcessLifetime knows the schedule of a stop, and the ingress asks it before each attempt. What cannot end is refused at once, as not run. At the end of the work time all requests that are left are answered.

--- a/deploy/tests/conftest.py
+++ b/deploy/tests/conftest.py
@@ -53,6 +53,8 @@
 address = "{store}"
 [regions]
 zones = ["z1=r1", "z2=r2", "z3=r2"]
+[stop]
+grace = "{grace}"
 """
 
 
@@ -203,6 +205,7 @@
         self.daemon = None
         self.scope = None
         self.ended = trio.Event()
+        self.ended_at = float('inf')
 
     async def start(self):
         """Start the daemon, for the first time or after :meth:`kill`."""
@@ -213,6 +216,7 @@
             service=self.upstream.service,
             upstream=self.upstream.address,
             store=self.site.store.address,
+            grace=self.site.grace,
         )
         self.stopping = trio.Event()
         self.ended = trio.Event()
@@ -233,6 +237,7 @@
         with trio.CancelScope() as scope:
             self.scope = scope
             await self.daemon.run(self.stopping)
+        self.ended_at = trio.current_time()
         self.ended.set()
 
     async def kill(self):
@@ -280,9 +285,13 @@
 
 
 class Site:
-    """A store and VMs that run in one event loop."""
+    """A store and VMs that run in one event loop.
+
+    :ivar grace: time that a daemon has from SIGTERM until it is killed.
+    """
 
     def __init__(self, nursery, find_ports):
+        self.grace = '6s'
         self.nursery = nursery
         self.store = StoreStandIn()
         self.seeds = count(1)
--- a/libs/sidecar/src/verbenamill_sidecar/daemon.py
+++ b/libs/sidecar/src/verbenamill_sidecar/daemon.py
@@ -25,6 +25,7 @@
     MemberTable,
     UpstreamRecord,
 )
+from verbenamill_policy.process_lifetime import ProcessLifetime
 from verbenamill_policy.quarantine import Quarantine
 from verbenamill_policy.routes import ServiceProperties
 from verbenamill_sidecar.health import Health
@@ -60,16 +61,6 @@
 )
 from verbenamill_telemetry import Event, describe_error, log
 
-#: Time for which a stopping daemon goes on serving until callers and other
-#: daemons know that it is leaving, in seconds. Callers learn it from two health
-#: checks that are a second apart.
-_LEAVING_SERVE_TIME = 2.6
-#: Part of the grace time that is reserved for the end of the process, in
-#: seconds.
-_EXIT_RESERVE = 0.5
-#: Part of this reserve in which callers whose requests were given up get their
-#: answers, in seconds.
-_FINAL_ANSWERS_TIME = 0.2
 #: Longest time for saving in the store that this daemon leaves, in seconds.
 _LEAVING_SAVE_TIMEOUT = 0.4
 #: Interval between removals of expired state, in seconds.
@@ -118,6 +109,7 @@
     def __init__(self, context: DaemonContext) -> None:
         self._context = context
         settings = context.settings
+        self._lifetime = ProcessLifetime(settings.stop.grace)
         self._table = MemberTable()
         self._peers = Peers(
             self._table,
@@ -205,7 +197,6 @@
                 random=context.random,
             ),
         )
-        self._is_stopping = False
         self._servers = self._make_servers()
 
     async def run(self, stopping: trio.Event) -> None:
@@ -233,7 +224,11 @@
                 zone=settings.vm.availability_zone,
             )
             await stopping.wait()
-            log(Event.STOPPING, id=settings.vm.id)
+            log(
+                Event.STOPPING,
+                id=settings.vm.id,
+                grace_s=settings.stop.grace.total_seconds(),
+            )
             await self._stop()
             nursery.cancel_scope.cancel()
         await self._context.store.close()
@@ -254,7 +249,10 @@
 
     def is_ready(self) -> bool:
         """Whether callers may send requests to this daemon."""
-        return not self._is_stopping and self._desired_state.table is not None
+        return (
+            not self._lifetime.is_stopping
+            and self._desired_state.table is not None
+        )
 
     def _make_own_record(self) -> MemberRecord:
         settings = self._context.settings
@@ -273,8 +271,9 @@
     def _make_servers(self) -> tuple[HttpServer, ...]:
         context = self._context
         own = self._gossip.own
-        ingress = Ingress(
+        self._ingress = Ingress(
             IngressContext(
+                lifetime=self._lifetime,
                 names=context.names,
                 table=lambda: self._desired_state.table,
                 shares=self._desired_state.shares,
@@ -308,7 +307,7 @@
         )
         health = Health(is_ready=self.is_ready, render=self._render_metrics)
         self._caller_server = HttpServer(
-            ingress.handle,
+            self._ingress.handle,
             limits=self._caller_limits,
             on_error=_log_fault,
         )
@@ -376,9 +375,8 @@
             self._quotas.refresh()
 
     async def _stop(self) -> None:
-        grace = self._context.settings.stop.grace / 1000
-        end = trio.current_time() + grace - _EXIT_RESERVE
-        self._is_stopping = True
+        lifetime = self._lifetime
+        lifetime.begin_stop(trio.current_time())
         self._own_upstream.stop()
         self._gossip.update_own(upstream=self._current_upstream(), leaving=True)
         self._quotas.leave()
@@ -386,8 +384,8 @@
             server.is_stopping = True
         # Callers are sent elsewhere once two health checks have failed. Until
         # then this daemon serves them.
-        await trio.sleep(_LEAVING_SERVE_TIME)
-        with trio.CancelScope(deadline=end):
+        await trio.sleep_until(lifetime.notice_ends_at)
+        with trio.CancelScope(deadline=lifetime.work_ends_at):
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(
                     self._registrar.save_before_exit, _LEAVING_SAVE_TIMEOUT
@@ -396,9 +394,10 @@
                 # The owner refuses every request by now, with an outcome that
                 # other daemons understand.
                 await self._daemon_server.shut_down(reject_late=False)
-        if self._own_upstream.in_flight:
+        if self._own_upstream.in_flight or self._ingress.is_active:
             self._own_upstream.exchange.cancel_running()
-            await trio.sleep(_FINAL_ANSWERS_TIME)
+            self._ingress.give_up_active()
+            await trio.sleep_until(lifetime.answers_end_at)
 
     async def _finish_callers(self) -> None:
         """Finish the running requests and the nested calls that they make."""
@@ -422,7 +421,7 @@
     def _publish_upstream(self) -> None:
         self._gossip.update_own(
             upstream=self._current_upstream(),
-            leaving=self._is_stopping,
+            leaving=self._lifetime.is_stopping,
         )
         upstream = self._current_upstream()
         if upstream is not None and upstream.has_left:
--- a/libs/sidecar/src/verbenamill_sidecar/routing/attempts.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/attempts.py
@@ -8,12 +8,16 @@
 #: Reason of a refusal because the limits of all upstreams are reached.
 AT_LIMIT = 'the upstream is at its limit'
 _FIRST_SERVER_ERROR = 500
+_STOPS = 'the daemon stops before the request can end'
 
 
 class Attempts:
     """Attempts that were made for one request, and their combined outcome.
 
     :ivar reached: number of upstreams that got the request.
+    :ivar pending: number of attempts whose outcome is not known yet.
+    :ivar refused_by_stop: whether this daemon begins no attempt because the
+        request could not end before the process does.
     :ivar fails_everywhere: whether other owners would have the same outcome.
     :ivar found_owners_full: whether none of the owners that were asked for
         their load had a free slot.
@@ -25,6 +29,8 @@
         self.tried_vms: set[VmId] = set()
         self.owners_asked = 0
         self.reached = 0
+        self.pending = 0
+        self.refused_by_stop = False
         self.wants_target: bool | None = None
         self.answer: ClientResponse | None = None
         self.may_have_run = False
@@ -57,6 +63,7 @@
         vm = peer.record.vm
         self.tried_vms.add(vm)
         self.owners_asked += 1
+        self.pending += 1
         self._summary_indexes[vm] = len(self.summaries)
         self.summaries.append(f'{vm}: no answer yet')
 
@@ -78,6 +85,20 @@
             self.reason = reason
             self.wait = wait
 
+    def record_too_long(self) -> None:
+        """Record that the daemon stops before another attempt could end."""
+        if not (self.pending or self.has_run):
+            self.refused_by_stop = True
+            self.record_unavailable(_STOPS, wait=0)
+
+    def record_stop(self) -> None:
+        """Record that the daemon stops now; pending attempts may go on."""
+        if self.pending:
+            self.may_have_run = True
+            self.reason = _STOPS
+        else:
+            self.record_too_long()
+
     def record_no_home(self, *, is_reachable: bool) -> None:
         """Record whether the home regions of the route have upstreams."""
         if not is_reachable:
@@ -95,6 +116,7 @@
     def record_outcome(self, peer: Peer, outcome: Outcome) -> None:
         """Record the outcome of an attempt."""
         vm = peer.record.vm
+        self.pending -= 1
         self.reached += outcome.reached
         self.fails_everywhere |= outcome.everywhere
         self.blocked |= outcome.blocked
--- a/libs/sidecar/src/verbenamill_sidecar/routing/ingress.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/ingress.py
@@ -65,45 +65,106 @@
         self._context = context
         self._versions = VersionCounter()
         self._budgets: dict[ServiceName, RetryBudget] = {}
+        self._active: set[trio.CancelScope] = set()
         self._route_statistics = RouteStatistics()
         self._reader = CallReader(context, self._route_statistics)
         self._selector = OwnerSelector(context, self._route_statistics)
 
+    @property
+    def is_active(self) -> bool:
+        """Whether a request is being handled."""
+        return bool(self._active)
+
+    def give_up_active(self) -> None:
+        """Answer the requests that are being handled, before the process ends.
+
+        Otherwise their connections would end without an answer.
+        """
+        for scope in self._active:
+            scope.cancel()
+
     async def handle(self, request: Request) -> Response:
         """Handle one request of a caller."""
         call = self._reader.read(request)
         if isinstance(call, Response):
             return call
         self._context.stats.requests += 1
-        response = None
         attempts = Attempts()
-        with trio.CancelScope(deadline=call.deadline):
-            response = await self._admit(call, attempts)
-        if response is None:
-            response = self._time_out(call, attempts)
+        if self._limit_to_lifetime(call, attempts):
+            response = await self._handle_until_deadline(call, attempts)
+        else:
+            response = self._make_response(call, attempts)
         if call.is_nested:
-            self._update_parent(call, response.status, blocked=attempts.blocked)
+            self._update_parent(call, response.status, attempts)
+        return response
+
+    async def _handle_until_deadline(
+        self, call: Call, attempts: Attempts
+    ) -> Response:
+        response = None
+        with trio.CancelScope(deadline=call.deadline) as scope:
+            self._active.add(scope)
+            try:
+                response = await self._admit(call, attempts)
+            finally:
+                self._active.discard(scope)
+        if response is None:
+            response = self._end_unanswered(call, attempts)
         return response
 
-    def _time_out(self, call: Call, attempts: Attempts) -> Response:
-        """Make the response to a caller whose deadline has passed."""
+    def _limit_to_lifetime(self, call: Call, attempts: Attempts) -> bool:
+        """Limit a request to the time that this process has left.
+
+        :return: whether it can end in that time, and may be passed on.
+        """
+        lifetime = self._context.lifetime
+        if not lifetime.is_stopping:
+            return True
+        can_end = lifetime.may_begin(
+            call.deadline,
+            trio.current_time(),
+            chance_within=partial(
+                self._route_statistics.chance_within, call.route
+            ),
+        )
+        if can_end:
+            # Owners and upstreams are told the time that there is.
+            call.deadline = min(call.deadline, lifetime.work_ends_at)
+        else:
+            attempts.record_too_long()
+        return can_end
+
+    def _end_unanswered(self, call: Call, attempts: Attempts) -> Response:
+        """Make the response if time ran out, that of the caller or our own."""
         if attempts.answer is not None:
             return self._make_response(call, attempts)
+        if trio.current_time() >= self._context.lifetime.work_ends_at:
+            attempts.record_stop()
+            return self._make_response(call, attempts)
         reason = 'no answer by the deadline'
         self._log_failure(call, 'timed-out', reason, attempts)
         return error_response(HTTPStatus.GATEWAY_TIMEOUT, reason)
 
-    def _update_parent(self, call: Call, status: int, *, blocked: bool) -> None:
+    def _update_parent(
+        self, call: Call, status: int, attempts: Attempts
+    ) -> None:
         """Record the result of a nested call at the request that made it."""
         parent = self._context.own.exchange.find_parent(call.id)
         if parent is None:
             return
+        if attempts.refused_by_stop:
+            # Through another daemon, the parent could make this call.
+            parent.nested_status = HTTPStatus.BAD_GATEWAY
+            return
         if status >= _FIRST_SERVER_ERROR:
             parent.nested_status = status
         self._context.own.nested_calls.record_outcome(
             parent.route.name,
             call.service,
-            refused=status == HTTPStatus.SERVICE_UNAVAILABLE and not blocked,
+            refused=(
+                status == HTTPStatus.SERVICE_UNAVAILABLE
+                and not attempts.blocked
+            ),
             now=trio.current_time(),
         )
 
@@ -226,7 +287,8 @@
         race: Race,
     ) -> Peer | None:
         """Choose the next owner; ``None`` if no attempt is to be made now."""
-        if not _may_start_another(call, attempts, race):
+        may_start = _may_start_another(call, attempts, race)
+        if not may_start or not self._limit_to_lifetime(call, attempts):
             return None
         if self._route_statistics.is_hopeless(call, trio.current_time()):
             attempts.record_unavailable('too little time is left', wait=0)
--- a/libs/sidecar/src/verbenamill_sidecar/routing/ingress_context.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/ingress_context.py
@@ -11,6 +11,7 @@
     ServiceName,
     VmId,
 )
+from verbenamill_policy.process_lifetime import ProcessLifetime
 from verbenamill_policy.rollouts import Shares
 from verbenamill_policy.routes import RouteTable
 from verbenamill_sidecar.membership.peers import Peers
@@ -26,6 +27,7 @@
 class IngressContext(Struct, frozen=True, kw_only=True):
     """Dependencies of the ingress on the rest of the daemon.
 
+    :param lifetime: tells what can still end before the process does.
     :param table: returns the routes in force; ``None`` before any are known.
     :param shares: returns how a service is split between its versions.
     :param load_probes: asks other daemons for their load.
@@ -38,6 +40,7 @@
     :param record_stamp: called with the version stamp of each owner.
     """
 
+    lifetime: ProcessLifetime
     names: HeaderNames
     table: Callable[[], RouteTable | None]
     shares: Callable[[ServiceName], Shares]
--- a/libs/sidecar/src/verbenamill_sidecar/routing/route_statistics.py
+++ b/libs/sidecar/src/verbenamill_sidecar/routing/route_statistics.py
@@ -6,7 +6,11 @@
 from verbenamill_policy.placement import OwnerEstimate, PlacementRequest
 from verbenamill_policy.retry_detection import RetryDetector
 from verbenamill_policy.routes import Route
-from verbenamill_policy.service_times import ServiceTimes, is_hopeless
+from verbenamill_policy.service_times import (
+    ServiceTimes,
+    is_hopeless,
+    probability_within,
+)
 from verbenamill_sidecar.routing.call import (
     RETRIABLE_STATUSES,
     Call,
@@ -52,6 +56,14 @@
             call.deadline - now,
         )
 
+    def chance_within(self, route: Route, seconds: float) -> float:
+        """Return the probability that a request of a route ends in a time."""
+        return probability_within(
+            self.mean_service_time(route),
+            self._times.log_deviation(route.name),
+            seconds,
+        )
+
     def placement_request(self, call: Call, now: float) -> PlacementRequest:
         """Return the requirements of a request for the choice of an owner."""
         route = call.route
--- a/libs/sidecar/src/verbenamill_sidecar/settings.py
+++ b/libs/sidecar/src/verbenamill_sidecar/settings.py
@@ -2,6 +2,7 @@
 
 import tomllib
 from collections.abc import Mapping
+from datetime import timedelta
 from pathlib import Path
 from typing import Annotated, Any
 
@@ -23,13 +24,17 @@
     Name,
     NamePairs,
     SocketAddress,
-    integer_in_range,
+    duration_in_range,
     number_in_range,
     one_of,
 )
 from verbenamill_runtime.settings_reader import read_sections
 from verbenamill_telemetry.log_settings import LogFormat, LogLevel
 
+_MIN_GRACE = timedelta(seconds=0.1)
+_MAX_GRACE = timedelta(hours=1)
+_DEFAULT_GRACE = timedelta(seconds=6)
+
 _Pairs = tuple[tuple[str, str], ...]
 
 
@@ -104,10 +109,12 @@
 class StopSettings(Struct, frozen=True, kw_only=True):
     """Time limit of a graceful stop.
 
-    :param grace: time from the signal until the process is killed, in ms.
+    :param grace: time from the signal until the process is killed.
     """
 
-    grace: Annotated[int, integer_in_range(1000, 600_000)] = 6000
+    grace: Annotated[timedelta, duration_in_range(_MIN_GRACE, _MAX_GRACE)] = (
+        _DEFAULT_GRACE
+    )
 
 
 class StartSettings(Struct, frozen=True, kw_only=True):
--- a/libs/soak/src/verbenamill_soak/nodes.py
+++ b/libs/soak/src/verbenamill_soak/nodes.py
@@ -50,7 +50,7 @@
 [store]
 address = "{store}"
 [stop]
-grace = {grace}
+grace = "{grace}ms"
 """
 
 
