An error met in sending is known to the task that reads the response

Cause: the kernel reports the failure of a connection to one call only. While a long request is sent, two tasks wait on one socket, and either may run first. If sending got the reset, it ended without a word, and the next read saw an end of input, which ends a body without a length. Nobody owned the state of the connection. Ruled out: the hop between daemons (one daemon is enough, and its answers have lengths), and bodies with a length or in chunks.

Change: the reader shares what sending has learned. An end of input after a failed send is a lost connection, unless the send failed with EPIPE, by which Linux tells that the server had ended its output before the reset.

--- a/libs/http/src/verbenamill_http/client.py
+++ b/libs/http/src/verbenamill_http/client.py
@@ -3,6 +3,7 @@
 Each request ends with one complete response or with a failure.
 """
 
+import errno
 import socket
 from collections.abc import Callable
 from enum import Enum, unique
@@ -122,7 +123,7 @@
         )
         try:
             if not remaining:
-                return await self._read_response(reader)
+                return await self._read_response(reader, _Sending())
             return await self._send_and_read(remaining, reader)
         finally:
             unsized.release(reader)
@@ -138,18 +139,18 @@
             ExchangeFailure.CONNECTION_LOST
         )
         async with trio.open_nursery() as nursery:
-            state = _SendState()
-            nursery.start_soon(self._send_remaining, remaining, state)
-            result = await self._read_response(reader)
+            sending = _Sending()
+            nursery.start_soon(self._send_remaining, remaining, sending)
+            result = await self._read_response(reader, sending)
             nursery.cancel_scope.cancel()
-        if isinstance(result, ClientResponse) and not state.is_done:
+        if isinstance(result, ClientResponse) and not sending.is_done:
             # The server still expects the rest of the body and would read
             # the next request as part of it.
             result.is_reusable = False
         return result
 
     async def _send_remaining(
-        self, remaining: bytes, state: '_SendState'
+        self, remaining: bytes, sending: '_Sending'
     ) -> None:
         view = memoryview(remaining)
         while view:
@@ -158,12 +159,13 @@
                 view = view[self._sock.send(view) :]
             except BlockingIOError:
                 continue
-            except OSError:
+            except OSError as error:
+                sending.record_error(error)
                 return
-        state.is_done = True
+        sending.is_done = True
 
     async def _read_response(
-        self, reader: '_ResponseReader'
+        self, reader: '_ResponseReader', sending: '_Sending'
     ) -> ClientResponse | ExchangeFailure:
         while True:
             try:
@@ -173,6 +175,8 @@
                 continue
             except OSError:
                 return ExchangeFailure.CONNECTION_LOST
+            if not data and sending.has_met_reset:
+                return ExchangeFailure.CONNECTION_LOST
             result = reader.feed(data) if data else reader.end()
             if result is not None:
                 return result
@@ -189,11 +193,30 @@
         return request[sent:]
 
 
-class _SendState:
-    """Records whether the whole request has been sent."""
+class _Sending:
+    """What sending a request has shown, for the task that reads meanwhile.
+
+    The kernel reports the failure of a connection to one call only. If sending
+    has got the error, the next read sees an end of input, as if the server had
+    closed the connection in order.
+
+    :ivar is_done: whether the whole request has been sent.
+    :ivar has_met_reset: whether the connection failed before the server had
+        ended its output.
+    """
 
     def __init__(self) -> None:
         self.is_done = False
+        self.has_met_reset = False
+
+    def record_error(self, error: OSError) -> None:
+        """Record why no more of the request can be sent.
+
+        Linux reports a reset as ``EPIPE`` if it came after the end of the
+        server's output (``tcp_reset`` in ``net/ipv4/tcp_input.c``). What was
+        received before is complete then.
+        """
+        self.has_met_reset = error.errno != errno.EPIPE
 
 
 class _ResponseReader:
@@ -236,7 +259,7 @@
             and self._matches_request(head)
         ):
             # The response has no length, so the end of the connection is the
-            # end of the body. A reset is reported as an error elsewhere.
+            # end of the body.
             return self._build_response(head, is_reusable=False)
         return ExchangeFailure.CONNECTION_LOST
 
