The soak plays sites with other grace times

All soaks and tests had the grace time that is the daemon's default, so that a daemon which does not know its site's passed them. `--grace 0` draws 3, 4, 6 or 10 s from the seed; known seeds keep 6.

--- a/libs/soak/src/verbenamill_soak/cluster.py
+++ b/libs/soak/src/verbenamill_soak/cluster.py
@@ -19,7 +19,7 @@
     GuestCaller,
     make_guest_key,
 )
-from verbenamill_soak.nodes import Node
+from verbenamill_soak.nodes import USUAL_GRACE_S, Node
 from verbenamill_soak.pipelining import PipeliningCaller
 from verbenamill_soak.timeline import Timeline
 
@@ -78,6 +78,8 @@
         nursery: trio.Nursery,
         timeline: Timeline,
         random: Random,
+        *,
+        grace: int = USUAL_GRACE_S,
     ) -> None:
         self.timeline = timeline
         self.store = StoreStandIn()
@@ -87,6 +89,7 @@
         self.orders: dict[int, RolloutOrder] = {}
         self._nursery = nursery
         self._random = random
+        self._grace = grace
         self._upstream_versions = 1
         self._active_store_faults = 0
         self._last_store_fault_ended_at = float('-inf')
@@ -112,6 +115,7 @@
                 folder=folder,
                 nursery=self._nursery,
                 timeline=self.timeline,
+                grace=self._grace,
             )
             self.nodes.append(node)
             self._nursery.start_soon(node.open, self.store.address)
--- a/libs/soak/src/verbenamill_soak/daemon_fleet.py
+++ b/libs/soak/src/verbenamill_soak/daemon_fleet.py
@@ -92,7 +92,7 @@
         datagrams=f'{HOST}:{ports[2]}',
         upstream=upstream,
         store=store,
-        grace=2000,
+        grace=2,
     )
     service = SERVICES[index % len(SERVICES)]
     path.write_text(text.replace('"entries"', f'"{service}"'))
--- a/libs/soak/src/verbenamill_soak/fault_injection.py
+++ b/libs/soak/src/verbenamill_soak/fault_injection.py
@@ -8,7 +8,7 @@
 from verbenamill_platform_standins.operators import OPERATORS_TOPIC
 from verbenamill_soak.callers import Caller
 from verbenamill_soak.cluster import Cluster
-from verbenamill_soak.nodes import STOP_GRACE_MS, Node
+from verbenamill_soak.nodes import Node
 from verbenamill_soak.plan import Fault, FaultKind
 from verbenamill_soak.relays import LinkMode
 from verbenamill_soak.upstreams import (
@@ -246,7 +246,7 @@
                 await node.start()
             case _:
                 node.signal_daemon(signal.SIGKILL)
-                await node.wait_for_exit(STOP_GRACE_MS / 1000)
+                await node.wait_for_exit(node.grace)
                 await trio.sleep(fault.duration / 2)
                 sets_clock_back = fault.kind is FaultKind.CLOCK
                 await node.start(
@@ -255,7 +255,7 @@
 
     async def _stop_daemon(self, node: Node) -> None:
         node.signal_daemon(signal.SIGTERM)
-        code = await node.wait_for_exit(STOP_GRACE_MS / 1000)
+        code = await node.wait_for_exit(node.grace)
         if code is None:
             self._cluster.timeline.add_violation('ends in time', node.name)
             node.signal_daemon(signal.SIGKILL)
--- a/libs/soak/src/verbenamill_soak/main.py
+++ b/libs/soak/src/verbenamill_soak/main.py
@@ -9,6 +9,8 @@
 import trio
 import typer
 
+from verbenamill_soak.nodes import USUAL_GRACE_S
+from verbenamill_soak.plan import draw_grace
 from verbenamill_soak.run import Report, RunOptions, run
 
 #: Maximum number of events printed before the first violation.
@@ -33,6 +35,14 @@
         int,
         typer.Option(min=2, max=200, help='Number of daemons.'),
     ] = 5,
+    grace: Annotated[
+        int,
+        typer.Option(
+            min=0,
+            max=600,
+            help='Seconds for a planned stop; 0 draws them from the seed.',
+        ),
+    ] = USUAL_GRACE_S,
     report: Annotated[
         Path | None,
         typer.Option(help='Directory for the reports and logs of the runs.'),
@@ -43,7 +53,10 @@
     failed = 0
     for seed_number in range(first_seed, first_seed + runs):
         options = RunOptions(
-            seed=seed_number, vms=processes, seconds=minutes * 60
+            seed=seed_number,
+            vms=processes,
+            seconds=minutes * 60,
+            grace=grace or draw_grace(seed_number),
         )
         folder = None if report is None else report / str(seed_number)
         result = trio.run(run, options, folder)
@@ -58,7 +71,8 @@
 def _print_report(result: Report) -> None:
     options = result.wanted
     print(
-        f'seed {options.seed}, {options.vms} daemons, {options.seconds:g} s: '
+        f'seed {options.seed}, {options.vms} daemons, {options.seconds:g} s, '
+        f'grace {options.grace} s: '
         f'{result.verdict}; {result.requests}; '
         f'the soak itself was up to {result.worst_lag:.2f} s late, '
         f'{result.lag:.2f} s in all',
--- a/libs/soak/src/verbenamill_soak/nodes.py
+++ b/libs/soak/src/verbenamill_soak/nodes.py
@@ -25,8 +25,8 @@
 _ACK_TIMEOUT_S = 1.0
 #: Time for which an upstream listens after draining, to record late requests.
 _EXTRA_LISTEN_S = 0.5
-#: Time that a daemon has for a planned stop.
-STOP_GRACE_MS = 6000
+#: Time that a daemon has for a planned stop, in seconds, unless a run draws it.
+USUAL_GRACE_S = 6
 #: Signals that a process cannot handle.
 _DISRUPTIVE_SIGNALS = (signal.SIGKILL, signal.SIGSTOP, signal.SIGCONT)
 #: Signals that terminate the daemon.
@@ -50,13 +50,14 @@
 [store]
 address = "{store}"
 [stop]
-grace = "{grace}ms"
+grace = "{grace}s"
 """
 
 
 class Node:
     """A VM with its daemon, upstreams and relays.
 
+    :ivar grace: time that the daemon has for a planned stop, in seconds.
     :ivar upstreams: all upstreams that the VM has had, the newest last.
     :ivar daemon_starts: number of starts of the daemon.
     :ivar lifecycle_lock: held by the task that stops and restarts the daemon.
@@ -72,8 +73,10 @@
         folder: Path,
         nursery: trio.Nursery,
         timeline: Timeline,
+        grace: int = USUAL_GRACE_S,
     ) -> None:
         self.name = name
+        self.grace = grace
         self.zone = zone
         self.ports = find_ports(5)
         self.upstreams: list[Upstream] = []
@@ -173,7 +176,7 @@
                 datagrams=self._gossip_relay.address,
                 upstream=self._upstream_relay.address,
                 store=self._store_relay.address,
-                grace=STOP_GRACE_MS,
+                grace=self.grace,
             ),
         )
         await self.add_upstream('v1')
--- a/libs/soak/src/verbenamill_soak/plan.py
+++ b/libs/soak/src/verbenamill_soak/plan.py
@@ -71,6 +71,8 @@
 #: Relative frequency of kinds, 1 for all others; configuration changes come
 #: most often.
 _WEIGHTS = {FaultKind.CONFIGURE: 4, FaultKind.STOP: 2, FaultKind.DRAIN: 2}
+#: Times that a site may allow for a planned stop, in seconds.
+_GRACES_S = (3, 4, 6, 10)
 #: Kinds with their own random generators, so that older seeds still generate
 #: the same faults of the other kinds.
 _SEPARATELY_GENERATED = frozenset(
@@ -126,6 +128,11 @@
     random_value: int
 
 
+def draw_grace(seed: int) -> int:
+    """Draw the time that daemons have for a planned stop, in seconds."""
+    return Random(f'grace {seed}').choice(_GRACES_S)
+
+
 def generate_plan(seed: int, *, vms: int, seconds: float) -> list[Fault]:
     """Generate the faults of a run, ordered by time."""
     random = Random(seed)
--- a/libs/soak/src/verbenamill_soak/run.py
+++ b/libs/soak/src/verbenamill_soak/run.py
@@ -12,7 +12,7 @@
 from verbenamill_soak.fault_injection import FaultInjector
 from verbenamill_soak.guarantees import GuaranteeChecker
 from verbenamill_soak.lag import EventLoopLag
-from verbenamill_soak.nodes import Node
+from verbenamill_soak.nodes import USUAL_GRACE_S, Node
 from verbenamill_soak.plan import generate_plan
 from verbenamill_soak.relays import LinkMode
 from verbenamill_soak.timeline import Timeline, TimelineEvent, Violation
@@ -27,11 +27,13 @@
     """Options of a run.
 
     :param seconds: duration of the faults; the recovery comes in addition.
+    :param grace: time that daemons have for a planned stop, in seconds.
     """
 
     seed: int
     vms: int
     seconds: float
+    grace: int = USUAL_GRACE_S
 
 
 class Report(Struct, kw_only=True):
@@ -75,7 +77,9 @@
     timeline = Timeline()
     lag = EventLoopLag(timeline)
     async with trio.open_nursery() as nursery:
-        cluster = Cluster(nursery, timeline, Random(options.seed))
+        cluster = Cluster(
+            nursery, timeline, Random(options.seed), grace=options.grace
+        )
         checker = GuaranteeChecker(cluster)
         try:
             await cluster.open(options.vms, folder)
--- a/libs/soak/tests/test_pipelining.py
+++ b/libs/soak/tests/test_pipelining.py
@@ -8,7 +8,6 @@
 
 from verbenamill_soak.callers import Outcome
 from verbenamill_soak.cluster import Cluster
-from verbenamill_soak.nodes import STOP_GRACE_MS
 from verbenamill_soak.pipelining import PipeliningCaller
 from verbenamill_soak.timeline import Timeline
 
@@ -38,7 +37,7 @@
                 await trio.sleep(2)
                 stopped.signal_daemon(signal.SIGTERM)
                 stop_started_at = trio.current_time()
-                assert await stopped.wait_for_exit(STOP_GRACE_MS / 1000) == 0
+                assert await stopped.wait_for_exit(stopped.grace) == 0
                 stop_time = trio.current_time() - stop_started_at
             finally:
                 for node in cluster.nodes:
