--- a/deploy/tests/test_external_input.py
+++ b/deploy/tests/test_external_input.py
@@ -1,7 +1,6 @@
 """Input of other writers, which must stop no daemon and no upstream."""
 
 import json
-from copy import deepcopy
 from itertools import count
 from math import inf, nan
 
@@ -22,6 +21,11 @@
 from verbenamill_platform.members import decode_members
 from verbenamill_platform.records import Record, decode_page
 from verbenamill_platform.suspects import decode_suspects
+from verbenamill_platform_standins.odd_values import (
+    MISSING,
+    find_paths,
+    replace_at,
+)
 from verbenamill_policy.limits import RateLimit
 from verbenamill_policy.members import MemberRecord, UpstreamRecord
 from verbenamill_policy.pace import PaceReport
@@ -49,7 +53,6 @@
     Wanted,
 )
 
-MISSING = object()
 NESTED = json.loads('[' * 200 + ']' * 200)
 #: Values that are no sound value of any numeric field.
 ODD_NUMBERS = [-1, 1 << 62, 1 << 63, 1 << 64, 10**25, -(10**25), 1.5, True]
@@ -57,32 +60,6 @@
 ODD_VALUES = [MISSING, None, [], {}, NESTED, *ODD_NUMBERS, *ODD_TEXTS]
 
 
-def find_paths(tree, path=()):
-    """Yield the path of each value in nested lists and dictionaries."""
-    if path:
-        yield path
-    children = ()
-    if isinstance(tree, dict):
-        children = tree.items()
-    elif isinstance(tree, list | tuple):
-        children = enumerate(tree)
-    for key, child in children:
-        yield from find_paths(child, (*path, key))
-
-
-def replace_at(tree, path, value):
-    """Copy a tree with another value at a path, or without that value."""
-    changed = deepcopy(tree)
-    parent = changed
-    for key in path[:-1]:
-        parent = parent[key]
-    if value is MISSING:
-        parent.pop(path[-1])
-    else:
-        parent[path[-1]] = value
-    return changed
-
-
 def make_odd(tree, odd_values):
     """Strategy of copies of a tree in which one value is odd."""
     return st.builds(
--- a/deploy/tests/test_odd_entries.py
+++ b/deploy/tests/test_odd_entries.py
@@ -1,7 +1,6 @@
 """Entries of other writers in the list of daemons and their upstreams."""
 
 import zlib
-from copy import deepcopy
 
 import msgspec
 import pytest
@@ -10,6 +9,11 @@
 from trio.testing import MockClock
 
 from verbenamill_model.typing import UpstreamState
+from verbenamill_platform_standins.odd_values import (
+    MISSING,
+    find_paths,
+    replace_at,
+)
 from verbenamill_policy.limits import RateLimit
 from verbenamill_policy.members import MemberRecord, UpstreamRecord
 
@@ -21,7 +25,6 @@
         RateLimit(5.0, 100),
     ),
 )
-MISSING = object()
 DEPTH = 200_000
 NESTED = '[' * 60 + ']' * 60
 ODD_VALUES = [
@@ -42,26 +45,6 @@
 }
 
 
-def find_paths(tree, path=()):
-    """Yield the path of each value in nested lists."""
-    for index, child in enumerate(tree if isinstance(tree, list) else ()):
-        yield (*path, index)
-        yield from find_paths(child, (*path, index))
-
-
-def replace_at(tree, path, value):
-    """Copy nested lists with another value at a path, or without it."""
-    changed = deepcopy(tree)
-    parent = changed
-    for index in path[:-1]:
-        parent = parent[index]
-    if value is MISSING:
-        parent.pop(path[-1])
-    else:
-        parent[path[-1]] = value
-    return changed
-
-
 def draw_entries():
     """Draw records of a daemon in which one value is odd."""
     plain = msgspec.msgpack.decode(msgspec.msgpack.encode(MEMBER))
