A request that is given up is not sent any further

Cause: closing a socket leaves what was written to the kernel, which sends a lost packet again a second later.

Change: a connection whose exchange ends without a response is reset, so that the kernel drops what is not acknowledged. Connections after a whole response are closed in order, as before.

--- a/libs/http/src/verbenamill_http/client.py
+++ b/libs/http/src/verbenamill_http/client.py
@@ -5,7 +5,9 @@
 
 import errno
 import socket
+import struct
 from collections.abc import Callable
+from contextlib import suppress
 
 import trio
 
@@ -28,6 +30,8 @@
     'ExchangeFailure',
 )
 
+#: Value of ``SO_LINGER`` with which closing a socket resets the connection.
+_RESET = struct.pack('ii', 1, 0)
 #: Largest number of bytes that one read takes.
 READ_SIZE_BYTES = 64 * 1024
 #: Longest response head that is accepted.
@@ -70,6 +74,16 @@
         """Close the connection without waiting."""
         self._sock.close()
 
+    def abort(self) -> None:
+        """Reset the connection, so that the kernel drops unacknowledged bytes.
+
+        After :meth:`close` it would go on sending them: a request that a lost
+        packet delays would reach the server after its caller has left.
+        """
+        with suppress(OSError):
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        self._sock.close()
+
     async def exchange(
         self,
         request: bytes,
@@ -297,7 +311,10 @@
                 unsized=self._unsized,
             )
         finally:
-            if isinstance(result, ClientResponse) and result.is_reusable:
+            if isinstance(result, ExchangeFailure):
+                connection.abort()
+                self.open_count -= 1
+            elif result.is_reusable:
                 self.release(connection)
             else:
                 self.discard(connection)
--- a/libs/http/tests/test_client.py
+++ b/libs/http/tests/test_client.py
@@ -192,6 +192,38 @@
     run_scenario(FakeServer(build_response(b'1')), scenario)
 
 
+def test_a_request_that_is_given_up_is_not_sent_any_further():
+    """Guards against requests that arrive after their callers have left."""
+    ends = []
+
+    async def serve(stream):
+        await stream.receive_some(65536)
+        try:
+            ends.append(await stream.receive_some(65536))
+        except trio.BrokenResourceError:
+            # Only a reset makes the kernel drop bytes that it still sends.
+            ends.append('reset')
+
+    async def scenario(pool):
+        connection = await pool.acquire()
+        with trio.move_on_after(0.05):
+            await pool.exchange(
+                connection,
+                REQUEST,
+                matches_request=lambda _: True,
+                is_bodiless=False,
+                max_body=1000,
+            )
+        assert pool.open_count == 0
+        while not ends:
+            await trio.sleep(0.01)
+        assert ends == ['reset']
+
+    server = FakeServer()
+    server.serve = serve
+    run_scenario(server, scenario)
+
+
 def test_refused_connection_yields_none():
     async def scenario(pool):
         with socket.socket() as closed:
